--- /dev/null
+++ b/cmd/flamingomast/main.go
@@ -0,0 +1,13 @@
+// Command flamingomast distributes the configuration of a service mesh and
+// carries its requests.
+package main
+
+import (
+	"os"
+
+	"github.com/flamingomast/flamingomast/internal/node/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/conf/pack/pack.go
@@ -0,0 +1,186 @@
+package pack
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/strict"
+)
+
+// Kind names a list of declarations.
+type Kind string
+
+// The kinds of resources, one for each list of decl.Mesh.
+const (
+	KindRegion    Kind = "region"
+	KindDomain    Kind = "failure-domain"
+	KindService   Kind = "service"
+	KindVM        Kind = "vm"
+	KindClass     Kind = "class"
+	KindRoute     Kind = "route"
+	KindPlacement Kind = "placement"
+)
+
+// Key names a resource.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// String returns kind and name joined by a slash.
+func (ky Key) String() string { return string(ky.Kind) + "/" + ky.Name }
+
+func parseKey(s string) Key {
+	kind, name, _ := strings.Cut(s, "/")
+	return Key{Kind: Kind(kind), Name: name}
+}
+
+// Compare orders keys by kind, then by name.
+func (ky Key) Compare(other Key) int {
+	return cmp.Or(cmp.Compare(ky.Kind, other.Kind), cmp.Compare(ky.Name, other.Name))
+}
+
+// Resource is one declared thing with its canonical encoding, which is never
+// changed once made.
+type Resource struct {
+	Key  Key
+	Body []byte
+}
+
+// Digest is the SHA-256 sum of a content.
+type Digest [sha256.Size]byte
+
+// String returns the digest in hexadecimal.
+func (dg Digest) String() string { return hex.EncodeToString(dg[:]) }
+
+// IsZero tells whether the digest is unset.
+func (dg Digest) IsZero() bool { return dg == Digest{} }
+
+// ParseDigest reads what String returns.
+func ParseDigest(s string) (Digest, error) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != sha256.Size {
+		return Digest{}, fmt.Errorf("pack: %q is not a digest", s)
+	}
+	return Digest(b), nil
+}
+
+// Content is a whole configuration: resources sorted by key, and their digest.
+// It is immutable, and contents share the bodies of equal resources.
+type Content struct {
+	Resources []Resource
+	Digest    Digest
+}
+
+// New returns the content of the given resources, which it sorts.
+func New(res []Resource) *Content {
+	slices.SortFunc(res, func(a, b Resource) int { return a.Key.Compare(b.Key) })
+	return &Content{Resources: res, Digest: sum(res)}
+}
+
+func sum(res []Resource) Digest {
+	hs := sha256.New()
+	var size [8]byte
+	write := func(b []byte) {
+		binary.BigEndian.PutUint64(size[:], uint64(len(b)))
+		hs.Write(size[:])
+		hs.Write(b)
+	}
+	for _, rs := range res {
+		write([]byte(rs.Key.Kind))
+		write([]byte(rs.Key.Name))
+		write(rs.Body)
+	}
+	return Digest(hs.Sum(nil))
+}
+
+// Get returns the body of the resource ky, or nil.
+func (co *Content) Get(ky Key) []byte {
+	i, ok := slices.BinarySearchFunc(co.Resources, ky, func(rs Resource, ky Key) int { return rs.Key.Compare(ky) })
+	if !ok {
+		return nil
+	}
+	return co.Resources[i].Body
+}
+
+// Encode returns the content of a mesh.
+func Encode(ms *decl.Mesh) (*Content, error) {
+	var res []Resource
+	err := cmp.Or(
+		encodeList(&res, KindRegion, ms.Regions, func(rg *decl.Region) string { return rg.Name }),
+		encodeList(&res, KindDomain, ms.Domains, func(dm *decl.Domain) string { return dm.Name }),
+		encodeList(&res, KindService, ms.Services, func(sv *decl.Service) string { return sv.Name }),
+		encodeList(&res, KindVM, ms.VMs, func(vm *decl.VM) string { return vm.Name }),
+		encodeList(&res, KindClass, ms.Classes, func(cl *decl.Class) string { return cl.Name }),
+		encodeList(&res, KindRoute, ms.Routes, func(rt *decl.Route) string { return rt.Name }),
+		encodeList(&res, KindPlacement, ms.Placements, func(pl *decl.Placement) string { return pl.Service }),
+	)
+	if err != nil {
+		return nil, err
+	}
+	return New(res), nil
+}
+
+func encodeList[T any](res *[]Resource, kind Kind, list []T, name func(*T) string) error {
+	for i := range list {
+		body, err := json.Marshal(&list[i])
+		if err != nil {
+			return fmt.Errorf("pack: %s %s: %w", kind, name(&list[i]), err)
+		}
+		*res = append(*res, Resource{Key: Key{Kind: kind, Name: name(&list[i])}, Body: body})
+	}
+	return nil
+}
+
+// Decode returns the mesh of a content. A kind or field that this release does
+// not know is an error: a version is taken whole or not at all.
+func Decode(co *Content) (*decl.Mesh, error) {
+	var ms decl.Mesh
+	for _, rs := range co.Resources {
+		if err := decodeOne(&ms, rs); err != nil {
+			return nil, fmt.Errorf("pack: %s: %w", rs.Key, err)
+		}
+	}
+	return &ms, nil
+}
+
+func decodeOne(ms *decl.Mesh, rs Resource) error {
+	switch rs.Key.Kind {
+	case KindRegion:
+		return decodeInto(&ms.Regions, rs.Body, func(rg *decl.Region) *strict.Pos { return &rg.Pos }, rs.Key)
+	case KindDomain:
+		return decodeInto(&ms.Domains, rs.Body, func(dm *decl.Domain) *strict.Pos { return &dm.Pos }, rs.Key)
+	case KindService:
+		return decodeInto(&ms.Services, rs.Body, func(sv *decl.Service) *strict.Pos { return &sv.Pos }, rs.Key)
+	case KindVM:
+		return decodeInto(&ms.VMs, rs.Body, func(vm *decl.VM) *strict.Pos { return &vm.Pos }, rs.Key)
+	case KindClass:
+		return decodeInto(&ms.Classes, rs.Body, func(cl *decl.Class) *strict.Pos { return &cl.Pos }, rs.Key)
+	case KindRoute:
+		return decodeInto(&ms.Routes, rs.Body, func(rt *decl.Route) *strict.Pos { return &rt.Pos }, rs.Key)
+	case KindPlacement:
+		return decodeInto(&ms.Placements, rs.Body, func(pl *decl.Placement) *strict.Pos { return &pl.Pos }, rs.Key)
+	}
+	return fmt.Errorf("this release does not know the kind %q", rs.Key.Kind)
+}
+
+// decodeInto appends one decoded resource; its key stands for its position.
+func decodeInto[T any](list *[]T, body []byte, pos func(*T) *strict.Pos, ky Key) error {
+	var v T
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		return err
+	}
+	*pos(&v) = strict.Pos{File: ky.String()}
+	*list = append(*list, v)
+	return nil
+}
--- /dev/null
+++ b/internal/conf/snap/match.go
@@ -0,0 +1,50 @@
+package snap
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// Match returns the route of a request, or nil when none takes it. The host
+// may bear a port. Requests that no declared route of their host takes go to
+// the service that has the host as its name.
+func (sn *Snapshot) Match(method, host, path string, hdr http.Header) *Route {
+	host = hostName(host)
+	for _, rt := range sn.hosts[host] {
+		if rt.takes(method, path, hdr) {
+			return rt
+		}
+	}
+	if sv, ok := sn.Services[host]; ok {
+		return sv.route
+	}
+	return nil
+}
+
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+func (rt *Route) takes(method, path string, hdr http.Header) bool {
+	if !underPrefix(path, rt.prefix) {
+		return false
+	}
+	if len(rt.methods) > 0 && !slices.Contains(rt.methods, method) {
+		return false
+	}
+	for _, h := range rt.headers {
+		if hdr.Get(h.name) != h.value {
+			return false
+		}
+	}
+	return true
+}
+
+// underPrefix tells whether path is prefix or below it, by whole segments.
+func underPrefix(path, prefix string) bool {
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+}
--- /dev/null
+++ b/internal/conf/snap/snap.go
@@ -0,0 +1,270 @@
+package snap
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+)
+
+// DefaultDeadline bounds requests for which nothing else is declared.
+const DefaultDeadline = 10 * time.Second
+
+// Snapshot is one version of the configuration, compiled for one failure
+// domain. It never changes, and every pointer in it leads to a part of itself.
+type Snapshot struct {
+	Version uint64
+	Digest  pack.Digest
+	// Domain is the failure domain of the daemon.
+	Domain   string
+	Domains  []string
+	Services map[string]*Service
+	// ServiceList has the services in the order of their Index.
+	ServiceList []*Service
+	VMs         map[string]VM
+	// Classes has the classes in the order of their Index; the first one is
+	// for requests without a class.
+	Classes []*Class
+	hosts   map[string][]*Route
+}
+
+// Service is a declared service with its placement.
+type Service struct {
+	decl.Service
+	Index int
+	// Tiers are the failure domains that its requests may go to, the preferred
+	// ones first.
+	Tiers [][]string
+	Spill bool
+	// route takes requests whose host is the service's own name.
+	route *Route
+}
+
+// VM is where a declared VM is and what it runs.
+type VM struct {
+	Domain, Service string
+}
+
+// Class is a declared class.
+type Class struct {
+	decl.Class
+	Index int
+}
+
+// Route is a declared route.
+type Route struct {
+	Name     string
+	Targets  []Target
+	Class    *Class
+	Deadline time.Duration
+	Repeat   decl.Repeat
+	prefix   string
+	methods  []string
+	headers  []header
+}
+
+// Target is a service with the part of the requests up to which it takes them,
+// in units of 1/Total.
+type Target struct {
+	Service *Service
+	UpTo    int
+}
+
+// Total returns the sum of the weights of a route's targets.
+func (rt *Route) Total() int { return rt.Targets[len(rt.Targets)-1].UpTo }
+
+// Target returns the service for a draw from 0 to Total-1.
+func (rt *Route) Target(draw int) *Service {
+	for i := range rt.Targets {
+		if draw < rt.Targets[i].UpTo {
+			return rt.Targets[i].Service
+		}
+	}
+	return rt.Targets[len(rt.Targets)-1].Service
+}
+
+type header struct {
+	name, value string
+}
+
+// DefaultClass names the class of requests that have none.
+const DefaultClass = "default"
+
+// defaultQueue is how many requests of a class without a declared queue may
+// wait at one backend server.
+const defaultQueue = 16
+
+// CompileError says why this release cannot hold a version.
+type CompileError struct {
+	Version uint64
+	Err     error
+}
+
+// Error names the version and the reason.
+func (er *CompileError) Error() string {
+	return fmt.Sprintf("version %d cannot be compiled: %v", er.Version, er.Err)
+}
+
+// Unwrap returns the cause.
+func (er *CompileError) Unwrap() error { return er.Err }
+
+// Compile returns the snapshot of a whole content for a failure domain, or a
+// *CompileError. It runs the operators' check again: a content that a newer
+// release accepted may not pass this one's.
+func Compile(version uint64, co *pack.Content, domain string) (*Snapshot, error) {
+	ms, err := pack.Decode(co)
+	if err != nil {
+		return nil, &CompileError{Version: version, Err: err}
+	}
+	if prs := decl.Check(ms); len(prs) > 0 {
+		return nil, &CompileError{Version: version, Err: prs.Err()}
+	}
+	sn := &Snapshot{
+		Version:  version,
+		Digest:   co.Digest,
+		Domain:   domain,
+		Services: make(map[string]*Service, len(ms.Services)),
+		VMs:      make(map[string]VM, len(ms.VMs)),
+		hosts:    map[string][]*Route{},
+	}
+	for _, vm := range ms.VMs {
+		sn.VMs[vm.Name] = VM{Domain: vm.Domain, Service: vm.Service}
+	}
+	for _, dm := range ms.Domains {
+		sn.Domains = append(sn.Domains, dm.Name)
+	}
+	classes := sn.compileClasses(ms)
+	sn.compileServices(ms, classes)
+	sn.compileRoutes(ms, classes)
+	return sn, nil
+}
+
+func (sn *Snapshot) compileClasses(ms *decl.Mesh) map[string]*Class {
+	byName := map[string]*Class{}
+	add := func(cl decl.Class) {
+		if cl.Queue == 0 {
+			cl.Queue = defaultQueue
+		}
+		c := &Class{Class: cl, Index: len(sn.Classes)}
+		sn.Classes = append(sn.Classes, c)
+		byName[cl.Name] = c
+	}
+	if !slices.ContainsFunc(ms.Classes, func(cl decl.Class) bool { return cl.Name == DefaultClass }) {
+		add(decl.Class{Name: DefaultClass})
+	}
+	for _, cl := range ms.Classes {
+		add(cl)
+	}
+	byName[""] = byName[DefaultClass]
+	return byName
+}
+
+func (sn *Snapshot) compileServices(ms *decl.Mesh, classes map[string]*Class) {
+	regions := map[string]string{}
+	for _, dm := range ms.Domains {
+		regions[dm.Name] = dm.Region
+	}
+	places := map[string]decl.Placement{}
+	for _, pl := range ms.Placements {
+		places[pl.Service] = pl
+	}
+	for _, dsv := range ms.Services {
+		pl, ok := places[dsv.Name]
+		if !ok {
+			pl = decl.Placement{Order: []string{decl.OrderOwn, decl.OrderRegion, decl.OrderAny}, Spill: true}
+		}
+		sv := &Service{Service: dsv, Index: len(sn.ServiceList), Spill: pl.Spill, Tiers: sn.tiers(pl.Order, regions)}
+		sv.route = &Route{
+			Name:     "service " + sv.Name,
+			Targets:  []Target{{Service: sv, UpTo: 1}},
+			Class:    classes[sv.Class],
+			Deadline: deadline(0, sv),
+			Repeat:   decl.RepeatSafe,
+		}
+		sn.ServiceList = append(sn.ServiceList, sv)
+		sn.Services[sv.Name] = sv
+	}
+}
+
+func deadline(declared decl.Duration, sv *Service) time.Duration {
+	switch {
+	case declared > 0:
+		return time.Duration(declared)
+	case sv.Deadline > 0:
+		return time.Duration(sv.Deadline)
+	}
+	return DefaultDeadline
+}
+
+// tiers resolves the words of an order; each failure domain is in one tier.
+func (sn *Snapshot) tiers(order []string, regions map[string]string) [][]string {
+	used := map[string]bool{}
+	var tiers [][]string
+	for _, o := range order {
+		var tier []string
+		for _, dm := range sn.Domains {
+			in := dm == o || o == decl.OrderAny ||
+				o == decl.OrderOwn && dm == sn.Domain ||
+				o == decl.OrderRegion && regions[dm] == regions[sn.Domain]
+			if in && !used[dm] {
+				used[dm] = true
+				tier = append(tier, dm)
+			}
+		}
+		if tier != nil {
+			tiers = append(tiers, tier)
+		}
+	}
+	return tiers
+}
+
+func (sn *Snapshot) compileRoutes(ms *decl.Mesh, classes map[string]*Class) {
+	for _, drt := range ms.Routes {
+		rt := &Route{
+			Name:    drt.Name,
+			Repeat:  drt.Repeat,
+			prefix:  strings.TrimSuffix(drt.Match.PathPrefix, "/"),
+			methods: drt.Match.Methods,
+		}
+		if rt.Repeat == "" {
+			rt.Repeat = decl.RepeatSafe
+		}
+		for h, v := range drt.Match.Headers {
+			rt.headers = append(rt.headers, header{name: http.CanonicalHeaderKey(h), value: v})
+		}
+		sum := 0
+		for _, tg := range drt.To {
+			sum += tg.Weight
+			rt.Targets = append(rt.Targets, Target{Service: sn.Services[tg.Service], UpTo: sum})
+		}
+		rt.Class = classes[drt.Class]
+		if drt.Class == "" {
+			rt.Class = classes[rt.Targets[0].Service.Class]
+		}
+		rt.Deadline = deadline(drt.Deadline, rt.Targets[0].Service)
+		sn.hosts[drt.Match.Host] = append(sn.hosts[drt.Match.Host], rt)
+	}
+	for _, rts := range sn.hosts {
+		slices.SortFunc(rts, moreSpecific)
+	}
+}
+
+// moreSpecific orders routes as decl.Match says.
+func moreSpecific(a, b *Route) int {
+	switch {
+	case len(a.prefix) != len(b.prefix):
+		return len(b.prefix) - len(a.prefix)
+	case len(a.headers) != len(b.headers):
+		return len(b.headers) - len(a.headers)
+	case (len(a.methods) > 0) != (len(b.methods) > 0):
+		if len(a.methods) > 0 {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
--- /dev/null
+++ b/internal/conf/strict/strict.go
@@ -0,0 +1,265 @@
+package strict
+
+import (
+	"bytes"
+	"encoding"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Decode reads the YAML document in data into the struct that dst points to.
+//
+// Keys are matched by the json tag of the fields. A field named Pos of type
+// Pos receives the place of its struct. Unknown and repeated keys, values of
+// the wrong type, anchors and further documents are problems; all of them are
+// returned, and dst then holds what could be read.
+func Decode(file string, data []byte, dst any) Problems {
+	de := &decoder{file: file}
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var doc yaml.Node
+	if err := dec.Decode(&doc); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		de.prs.Add(syntaxPos(file, err), "not YAML: "+syntaxText(err), "mend the syntax on that line")
+		return de.prs
+	}
+	de.value(doc.Content[0], reflect.ValueOf(dst).Elem(), "the file")
+	var more yaml.Node
+	if err := dec.Decode(&more); err == nil {
+		de.prs.Add(de.pos(&more), "a second document", "keep one document in a file")
+	}
+	return de.prs
+}
+
+var lineInError = regexp.MustCompile(`line (\d+): `)
+
+func syntaxPos(file string, err error) Pos {
+	if m := lineInError.FindStringSubmatch(err.Error()); m != nil {
+		line, _ := strconv.Atoi(m[1])
+		return Pos{File: file, Line: line}
+	}
+	return Pos{File: file, Line: 1}
+}
+
+func syntaxText(err error) string {
+	txt := strings.TrimPrefix(err.Error(), "yaml: ")
+	return lineInError.ReplaceAllString(txt, "")
+}
+
+type decoder struct {
+	file string
+	prs  Problems
+}
+
+func (de *decoder) pos(n *yaml.Node) Pos {
+	return Pos{File: de.file, Line: n.Line, Column: n.Column}
+}
+
+func (de *decoder) want(n *yaml.Node, what, kind, remedy string) {
+	de.prs.Add(de.pos(n), fmt.Sprintf("%s must be %s, not %s", what, kind, describe(n)), remedy)
+}
+
+func describe(n *yaml.Node) string {
+	switch n.Kind {
+	case yaml.MappingNode:
+		return "a mapping"
+	case yaml.SequenceNode:
+		return "a list"
+	case yaml.AliasNode:
+		return "an alias"
+	}
+	if n.Tag == "!!null" {
+		return "empty"
+	}
+	return strconv.Quote(n.Value)
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (de *decoder) value(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind == yaml.AliasNode || n.Anchor != "" {
+		de.want(n, what, "written out", "anchors and aliases are not read")
+		return
+	}
+	if v.CanAddr() && v.Addr().Type().Implements(textType) {
+		de.text(n, v, what)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		de.fields(n, v, what)
+	case reflect.Slice:
+		de.list(n, v, what)
+	case reflect.Map:
+		de.dict(n, v, what)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		de.value(n, v.Elem(), what)
+	default:
+		de.scalar(n, v, what)
+	}
+}
+
+func (de *decoder) text(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind != yaml.ScalarNode {
+		de.want(n, what, "a single value", "")
+		return
+	}
+	if err := v.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(n.Value)); err != nil {
+		de.prs.Add(de.pos(n), fmt.Sprintf("%s: %v", what, err), "")
+	}
+}
+
+func (de *decoder) scalar(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+		de.want(n, what, kindName(v.Kind()), "")
+		return
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(n.Value)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(n.Value)
+		if err != nil {
+			de.want(n, what, "true or false", "")
+			return
+		}
+		v.SetBool(b)
+	case reflect.Int:
+		i, err := strconv.ParseInt(n.Value, 10, 32)
+		if err != nil {
+			de.want(n, what, "a whole number", "")
+			return
+		}
+		v.SetInt(i)
+	default:
+		panic("strict: no reader for " + v.Type().String())
+	}
+}
+
+func kindName(k reflect.Kind) string {
+	switch k {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "a whole number"
+	}
+	return "a text"
+}
+
+func (de *decoder) list(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind != yaml.SequenceNode {
+		de.want(n, what, "a list", "start each entry with \"- \"")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content)))
+	for i, c := range n.Content {
+		de.value(c, v.Index(i), "an entry of "+what)
+	}
+}
+
+func (de *decoder) dict(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind != yaml.MappingNode {
+		de.want(n, what, "a mapping", "")
+		return
+	}
+	v.Set(reflect.MakeMap(v.Type()))
+	de.pairs(n, func(key string, _, val *yaml.Node) {
+		elem := reflect.New(v.Type().Elem()).Elem()
+		de.value(val, elem, key)
+		v.SetMapIndex(reflect.ValueOf(key), elem)
+	})
+}
+
+func (de *decoder) fields(n *yaml.Node, v reflect.Value, what string) {
+	if n.Kind != yaml.MappingNode {
+		de.want(n, what, "a mapping", "write it as \"key: value\"")
+		return
+	}
+	known := map[string]reflect.Value{}
+	var names []string
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if f.Type == reflect.TypeFor[Pos]() {
+			v.Field(i).Set(reflect.ValueOf(de.pos(n)))
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		known[name] = v.Field(i)
+		names = append(names, name)
+	}
+	de.pairs(n, func(key string, k, val *yaml.Node) {
+		fv, ok := known[key]
+		if !ok {
+			de.prs.Add(de.pos(k), fmt.Sprintf("unknown key %q", key), Suggest(key, names))
+			return
+		}
+		de.value(val, fv, key)
+	})
+}
+
+// pairs calls fn for each key of the mapping n and reports repeated keys.
+func (de *decoder) pairs(n *yaml.Node, fn func(key string, k, val *yaml.Node)) {
+	lines := map[string]int{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k, val := n.Content[i], n.Content[i+1]
+		if first, ok := lines[k.Value]; ok {
+			de.prs.Add(de.pos(k), fmt.Sprintf("key %q is already on line %d", k.Value, first), "remove one of the two")
+			continue
+		}
+		lines[k.Value] = k.Line
+		fn(k.Value, k, val)
+	}
+}
+
+// Suggest returns a remedy for an unknown name: the nearest known one, or all.
+func Suggest(name string, known []string) string {
+	best, dist := "", 3
+	for _, k := range known {
+		if d := distance(name, k); d < dist {
+			best, dist = k, d
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %q?", best)
+	}
+	sorted := slices.Sorted(slices.Values(known))
+	const most = 12
+	if len(sorted) > most {
+		sorted = append(sorted[:most], "…")
+	}
+	if len(sorted) == 0 {
+		return "none is declared"
+	}
+	return "known are " + strings.Join(sorted, ", ")
+}
+
+// distance is the Levenshtein distance of two short names.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		diag := row[0]
+		row[0] = i
+		for j := 1; j <= len(b); j++ {
+			cost := diag
+			if a[i-1] != b[j-1] {
+				cost++
+			}
+			diag = row[j]
+			row[j] = min(cost, row[j]+1, row[j-1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/internal/mesh/board/board.go
@@ -0,0 +1,136 @@
+package board
+
+import (
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+)
+
+// Board holds what a daemon knows.
+type Board struct {
+	// Latest is the newest configuration known, compared with its digest but
+	// not yet compiled. Only Offer writes it.
+	Latest Cell[Config]
+	// Held is the configuration in force here.
+	Held Cell[snap.Snapshot]
+	// Refused is the newest version that could not be compiled.
+	Refused Cell[Refusal]
+	// Floor is the lowest version that may be held, and whether it is known.
+	Floor Cell[Floor]
+	// Members holds all records.
+	Members Cell[member.View]
+	// Self is the daemon's own record.
+	Self Cell[member.Record]
+	// Links says whom the daemon is connected to, and whether it is a relay.
+	Links Cell[Links]
+	// Cut holds the failure domains that the relay has no link to.
+	Cut Cell[CutSet]
+	// Platform says how the platform last answered.
+	Platform Cell[Platform]
+	// Replaced is set once another process has taken over this VM's name.
+	Replaced Cell[member.Record]
+}
+
+// Config is a version with its whole content.
+type Config struct {
+	Version uint64
+	Content *pack.Content
+}
+
+// Refusal is a version that this release cannot hold, and why.
+type Refusal struct {
+	Version uint64
+	Reason  string
+}
+
+// Floor bounds from below what a daemon may hold. A process that replaces
+// another must not hold an older version than that one did, so none is taken
+// before peers or their proven absence have settled what that was.
+type Floor struct {
+	Version uint64
+	Settled bool
+}
+
+// Links names the peers that a daemon is connected to.
+type Links struct {
+	Relay bool
+	Peers []string
+}
+
+// CutSet is a set of failure domains.
+type CutSet map[string]bool
+
+// Platform says how the platform last answered.
+type Platform struct {
+	Version uint64
+	Err     error
+	Since   time.Time
+	// Behind is set while the platform shows an older version than is held:
+	// it was set back.
+	Behind bool
+}
+
+// Offer takes a configuration if it is newer than the latest known. It is the
+// only writer of Latest, so Latest never goes back, in whatever order offers
+// come. It tells whether the offer was taken.
+func (bd *Board) Offer(cfg *Config) bool {
+	taken := false
+	bd.Latest.Update(func(cur *Config) *Config {
+		if cur != nil && cfg.Version <= cur.Version {
+			return cur
+		}
+		taken = true
+		return cfg
+	})
+	return taken
+}
+
+// RaiseFloor raises the floor to at least version and settles it.
+func (bd *Board) RaiseFloor(version uint64) {
+	bd.Floor.Update(func(cur *Floor) *Floor {
+		if cur == nil {
+			return &Floor{Version: version, Settled: true}
+		}
+		if cur.Settled && cur.Version >= version {
+			return cur
+		}
+		return &Floor{Version: max(cur.Version, version), Settled: true}
+	})
+}
+
+// Install makes sn the configuration in force if it is newer than the one held
+// and not below the floor, and tells whether it did. It is the only writer of
+// Held.
+func (bd *Board) Install(sn *snap.Snapshot) bool {
+	fl := bd.Floor.Get()
+	if fl == nil || !fl.Settled || sn.Version < fl.Version {
+		return false
+	}
+	installed := false
+	bd.Held.Update(func(cur *snap.Snapshot) *snap.Snapshot {
+		if cur != nil && sn.Version <= cur.Version {
+			return cur
+		}
+		installed = true
+		return sn
+	})
+	return installed
+}
+
+// HeldVersion returns the version in force, 0 for none.
+func (bd *Board) HeldVersion() uint64 {
+	if sn := bd.Held.Get(); sn != nil {
+		return sn.Version
+	}
+	return 0
+}
+
+// LatestVersion returns the newest version known, 0 for none.
+func (bd *Board) LatestVersion() uint64 {
+	if cfg := bd.Latest.Get(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/mesh/ctrl/holds.go
@@ -0,0 +1,344 @@
+package ctrl
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/expire"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+)
+
+// The times of housekeeping.
+const (
+	// summaryEvery bounds how often a summary is sent.
+	summaryEvery = 200 * time.Millisecond
+	// repairEvery is how often relays compare their records.
+	repairEvery = 10 * time.Second
+	// cutAfter is how long a failure domain may be without a link before it is
+	// said to be cut off.
+	cutAfter = 5 * time.Second
+	// maxNamed bounds how many VMs a summary names.
+	maxNamed = 20
+)
+
+func (hd hold) toWire(vm string) *wirepb.Held {
+	return &wirepb.Held{Vm: vm, Version: hd.version, Refused: hd.refused, Reason: hd.reason}
+}
+
+// floorOf returns the lowest version that a new process of the VM may hold:
+// what the VM said it held or, where that memory died with the relays of the
+// VM's failure domain, the newest version that was known there. nd.mu is held.
+func (nd *Node) floorOf(rc *member.Record) uint64 {
+	floor := nd.holds[rc.VM].version
+	if su := nd.summaries[rc.Domain]; su != nil && rc.Domain != nd.cf.Domain {
+		floor = max(floor, su.Highest)
+	}
+	return floor
+}
+
+// takeHeld notes what a VM holds. A statement about another VM than the peer
+// comes from a relay that the VM is linked to.
+func (nd *Node) takeHeld(pr *link.Peer, hd *wirepb.Held) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if pr.Record.Domain != nd.cf.Domain || hd.Vm == nd.cf.VM {
+		return
+	}
+	by := pr.Record.VM
+	if hd.Vm == by {
+		by = nd.cf.VM
+	}
+	if hd.Lost {
+		nd.expiry.Lost(hd.Vm, by, time.Now())
+		return
+	}
+	nd.expiry.Heard(hd.Vm, by)
+	cur, had := nd.holds[hd.Vm]
+	next := hold{version: max(cur.version, hd.Version), by: by}
+	if hd.Refused > next.version {
+		next.refused, next.reason = hd.Refused, hd.Reason
+	}
+	if had && cur == next {
+		return
+	}
+	nd.holds[hd.Vm] = next
+	nd.sumDirty = true
+	if by == nd.cf.VM {
+		nd.tellRelays(pr, next.toWire(hd.Vm))
+	}
+}
+
+// tellRelays sends a statement to the other relays of the own failure domain;
+// nd.mu is held.
+func (nd *Node) tellRelays(from *link.Peer, hd *wirepb.Held) {
+	for pr := range nd.peers {
+		if pr != from && pr.Record.Domain == nd.cf.Domain && (pr.Relay || pr.Outgoing) {
+			pr.SendHeld(hd)
+		}
+	}
+}
+
+// loseMember starts the time of a member whose link has ended, unless another
+// link to it is open; nd.mu is held.
+func (nd *Node) loseMember(pr *link.Peer) {
+	vm := pr.Record.VM
+	if pr.Record.Domain != nd.cf.Domain || nd.connected(vm) {
+		return
+	}
+	now := time.Now()
+	nd.expiry.RelayLost(vm, now)
+	nd.expiry.Lost(vm, nd.cf.VM, now)
+	nd.tellRelays(pr, &wirepb.Held{Vm: vm, Lost: true})
+}
+
+// summary returns what the own failure domain holds; nd.mu is held.
+func (nd *Node) summary() *wirepb.Summary {
+	latest := nd.Board.LatestVersion()
+	su := &wirepb.Summary{
+		Domain: nd.cf.Domain, Reporter: nd.cf.VM, Stamp: uint64(time.Now().UnixMilli()), Highest: latest,
+	}
+	add := func(vm string, hd hold) {
+		if su.Members == 0 || hd.version < su.Lowest {
+			su.Lowest = hd.version
+		}
+		su.Members++
+		if hd.version < latest && len(su.Behind) < maxNamed {
+			su.Behind = append(su.Behind, vm)
+		}
+		if hd.refused > hd.version && len(su.Refused) < maxNamed {
+			su.Refused = append(su.Refused, vm+": "+hd.reason)
+		}
+		su.Highest = max(su.Highest, hd.version)
+	}
+	for _, rc := range nd.Board.Members.Get().Live(nd.cf.Domain) {
+		if rc.VM == nd.cf.VM {
+			own := nd.ownHeld()
+			add(rc.VM, hold{version: own.Version, refused: own.Refused, reason: own.Reason})
+			continue
+		}
+		add(rc.VM, nd.holds[rc.VM])
+	}
+	return su
+}
+
+func (nd *Node) takeSummary(from *link.Peer, su *wirepb.Summary) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	cur := nd.summaries[su.Domain]
+	if su.Domain == nd.cf.Domain || cur != nil && su.Stamp <= cur.Stamp {
+		return
+	}
+	nd.summaries[su.Domain] = su
+	if from.Record.Domain != su.Domain {
+		return
+	}
+	for pr := range nd.peers {
+		if pr.Relay && pr.Record.Domain == nd.cf.Domain {
+			pr.SendSummary(su)
+		}
+	}
+}
+
+// takeReach notes which failure domains a relay of the own one reaches. A
+// member takes its relay's word; relays put theirs together.
+func (nd *Node) takeReach(pr *link.Peer, re *wirepb.Reach) {
+	if pr.Record.Domain != nd.cf.Domain {
+		return
+	}
+	if !nd.isRelay() {
+		nd.setCut(re.Domain, re.Cut)
+		return
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.reach[pr.Record.VM] == nil {
+		nd.reach[pr.Record.VM] = map[string]bool{}
+	}
+	nd.reach[pr.Record.VM][re.Domain] = !re.Cut
+}
+
+func (nd *Node) setCut(domain string, cut bool) {
+	nd.Board.Cut.Update(func(cur *board.CutSet) *board.CutSet {
+		if cur != nil && (*cur)[domain] == cut || cur == nil && !cut {
+			return cur
+		}
+		next := board.CutSet{}
+		if cur != nil {
+			for dm := range *cur {
+				next[dm] = true
+			}
+		}
+		delete(next, domain)
+		if cut {
+			next[domain] = true
+		}
+		return &next
+	})
+}
+
+// runHousekeeping does what a relay does at intervals.
+func (nd *Node) runHousekeeping(ctx context.Context) {
+	sum := time.NewTicker(summaryEvery)
+	defer sum.Stop()
+	tick := time.NewTicker(expire.Tick)
+	defer tick.Stop()
+	rep := time.NewTicker(repairEvery)
+	defer rep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sum.C:
+			nd.sendSummary()
+		case <-tick.C:
+			if nd.isRelay() {
+				nd.expireMembers()
+				nd.checkReach()
+			}
+		case <-rep.C:
+			if nd.isRelay() {
+				nd.sendHashes()
+			}
+		}
+	}
+}
+
+func (nd *Node) sendSummary() {
+	if !nd.isRelay() {
+		return
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if !nd.sumDirty {
+		return
+	}
+	nd.sumDirty = false
+	su := nd.summary()
+	for pr := range nd.peers {
+		if pr.Relay && pr.Record.Domain != nd.cf.Domain {
+			pr.SendSummary(su)
+		}
+	}
+}
+
+// sendHashes lets the other relays send what this one lacks. Records flow as
+// they change; this mends what a lost link or a fault left out.
+func (nd *Node) sendHashes() {
+	hashes := nd.hashes()
+	nd.eachPeer(func(pr *link.Peer) {
+		if pr.Relay {
+			pr.Next(func(pk *wirepb.Packet) { pk.Hashes = hashes })
+		}
+	})
+}
+
+// expireMembers marks the members whose time has run out.
+func (nd *Node) expireMembers() {
+	vw := nd.Board.Members.Get()
+	var vms []string
+	for _, rc := range vw.Live(nd.cf.Domain) {
+		if rc.VM != nd.cf.VM {
+			vms = append(vms, rc.VM)
+		}
+	}
+	now := time.Now()
+	nd.mu.Lock()
+	nd.expiry.Expect(vms, now)
+	due := nd.expiry.Due(now)
+	nd.mu.Unlock()
+	var marked []*member.Record
+	mark := func(names []string, mk member.Mark) {
+		for _, vm := range names {
+			rc := vw.Get(vm)
+			if rc == nil || !rc.Live() || rc.Mark >= mk {
+				continue
+			}
+			cp := *rc
+			cp.Mark = mk
+			marked = append(marked, &cp)
+			nd.log.Warn("member-unheard", slog.String("peer", vm), slog.Bool("gone", mk == member.MarkGone))
+		}
+	}
+	mark(due.Gone, member.MarkGone)
+	mark(due.Silent, member.MarkSilent)
+	if marked != nil {
+		nd.mergeRecords(marked)
+		nd.mu.Lock()
+		nd.sumDirty = true
+		nd.mu.Unlock()
+	}
+}
+
+// checkReach works out which failure domains can be reached and tells the
+// members and the other relays of the own one.
+func (nd *Node) checkReach() {
+	now := time.Now()
+	domains := nd.otherDomains()
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	direct := map[string]bool{}
+	for pr := range nd.peers {
+		direct[pr.Record.Domain] = true
+	}
+	for _, dm := range domains {
+		reached := direct[dm]
+		if was, ok := nd.reach[nd.cf.VM][dm]; !ok || was != reached {
+			nd.tellReach(&wirepb.Reach{Domain: dm, Cut: !reached}, true)
+			if nd.reach[nd.cf.VM] == nil {
+				nd.reach[nd.cf.VM] = map[string]bool{}
+			}
+			nd.reach[nd.cf.VM][dm] = reached
+		}
+		for _, byRelay := range nd.reach {
+			reached = reached || byRelay[dm]
+		}
+		if reached || nd.reachSince[dm].IsZero() {
+			nd.reachSince[dm] = now
+		}
+		cut := now.Sub(nd.reachSince[dm]) > cutAfter
+		if cs := nd.Board.Cut.Get(); cut != (cs != nil && (*cs)[dm]) {
+			nd.log.Warn("failure-domain-reach", slog.String("failure-domain", dm), slog.Bool("cut", cut))
+			nd.setCut(dm, cut)
+			nd.tellReach(&wirepb.Reach{Domain: dm, Cut: cut}, false)
+		}
+	}
+}
+
+// tellReach sends to the relays or to the members of the own failure domain;
+// nd.mu is held.
+func (nd *Node) tellReach(re *wirepb.Reach, relays bool) {
+	for pr := range nd.peers {
+		if pr.Record.Domain == nd.cf.Domain && pr.Relay == relays {
+			pr.SendReach(re)
+		}
+	}
+}
+
+// otherDomains returns the failure domains that are declared or have members.
+func (nd *Node) otherDomains() []string {
+	set := map[string]bool{}
+	if sn := nd.Board.Held.Get(); sn != nil {
+		for _, dm := range sn.Domains {
+			set[dm] = true
+		}
+	}
+	if vw := nd.Board.Members.Get(); vw != nil {
+		for dm, live := range vw.Domains {
+			if len(live) > 0 {
+				set[dm] = true
+			}
+		}
+	}
+	delete(set, nd.cf.Domain)
+	var list []string
+	for dm := range set {
+		list = append(list, dm)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/internal/mesh/ctrl/linker.go
@@ -0,0 +1,314 @@
+package ctrl
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/relay"
+)
+
+// The times of the linker.
+const (
+	linkTick = 250 * time.Millisecond
+	// firstBackoff and mostBackoff bound the wait before an address is tried
+	// again; the wait is drawn from the whole range below the bound, so that
+	// daemons which lost one relay together do not come back together.
+	firstBackoff = 200 * time.Millisecond
+	mostBackoff  = 5 * time.Second
+	// stable is how long a link must last for its backoff to start anew.
+	stable = 5 * time.Second
+	// grace is how long a choice must have changed before a working link or
+	// the role of a relay is given up.
+	grace = 3 * time.Second
+	// bootTime is how long a daemon without links looks for others before it
+	// takes itself for the first of its failure domain.
+	bootTime = 1500 * time.Millisecond
+)
+
+// linker keeps the links that this daemon opens.
+type linker struct {
+	nd       *Node
+	open     map[string]*outLink
+	backoff  map[string]*backoff
+	started  time.Time
+	unchosen time.Time
+	ended    chan *outLink
+	dirs     directory
+}
+
+type outLink struct {
+	addr     string
+	cancel   context.CancelFunc
+	since    time.Time
+	unwanted time.Time
+}
+
+type backoff struct {
+	bound time.Duration
+	until time.Time
+}
+
+func newLinker(nd *Node) *linker {
+	return &linker{
+		nd: nd, open: map[string]*outLink{}, backoff: map[string]*backoff{},
+		ended: make(chan *outLink),
+	}
+}
+
+func (lk *linker) run(ctx context.Context) {
+	lk.started = time.Now()
+	tick := time.NewTicker(linkTick)
+	defer tick.Stop()
+	for {
+		lk.look(ctx)
+		select {
+		case <-ctx.Done():
+			lk.drain()
+			return
+		case ol := <-lk.ended:
+			lk.closed(ol)
+		case <-tick.C:
+		case <-lk.nd.kick:
+		}
+	}
+}
+
+// drain waits for the links to end after their context has.
+func (lk *linker) drain() {
+	for len(lk.open) > 0 {
+		ol := <-lk.ended
+		delete(lk.open, ol.addr)
+	}
+}
+
+func (lk *linker) closed(ol *outLink) {
+	delete(lk.open, ol.addr)
+	bo := lk.backoff[ol.addr]
+	if bo == nil || time.Since(ol.since) > stable {
+		bo = &backoff{bound: firstBackoff}
+	} else {
+		bo = &backoff{bound: min(2*bo.bound, mostBackoff)}
+	}
+	bo.until = time.Now().Add(rand.N(bo.bound))
+	lk.backoff[ol.addr] = bo
+}
+
+// look compares the links that should be open with those that are.
+func (lk *linker) look(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	lk.setRole()
+	want := lk.wanted()
+	now := time.Now()
+	for _, addr := range want {
+		if lk.open[addr] == nil && lk.ready(addr) {
+			lk.dial(ctx, addr)
+		}
+	}
+	for _, ol := range lk.open {
+		switch {
+		case slices.Contains(want, ol.addr):
+			ol.unwanted = time.Time{}
+		case ol.unwanted.IsZero():
+			ol.unwanted = now
+		case now.Sub(ol.unwanted) > grace:
+			ol.cancel()
+		}
+	}
+}
+
+func (lk *linker) ready(addr string) bool {
+	bo := lk.backoff[addr]
+	return bo == nil || time.Now().After(bo.until)
+}
+
+// failing tells whether the last attempts at an address failed, so that the
+// next best is tried too.
+func (lk *linker) failing(addr string) bool {
+	bo := lk.backoff[addr]
+	return bo != nil && lk.open[addr] == nil && bo.bound > firstBackoff
+}
+
+// setRole makes the daemon a relay once it is chosen, and takes the role away
+// when it has not been chosen for some time.
+func (lk *linker) setRole() {
+	nd := lk.nd
+	chosen := slices.ContainsFunc(nd.ownRelays(), func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
+	if chosen && !lk.settled() {
+		chosen = false
+	}
+	now := time.Now()
+	if chosen {
+		lk.unchosen = time.Time{}
+	} else if lk.unchosen.IsZero() {
+		lk.unchosen = now
+	}
+	if chosen == nd.isRelay() || !chosen && now.Sub(lk.unchosen) < grace {
+		return
+	}
+	nd.Board.Links.Update(func(cur *board.Links) *board.Links {
+		return &board.Links{Relay: chosen, Peers: cur.Peers}
+	})
+	nd.mu.Lock()
+	nd.sumDirty = true
+	nd.mu.Unlock()
+	nd.eachPeer(nd.sayHello)
+}
+
+// settled tells whether the daemon knows its failure domain well enough to
+// choose: it has a link, or has looked for one long enough.
+func (lk *linker) settled() bool {
+	lk.nd.mu.Lock()
+	linked := len(lk.nd.peers) > 0
+	lk.nd.mu.Unlock()
+	return linked || time.Since(lk.started) > bootTime
+}
+
+// wanted returns the addresses that links should be open to.
+func (lk *linker) wanted() []string {
+	nd := lk.nd
+	set := map[string]bool{}
+	add := func(addr string) {
+		if addr != "" && addr != nd.cf.Control {
+			set[addr] = true
+		}
+	}
+	own := nd.ownRelays()
+	if nd.isRelay() {
+		for _, rc := range own {
+			if rc.VM > nd.cf.VM {
+				add(rc.Control)
+			}
+		}
+		lk.acrossDomains(own, add)
+	} else {
+		lk.upward(own, add)
+	}
+	lk.strangers(add)
+	if len(set) == 0 && lk.alone() {
+		for _, addr := range nd.cf.Seeds {
+			add(addr)
+		}
+	}
+	var list []string
+	for addr := range set {
+		list = append(list, addr)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (lk *linker) alone() bool {
+	lk.nd.mu.Lock()
+	defer lk.nd.mu.Unlock()
+	return len(lk.nd.peers) == 0
+}
+
+// upward adds the relay that a plain member is linked to: the first of its own
+// order that is not failing.
+func (lk *linker) upward(own []*member.Record, add func(string)) {
+	for _, rc := range relay.Order(own, lk.nd.cf.VM) {
+		if rc.VM == lk.nd.cf.VM {
+			continue
+		}
+		add(rc.Control)
+		if !lk.failing(rc.Control) {
+			return
+		}
+	}
+}
+
+// acrossDomains adds relays of other failure domains. Of two failure domains
+// the relays of the one first by name open the links, each to those whose rank
+// goes with its own, so that every relay has one.
+func (lk *linker) acrossDomains(own []*member.Record, add func(string)) {
+	nd := lk.nd
+	rank := slices.IndexFunc(own, func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
+	if rank < 0 {
+		return
+	}
+	for _, dm := range nd.otherDomains() {
+		theirs := relay.Choose(nd.Board.Members.Get().Live(dm), relay.Count)
+		if dm < nd.cf.Domain {
+			// They open the link; after a cut that may take them a while, and
+			// a relay without any goes ahead.
+			if lk.linkedTo(dm) || len(theirs) == 0 {
+				continue
+			}
+		}
+		for i, rc := range theirs {
+			if i%len(own) == rank || rank%len(theirs) == i {
+				add(rc.Control)
+			}
+		}
+	}
+}
+
+func (lk *linker) linkedTo(domain string) bool {
+	lk.nd.mu.Lock()
+	defer lk.nd.mu.Unlock()
+	for pr := range lk.nd.peers {
+		if pr.Record.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// strangers adds addresses that the directory gave and whose daemons are not
+// members yet, or whose failure domain has no link.
+func (lk *linker) strangers(add func(string)) {
+	known := map[string]bool{}
+	for rc := range lk.nd.Board.Members.Get().All {
+		if rc.Live() {
+			known[rc.Control] = true
+		}
+	}
+	for _, addr := range lk.dirs.addresses() {
+		if !known[addr] || lk.open[addr] != nil && lk.alone() {
+			add(addr)
+		}
+	}
+}
+
+func (lk *linker) dial(ctx context.Context, addr string) {
+	ctx, cancel := context.WithCancel(ctx)
+	ol := &outLink{addr: addr, cancel: cancel, since: time.Now()}
+	started := lk.nd.background(func() {
+		defer cancel()
+		lk.nd.runLink(ctx, addr)
+		lk.ended <- ol
+	})
+	if !started {
+		cancel()
+		return
+	}
+	lk.open[addr] = ol
+}
+
+// runLink opens a link and keeps it until it ends.
+func (nd *Node) runLink(ctx context.Context, addr string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	bs := nd.Client(addr).Link(ctx)
+	pr := link.New(link.Stream{
+		Send:    bs.Send,
+		Receive: bs.Receive,
+		Abort: func() {
+			cancel()
+			// Closing waits for the peer's answer; the context ends that.
+			_ = bs.CloseRequest()
+			_ = bs.CloseResponse()
+		},
+	}, nd.offer)
+	pr.Outgoing, pr.Addr = true, addr
+	nd.sayHello(pr)
+	err := pr.Run(ctx, nd.handle)
+	nd.drop(pr, err)
+}
--- /dev/null
+++ b/internal/mesh/ctrl/node.go
@@ -0,0 +1,209 @@
+package ctrl
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/expire"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/relay"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// Protocol is the version of the messages, sent in each Hello.
+const Protocol = 1
+
+// Config says who a daemon is and how it reaches others.
+type Config struct {
+	VM, Domain string
+	// Control and Inlet are the addresses (host:port) that others use.
+	Control, Inlet string
+	// Seeds are addresses of daemons to try before the platform is asked.
+	Seeds []string
+	// Token is a secret that all daemons of the mesh share; empty for none.
+	Token string
+	Store store.Store
+	Log   *slog.Logger
+	// Dial opens a connection; nil stands for TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Drain orders the inlet to take no new work and returns how many requests
+	// are running.
+	Drain func() int
+}
+
+// Node is the control part of one daemon.
+type Node struct {
+	Board *board.Board
+	cf    Config
+	log   *slog.Logger
+	http  *http.Client
+
+	history   pack.History
+	wholes    *rate.Limiter
+	transfers chan struct{}
+	fetching  chan struct{}
+	kick      chan struct{}
+
+	mu         sync.Mutex
+	peers      map[*link.Peer]bool
+	holds      map[string]hold
+	summaries  map[string]*wirepb.Summary
+	reach      map[string]map[string]bool
+	reachSince map[string]time.Time
+	expiry     *expire.Watch
+	contacted  bool
+	sumDirty   bool
+	linker     *linker
+	wg         conc.WaitGroup
+	closed     bool
+
+	// life ends with Run.
+	life context.Context
+	end  context.CancelFunc
+}
+
+// hold is what a VM has said that it holds.
+type hold struct {
+	version uint64
+	refused uint64
+	reason  string
+	// by is the VM that the statement came through.
+	by string
+}
+
+// The limits of whole transfers that a relay serves.
+const (
+	// wholeRate and wholeBurst bound how many whole contents a relay sends a
+	// second, wholeAtOnce how many at the same time.
+	wholeRate   = 50
+	wholeBurst  = 8
+	wholeAtOnce = 8
+)
+
+// New returns the control part for cf; Run starts it.
+func New(cf Config) *Node {
+	nd := &Node{
+		Board:      &board.Board{},
+		cf:         cf,
+		log:        cf.Log,
+		wholes:     rate.NewLimiter(wholeRate, wholeBurst),
+		transfers:  make(chan struct{}, wholeAtOnce),
+		fetching:   make(chan struct{}, 1),
+		kick:       make(chan struct{}, 1),
+		peers:      map[*link.Peer]bool{},
+		holds:      map[string]hold{},
+		summaries:  map[string]*wirepb.Summary{},
+		reach:      map[string]map[string]bool{},
+		reachSince: map[string]time.Time{},
+		expiry:     expire.New(),
+	}
+	if nd.log == nil {
+		nd.log = slog.New(slog.DiscardHandler)
+	}
+	if nd.cf.Drain == nil {
+		nd.cf.Drain = func() int { return 0 }
+	}
+	nd.life, nd.end = context.WithCancel(context.Background())
+	nd.http = newHTTPClient(cf)
+	nd.linker = newLinker(nd)
+	// The wall clock gives an incarnation above that of the process before
+	// in most cases; the first contact corrects it in the others.
+	self := &member.Record{
+		VM: cf.VM, Domain: cf.Domain, Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1,
+		Nonce: rand.Uint64(), State: member.StateAbsent, Inlet: cf.Inlet, Control: cf.Control,
+	}
+	nd.Board.Self.Set(self)
+	nd.Board.Links.Set(&board.Links{})
+	nd.mergeRecords([]*member.Record{self})
+	return nd
+}
+
+// Run keeps the daemon in the mesh until ctx ends.
+func (nd *Node) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, nd.end)
+	defer stop()
+	for _, fn := range []func(context.Context){
+		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runDirectory,
+	} {
+		nd.background(func() { fn(nd.life) })
+	}
+	<-nd.life.Done()
+	nd.mu.Lock()
+	nd.closed = true
+	nd.mu.Unlock()
+	nd.wg.Wait()
+	nd.http.CloseIdleConnections()
+}
+
+// background runs fn, which must end with the node, and tells whether it did
+// so: a node that has ended starts nothing more.
+func (nd *Node) background(fn func()) bool {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if !nd.closed {
+		nd.wg.Go(fn)
+	}
+	return !nd.closed
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Announce changes the daemon's own record and tells the others.
+func (nd *Node) Announce(fn func(*member.Record)) {
+	var next member.Record
+	nd.Board.Self.Update(func(cur *member.Record) *member.Record {
+		next = *cur
+		fn(&next)
+		next.Sequence++
+		return &next
+	})
+	nd.mergeRecords([]*member.Record{&next})
+}
+
+// Leave tells the others that the daemon ends. It returns after the news has
+// had the time to be sent.
+func (nd *Node) Leave(ctx context.Context) {
+	nd.Announce(func(rc *member.Record) { rc.State = member.StateLeft })
+	select {
+	case <-time.After(leaveTime):
+	case <-ctx.Done():
+	}
+}
+
+// leaveTime is enough for the news of a leaving daemon to be sent.
+const leaveTime = 200 * time.Millisecond
+
+func (nd *Node) isRelay() bool { return nd.Board.Links.Get().Relay }
+
+// poke lets the linker look again.
+func (nd *Node) poke() {
+	select {
+	case nd.kick <- struct{}{}:
+	default:
+	}
+}
+
+// ownRelays returns the relays of the daemon's own failure domain.
+func (nd *Node) ownRelays() []*member.Record {
+	return relay.Choose(nd.Board.Members.Get().Live(nd.cf.Domain), relay.Count)
+}
--- /dev/null
+++ b/internal/mesh/ctrl/peers.go
@@ -0,0 +1,415 @@
+package ctrl
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+)
+
+// offer makes the packet that brings a peer with the content base up to date.
+func (nd *Node) offer(_ *link.Peer, base pack.Digest) *wirepb.Version {
+	cfg := nd.Board.Latest.Get()
+	if cfg == nil {
+		return nil
+	}
+	dg := cfg.Content.Digest
+	vn := &wirepb.Version{Number: cfg.Version, Digest: dg[:]}
+	if body, ok := nd.history.Body(base, dg); ok && !base.IsZero() {
+		vn.Base, vn.Body = base[:], body
+	}
+	return vn
+}
+
+// sayHello queues a Hello for a peer.
+func (nd *Node) sayHello(pr *link.Peer) {
+	hello := &wirepb.Hello{Protocol: Protocol, Record: nd.Board.Self.Get().ToWire(), Relay: nd.isRelay()}
+	if cfg := nd.Board.Latest.Get(); cfg != nil {
+		hello.Latest, hello.Digest = cfg.Version, cfg.Content.Digest[:]
+	}
+	hello.Hashes = nd.hashes()
+	held := nd.ownHeld()
+	pr.Next(func(pk *wirepb.Packet) { pk.Hello = hello })
+	pr.SendHeld(held)
+}
+
+func (nd *Node) hashes() []*wirepb.DomainHash {
+	var list []*wirepb.DomainHash
+	for dm, h := range nd.Board.Members.Get().Hashes {
+		list = append(list, &wirepb.DomainHash{Domain: dm, Hash: h})
+	}
+	return list
+}
+
+func (nd *Node) ownHeld() *wirepb.Held {
+	hd := &wirepb.Held{Vm: nd.cf.VM, Version: nd.Board.HeldVersion()}
+	if rf := nd.Board.Refused.Get(); rf != nil && rf.Version > hd.Version {
+		hd.Refused, hd.Reason = rf.Version, rf.Reason
+	}
+	return hd
+}
+
+// handle takes one packet of a peer. All it holds may come late, twice or out
+// of order: versions and records only replace older ones.
+func (nd *Node) handle(pr *link.Peer, pk *wirepb.Packet) {
+	if pk.Hello != nil {
+		nd.takeHello(pr, pk.Hello)
+	}
+	if !pr.Ready {
+		return
+	}
+	if pk.Welcome != nil {
+		nd.takeWelcome(pk.Welcome)
+	}
+	if pk.Records != nil {
+		recs := make([]*member.Record, len(pk.Records))
+		for i, pb := range pk.Records {
+			recs[i] = member.FromWire(pb)
+		}
+		nd.takeRecords(pr, recs)
+	}
+	if pk.Hashes != nil {
+		nd.repair(pr, pk.Hashes)
+	}
+	for _, hd := range pk.Held {
+		nd.takeHeld(pr, hd)
+	}
+	for _, su := range pk.Summaries {
+		nd.takeSummary(pr, su)
+	}
+	for _, re := range pk.Reach {
+		nd.takeReach(pr, re)
+	}
+	if pk.Version != nil {
+		nd.takeVersion(pr, pk.Version)
+	}
+}
+
+func (nd *Node) takeHello(pr *link.Peer, hello *wirepb.Hello) {
+	rc := member.FromWire(hello.Record)
+	first := !pr.Ready
+	known := nd.Board.Members.Get().Get(rc.VM)
+	nd.mu.Lock()
+	pr.Record, pr.Relay, pr.Ready = rc, hello.Relay, true
+	nd.peers[pr] = true
+	floor := nd.floorOf(rc)
+	nd.mu.Unlock()
+	if len(hello.Digest) == len(pack.Digest{}) {
+		pr.Knows(hello.Latest, pack.Digest(hello.Digest))
+	}
+	if first && !pr.Outgoing {
+		nd.sayHello(pr)
+		wc := &wirepb.Welcome{Floor: floor}
+		if known != nil {
+			wc.Incarnation, wc.Nonce = known.Incarnation, known.Nonce
+		}
+		pr.Next(func(pk *wirepb.Packet) { pk.Welcome = wc })
+	}
+	nd.takeRecords(pr, []*member.Record{rc})
+	nd.repair(pr, hello.Hashes)
+	if first {
+		nd.log.Debug("link-up", slog.String("peer", rc.VM), slog.Bool("outgoing", pr.Outgoing))
+		nd.showLinks()
+		nd.greet(pr)
+	}
+	pr.Offer(nd.Board.LatestVersion())
+	nd.poke()
+}
+
+// greet sends what a new peer in the own failure domain needs to know.
+func (nd *Node) greet(pr *link.Peer) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if pr.Record.Domain != nd.cf.Domain {
+		if pr.Relay {
+			pr.SendSummary(nd.summary())
+		}
+		return
+	}
+	for vm, hd := range nd.holds {
+		if hd.by == nd.cf.VM && vm != pr.Record.VM {
+			pr.SendHeld(hd.toWire(vm))
+		}
+	}
+	if cut := nd.Board.Cut.Get(); cut != nil {
+		for dm := range *cut {
+			pr.SendReach(&wirepb.Reach{Domain: dm, Cut: true})
+		}
+	}
+}
+
+// drop takes a peer out once its link has ended.
+func (nd *Node) drop(pr *link.Peer, err error) {
+	nd.mu.Lock()
+	known := nd.peers[pr]
+	delete(nd.peers, pr)
+	if known {
+		nd.loseMember(pr)
+		delete(nd.reach, pr.Record.VM)
+	}
+	nd.mu.Unlock()
+	if known {
+		nd.log.Debug("link-down", slog.String("peer", pr.Record.VM), slog.Any("cause", err))
+		nd.showLinks()
+	}
+	nd.poke()
+}
+
+// connected tells whether another link to the VM of pr is open; nd.mu is held.
+func (nd *Node) connected(vm string) bool {
+	for pr := range nd.peers {
+		if pr.Record.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+func (nd *Node) showLinks() {
+	nd.mu.Lock()
+	var names []string
+	for pr := range nd.peers {
+		names = append(names, pr.Record.VM)
+	}
+	nd.mu.Unlock()
+	nd.Board.Links.Update(func(cur *board.Links) *board.Links {
+		return &board.Links{Relay: cur.Relay, Peers: names}
+	})
+}
+
+// eachPeer calls fn for every ready peer.
+func (nd *Node) eachPeer(fn func(*link.Peer)) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for pr := range nd.peers {
+		fn(pr)
+	}
+}
+
+// takeWelcome learns from a peer what the VM's former process was.
+func (nd *Node) takeWelcome(wc *wirepb.Welcome) {
+	self := nd.Board.Self.Get()
+	nd.mu.Lock()
+	first := !nd.contacted
+	nd.contacted = true
+	nd.mu.Unlock()
+	former := wc.Incarnation > 0 && wc.Nonce != self.Nonce
+	switch {
+	case former && first && wc.Incarnation >= self.Incarnation:
+		// The clock gave no higher incarnation than the process before had.
+		nd.Announce(func(rc *member.Record) { rc.Incarnation = wc.Incarnation + 1 })
+	case former && wc.Incarnation > self.Incarnation:
+		nd.replaced(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
+	}
+	nd.Board.RaiseFloor(wc.Floor)
+}
+
+// replaced notes that another process runs under this VM's name. Only one of
+// the two may serve, and the other one is newer.
+func (nd *Node) replaced(by *member.Record) {
+	nd.log.Error("replaced", slog.Uint64("incarnation", by.Incarnation))
+	nd.Board.Replaced.Set(by)
+}
+
+// takeRecords merges records of a peer and passes on what is new.
+func (nd *Node) takeRecords(from *link.Peer, recs []*member.Record) {
+	var others []*member.Record
+	for _, rc := range recs {
+		if rc.VM == nd.cf.VM {
+			nd.takeOwn(rc)
+			continue
+		}
+		others = append(others, rc)
+	}
+	news := nd.merge(others)
+	if len(news) == 0 {
+		return
+	}
+	nd.eachPeer(func(pr *link.Peer) {
+		if pr != from {
+			pr.SendRecords(news)
+		}
+	})
+	nd.poke()
+}
+
+// takeOwn answers a record that others keep of this VM.
+func (nd *Node) takeOwn(rc *member.Record) {
+	self := nd.Board.Self.Get()
+	switch {
+	case rc.SameProcess(self):
+		// Others took this daemon for silent or dead. A newer statement takes
+		// the mark away.
+		if rc.Mark != member.MarkNone && rc.Sequence >= self.Sequence {
+			nd.Announce(func(me *member.Record) { me.Sequence = rc.Sequence })
+		}
+	case rc.Compare(self) > 0:
+		nd.mu.Lock()
+		first := !nd.contacted
+		nd.mu.Unlock()
+		if first {
+			nd.Announce(func(me *member.Record) { me.Incarnation = rc.Incarnation + 1 })
+			return
+		}
+		nd.replaced(rc)
+	}
+}
+
+// merge puts records on the board and returns those that were new.
+func (nd *Node) merge(recs []*member.Record) (news []*member.Record) {
+	nd.Board.Members.Update(func(vw *member.View) *member.View {
+		var next *member.View
+		next, news = vw.Merge(recs)
+		return next
+	})
+	return news
+}
+
+// mergeRecords puts own statements on the board and sends them to all peers.
+func (nd *Node) mergeRecords(recs []*member.Record) {
+	news := nd.merge(recs)
+	if len(news) == 0 {
+		return
+	}
+	nd.eachPeer(func(pr *link.Peer) { pr.SendRecords(news) })
+	nd.poke()
+}
+
+// repair sends all records of the failure domains in which the peer's differ.
+func (nd *Node) repair(pr *link.Peer, hashes []*wirepb.DomainHash) {
+	vw := nd.Board.Members.Get()
+	theirs := make(map[string]uint64, len(hashes))
+	for _, dh := range hashes {
+		theirs[dh.Domain] = dh.Hash
+	}
+	var recs []*member.Record
+	for rc := range vw.All {
+		if theirs[rc.Domain] != vw.Hashes[rc.Domain] && rc.VM != pr.Record.VM {
+			recs = append(recs, rc)
+		}
+	}
+	pr.SendRecords(recs)
+}
+
+// takeVersion takes an offered configuration.
+func (nd *Node) takeVersion(pr *link.Peer, vn *wirepb.Version) {
+	if len(vn.Digest) != len(pack.Digest{}) {
+		return
+	}
+	dg := pack.Digest(vn.Digest)
+	pr.Knows(vn.Number, dg)
+	cur := nd.Board.Latest.Get()
+	if cur != nil && vn.Number <= cur.Version {
+		if vn.Number == cur.Version && dg != cur.Content.Digest {
+			nd.log.Error("version-fork", slog.Uint64("version", vn.Number), slog.String("peer", pr.Record.VM))
+		}
+		return
+	}
+	if cur != nil && len(vn.Body) > 0 {
+		if co, err := decode(cur.Content, vn.Body, dg); err == nil {
+			nd.take(vn.Number, co)
+			return
+		}
+	}
+	nd.background(func() { nd.fetch(pr, vn.Number) })
+}
+
+// decode applies an encoded delta. A damaged one, or one for another base,
+// fails the comparison of digests and leaves base as it is.
+func decode(base *pack.Content, body []byte, want pack.Digest) (*pack.Content, error) {
+	dt, err := pack.Unmarshal(body)
+	if err != nil {
+		return nil, err
+	}
+	co, err := pack.Apply(base, dt)
+	if err != nil {
+		return nil, err
+	}
+	if co.Digest != want {
+		return nil, &pack.MismatchError{Want: want, Got: co.Digest}
+	}
+	return co, nil
+}
+
+// take puts a configuration on the board and offers it to all peers.
+func (nd *Node) take(version uint64, co *pack.Content) {
+	if !nd.Board.Offer(&board.Config{Version: version, Content: co}) {
+		return
+	}
+	nd.history.Add(co)
+	nd.eachPeer(func(pr *link.Peer) { pr.Offer(version) })
+}
+
+// The times of fetching.
+const (
+	fetchTimeout = 3 * time.Second
+	fetchRetry   = 500 * time.Millisecond
+)
+
+// fetch asks a peer for the version that it offered, until some peer has
+// brought it or the link is gone. One fetch runs at a time, so that offers of
+// many peers bring one transfer.
+func (nd *Node) fetch(pr *link.Peer, version uint64) {
+	select {
+	case nd.fetching <- struct{}{}:
+		defer func() { <-nd.fetching }()
+	case <-nd.life.Done():
+		return
+	}
+	for nd.Board.LatestVersion() < version && nd.hasPeer(pr) {
+		wait, err := nd.fetchOnce(pr)
+		if err != nil {
+			nd.log.Warn("fetch-failed", slog.String("peer", pr.Record.VM), slog.Any("error", err))
+			wait = rand.N(fetchRetry)
+		}
+		if pause(nd.life, wait) != nil {
+			return
+		}
+	}
+}
+
+func (nd *Node) hasPeer(pr *link.Peer) bool {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.peers[pr]
+}
+
+func (nd *Node) fetchOnce(pr *link.Peer) (wait time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(nd.life, fetchTimeout)
+	defer cancel()
+	req := &wirepb.FetchRequest{Vm: nd.cf.VM}
+	var base *pack.Content
+	if cfg := nd.Board.Latest.Get(); cfg != nil {
+		base = cfg.Content
+		req.Have = base.Digest[:]
+	}
+	addr := pr.Record.Control
+	if pr.Outgoing {
+		addr = pr.Addr
+	}
+	res, err := nd.Client(addr).Fetch(ctx, connect.NewRequest(req))
+	if err != nil {
+		return 0, err
+	}
+	ms := res.Msg
+	if ms.LaterMs > 0 {
+		return time.Duration(ms.LaterMs) * time.Millisecond, nil
+	}
+	if len(ms.Digest) != len(pack.Digest{}) {
+		return 0, &pack.MismatchError{}
+	}
+	co, err := decode(base, ms.Body, pack.Digest(ms.Digest))
+	if err != nil {
+		return 0, err
+	}
+	nd.take(ms.Number, co)
+	return 0, nil
+}
--- /dev/null
+++ b/internal/mesh/link/link.go
@@ -0,0 +1,254 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+)
+
+// The times of a link.
+const (
+	// Beat is the longest time without a packet from a living peer.
+	Beat = time.Second
+	// Silence is how long a peer may send nothing before the link is ended. A
+	// frozen process keeps its connection open; only its silence shows it.
+	Silence = 4 * time.Second
+	// gather is how long news waits for more of it before a packet is sent.
+	gather = 20 * time.Millisecond
+)
+
+// ErrSilent says that a peer sent nothing for the time Silence.
+var ErrSilent = errors.New("link: the peer is silent")
+
+// Stream is one side of an open stream.
+type Stream struct {
+	Send    func(*wirepb.Packet) error
+	Receive func() (*wirepb.Packet, error)
+	// Abort ends the stream at once, also while Send or Receive waits.
+	Abort func()
+}
+
+// Peer is a daemon at the other end of a link.
+type Peer struct {
+	// Record, Relay and Ready are set by the peer's Hello and not changed
+	// afterwards. Outgoing tells which side opened the link.
+	Record   *member.Record
+	Relay    bool
+	Ready    bool
+	Outgoing bool
+	// Addr is where the peer was reached, for an outgoing link.
+	Addr string
+
+	offer  func(pr *Peer, base pack.Digest) *wirepb.Version
+	stream Stream
+	wake   chan struct{}
+
+	mu        sync.Mutex
+	version   uint64
+	digest    pack.Digest
+	dirty     bool
+	now       bool
+	offerNext bool
+	next      *wirepb.Packet
+	records   map[string]*member.Record
+	held      map[string]*wirepb.Held
+	summaries map[string]*wirepb.Summary
+	reach     map[string]*wirepb.Reach
+}
+
+// New returns a peer. The function offer makes the version packet for a peer
+// whose newest content is base, or nil if there is nothing newer.
+func New(st Stream, offer func(pr *Peer, base pack.Digest) *wirepb.Version) *Peer {
+	return &Peer{stream: st, offer: offer, wake: make(chan struct{}, 1), next: &wirepb.Packet{}}
+}
+
+// Run sends and receives until the link ends, ctx ends or the peer is silent.
+// It calls handle for each packet, one at a time.
+func (pr *Peer) Run(ctx context.Context, handle func(*Peer, *wirepb.Packet)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(ctx, pr.stream.Abort)
+	defer stop()
+	silent := time.AfterFunc(Silence, func() { cancel(ErrSilent) })
+	defer silent.Stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { cancel(pr.sendAll(ctx)) })
+	for {
+		pk, err := pr.stream.Receive()
+		if err != nil {
+			cancel(err)
+			break
+		}
+		silent.Reset(Silence)
+		handle(pr, pk)
+	}
+	wg.Wait()
+	return context.Cause(ctx)
+}
+
+func (pr *Peer) sendAll(ctx context.Context) error {
+	beat := time.NewTimer(Beat)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-beat.C:
+		case <-pr.wake:
+			if !pr.urgent() {
+				if err := sleep(ctx, gather); err != nil {
+					return err
+				}
+			}
+		}
+		if err := pr.stream.Send(pr.compose()); err != nil {
+			return err
+		}
+		beat.Reset(Beat)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (pr *Peer) urgent() bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.now
+}
+
+// compose takes all that waits into one packet.
+func (pr *Peer) compose() *wirepb.Packet {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pk := pr.next
+	pr.next = &wirepb.Packet{}
+	for _, rc := range pr.records {
+		pk.Records = append(pk.Records, rc.ToWire())
+	}
+	for _, hd := range pr.held {
+		pk.Held = append(pk.Held, hd)
+	}
+	for _, su := range pr.summaries {
+		pk.Summaries = append(pk.Summaries, su)
+	}
+	for _, re := range pr.reach {
+		pk.Reach = append(pk.Reach, re)
+	}
+	clear(pr.records)
+	clear(pr.held)
+	clear(pr.summaries)
+	clear(pr.reach)
+	if pr.offerNext {
+		pr.offerNext = false
+		pk.Version = pr.offer(pr, pr.digest)
+		if vn := pk.Version; vn != nil {
+			pr.version, pr.digest = vn.Number, pack.Digest(vn.Digest)
+		}
+	}
+	pk.Beat = !pr.dirty
+	pr.dirty, pr.now = false, false
+	return pk
+}
+
+// change applies fn to what waits and wakes the sender.
+func (pr *Peer) change(fn func()) {
+	pr.mu.Lock()
+	fn()
+	pr.dirty = true
+	pr.mu.Unlock()
+	select {
+	case pr.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Next changes the next packet; it is sent at once.
+func (pr *Peer) Next(fn func(*wirepb.Packet)) {
+	pr.change(func() {
+		fn(pr.next)
+		pr.now = true
+	})
+}
+
+// Offer sends the newest version if the peer is not known to have it.
+func (pr *Peer) Offer(latest uint64) {
+	pr.mu.Lock()
+	behind := pr.version < latest
+	pr.mu.Unlock()
+	if behind {
+		pr.change(func() { pr.offerNext = true })
+	}
+}
+
+// Knows notes the newest version that the peer is known to have. What it
+// already has, or was sent, is not offered again on this link.
+func (pr *Peer) Knows(version uint64, digest pack.Digest) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if version > pr.version {
+		pr.version, pr.digest = version, digest
+	}
+}
+
+// SendRecords sends records, the newest one of each VM.
+func (pr *Peer) SendRecords(list []*member.Record) {
+	if len(list) == 0 {
+		return
+	}
+	pr.change(func() {
+		if pr.records == nil {
+			pr.records = map[string]*member.Record{}
+		}
+		for _, rc := range list {
+			if cur := pr.records[rc.VM]; cur == nil || rc.Compare(cur) > 0 {
+				pr.records[rc.VM] = rc
+			}
+		}
+	})
+}
+
+// SendHeld sends what VMs hold, the newest statement of each.
+func (pr *Peer) SendHeld(list ...*wirepb.Held) {
+	pr.change(func() {
+		if pr.held == nil {
+			pr.held = map[string]*wirepb.Held{}
+		}
+		for _, hd := range list {
+			pr.held[hd.Vm] = hd
+		}
+	})
+}
+
+// SendSummary sends a summary, the newest one of each failure domain.
+func (pr *Peer) SendSummary(su *wirepb.Summary) {
+	pr.change(func() {
+		if pr.summaries == nil {
+			pr.summaries = map[string]*wirepb.Summary{}
+		}
+		pr.summaries[su.Domain] = su
+	})
+}
+
+// SendReach sends whether a failure domain can be reached.
+func (pr *Peer) SendReach(re *wirepb.Reach) {
+	pr.change(func() {
+		if pr.reach == nil {
+			pr.reach = map[string]*wirepb.Reach{}
+		}
+		pr.reach[re.Domain] = re
+	})
+}
--- /dev/null
+++ b/internal/mesh/relay/relay.go
@@ -0,0 +1,47 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+)
+
+// Count is how many relays a failure domain has: two that can die at once and
+// one that remains.
+const Count = 3
+
+// Choose returns the relays among the live records of one failure domain, the
+// first choice first. A silent member is chosen only when too few others live.
+func Choose(live []*member.Record, count int) []*member.Record {
+	return rank(live, "relay", count)
+}
+
+// Order returns relays in the order in which the member vm should use them:
+// each member has its own, so that members spread over the relays and, when
+// one dies, over those that remain.
+func Order(relays []*member.Record, vm string) []*member.Record {
+	return rank(relays, vm, len(relays))
+}
+
+func rank(list []*member.Record, seed string, count int) []*member.Record {
+	type scored struct {
+		rc     *member.Record
+		silent int
+		score  uint64
+	}
+	all := make([]scored, len(list))
+	for i, rc := range list {
+		all[i] = scored{rc: rc, silent: int(rc.Mark), score: xxhash.Sum64String(seed + "\x00" + rc.VM)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.silent, b.silent), cmp.Compare(b.score, a.score), cmp.Compare(a.rc.VM, b.rc.VM))
+	})
+	best := make([]*member.Record, 0, count)
+	for _, sc := range all[:min(count, len(all))] {
+		best = append(best, sc.rc)
+	}
+	return best
+}
--- /dev/null
+++ b/internal/node/admin/admin.go
@@ -0,0 +1,164 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Announcement is how a backend server tells its own daemon that it serves.
+// It must be renewed before TTL has passed.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where it listens; empty stands for the service's declared
+	// port on this VM.
+	Address string `json:"address,omitempty"`
+	// Slots overrides the declared slots when above 0.
+	Slots int `json:"slots,omitempty"`
+	TTLMs int `json:"ttl-ms,omitempty"`
+}
+
+// The bounds of an announcement's time.
+const (
+	DefaultTTL = 6 * time.Second
+	minTTL     = time.Second
+	maxTTL     = time.Minute
+)
+
+// TTL returns for how long the announcement holds.
+func (an *Announcement) TTL() time.Duration {
+	if an.TTLMs == 0 {
+		return DefaultTTL
+	}
+	return time.Duration(an.TTLMs) * time.Millisecond
+}
+
+// check returns what is wrong with the announcement.
+func (an *Announcement) check() error {
+	switch {
+	case an.Service == "":
+		return fmt.Errorf("service is not set; name the service of the inventory that this server serves")
+	case an.Slots < 0:
+		return fmt.Errorf("slots is %d; leave it out or set it above 0", an.Slots)
+	case an.TTL() < minTTL || an.TTL() > maxTTL:
+		return fmt.Errorf("ttl-ms is %d; set it from %d to %d", an.TTLMs, minTTL.Milliseconds(), maxTTL.Milliseconds())
+	}
+	if an.Address != "" {
+		if _, err := netip.ParseAddrPort(an.Address); err != nil {
+			return fmt.Errorf("address is %q; set it to an IP number and a port", an.Address)
+		}
+	}
+	return nil
+}
+
+// Handlers are what the pages call.
+type Handlers struct {
+	// Announce and Withdraw take a backend server in and out.
+	Announce func(Announcement) error
+	Withdraw func()
+	// Ready returns why the daemon is not ready, nil when it is.
+	Ready func() error
+	// Status returns what is known of the fleet.
+	Status func(context.Context) Status
+	// Drain drains a VM, this one or another, and returns how many requests
+	// are still running there.
+	Drain func(ctx context.Context, vm string) (int, error)
+	// Vars are the daemon's metrics.
+	Vars *expvar.Map
+}
+
+// New returns the handler of the pages.
+func New(hs Handlers) http.Handler {
+	rt := httprouter.New()
+	rt.POST("/announce", hs.announce)
+	rt.DELETE("/announce", hs.withdraw)
+	rt.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { _, _ = w.Write([]byte("ok\n")) })
+	rt.GET("/readyz", hs.ready)
+	rt.GET("/status", hs.status)
+	rt.POST("/drain/:vm", hs.drain)
+	rt.GET("/debug/vars", hs.vars)
+	return rt
+}
+
+// maxAnnouncement bounds the body of an announcement in bytes.
+const maxAnnouncement = 4 << 10
+
+func (hs *Handlers) announce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var an Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&an)
+	if err == nil {
+		err = an.check()
+	}
+	if err != nil {
+		fail(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := hs.Announce(an); err != nil {
+		fail(w, http.StatusConflict, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (hs *Handlers) withdraw(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	hs.Withdraw()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (hs *Handlers) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if err := hs.Ready(); err != nil {
+		fail(w, http.StatusServiceUnavailable, err)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (hs *Handlers) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	reply(w, hs.Status(r.Context()))
+}
+
+func (hs *Handlers) drain(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	running, err := hs.Drain(r.Context(), ps.ByName("vm"))
+	if err != nil {
+		fail(w, http.StatusBadGateway, err)
+		return
+	}
+	reply(w, Drained{VM: ps.ByName("vm"), Running: running})
+}
+
+// Drained answers an order to drain.
+type Drained struct {
+	VM      string `json:"vm"`
+	Running int    `json:"running"`
+}
+
+func (hs *Handlers) vars(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = fmt.Fprintf(w, "{\"flamingomast\": %s", hs.Vars)
+	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+	_, _ = fmt.Fprintln(w, "}")
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Failure is the body of an answer that reports an error.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+func fail(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(Failure{Error: err.Error()})
+}
--- /dev/null
+++ b/internal/node/admin/doc.go
@@ -0,0 +1,3 @@
+// Package admin serves what is local to a VM: announcements of its backend
+// server, health, metrics, and the questions and orders of operators.
+package admin
--- /dev/null
+++ b/internal/node/admin/status.go
@@ -0,0 +1,112 @@
+package admin
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+)
+
+// Status is what a daemon knows of the fleet.
+type Status struct {
+	VM      string `json:"vm"`
+	Version uint64 `json:"version"`
+	// Latest is the newest version known here, Platform the one that the
+	// platform shows.
+	Latest         uint64         `json:"latest"`
+	Platform       uint64         `json:"platform"`
+	PlatformError  string         `json:"platform-error,omitempty"`
+	PlatformBehind bool           `json:"platform-behind,omitempty"`
+	Domains        []DomainStatus `json:"failure-domains"`
+}
+
+// DomainStatus is what is known of one failure domain.
+type DomainStatus struct {
+	Name string `json:"name"`
+	// Lowest and Highest are the versions between which its members are.
+	Lowest   uint64   `json:"lowest"`
+	Highest  uint64   `json:"highest"`
+	Members  int      `json:"members"`
+	Serving  int      `json:"serving"`
+	Behind   []string `json:"behind,omitempty"`
+	Refused  []string `json:"refused,omitempty"`
+	Draining []string `json:"draining,omitempty"`
+	Silent   []string `json:"silent,omitempty"`
+	// Cut is set while the reporting relay has no link to it, Unknown while it
+	// has reported nothing.
+	Cut     bool `json:"cut,omitempty"`
+	Unknown bool `json:"unknown,omitempty"`
+}
+
+// NewStatus puts a status together; domains are the declared ones.
+func NewStatus(vm string, version uint64, domains []string, res *wirepb.StatusResponse) Status {
+	st := Status{
+		VM: vm, Version: version, Latest: res.Latest, Platform: res.Platform,
+		PlatformError: res.PlatformError, PlatformBehind: res.PlatformBehind,
+	}
+	byName := map[string]*DomainStatus{}
+	get := func(name string) *DomainStatus {
+		if byName[name] == nil {
+			byName[name] = &DomainStatus{Name: name, Unknown: true}
+		}
+		return byName[name]
+	}
+	for _, dm := range domains {
+		get(dm)
+	}
+	for _, su := range res.Summaries {
+		ds := get(su.Domain)
+		ds.Unknown = false
+		ds.Lowest, ds.Highest, ds.Members = su.Lowest, su.Highest, int(su.Members)
+		ds.Behind, ds.Refused = su.Behind, su.Refused
+	}
+	for _, dm := range res.Cut {
+		get(dm).Cut = true
+	}
+	for _, pb := range res.Records {
+		rc := member.FromWire(pb)
+		if !rc.Live() {
+			continue
+		}
+		ds := get(rc.Domain)
+		switch {
+		case rc.Mark == member.MarkSilent:
+			ds.Silent = append(ds.Silent, rc.VM)
+		case rc.State == member.StateDraining:
+			ds.Draining = append(ds.Draining, rc.VM)
+		case rc.State == member.StateServing:
+			ds.Serving++
+		}
+	}
+	for _, ds := range byName {
+		slices.Sort(ds.Silent)
+		slices.Sort(ds.Draining)
+		slices.Sort(ds.Behind)
+		st.Domains = append(st.Domains, *ds)
+	}
+	slices.SortFunc(st.Domains, func(a, b DomainStatus) int { return cmp.Compare(a.Name, b.Name) })
+	return st
+}
+
+// Lacking returns the failure domains and VMs that are not known to hold
+// version. A failure domain without any living member lacks nothing.
+func (st *Status) Lacking(version uint64) []string {
+	var list []string
+	for _, ds := range st.Domains {
+		switch {
+		case ds.Cut:
+			list = append(list, "failure domain "+ds.Name+" (cut off)")
+		case ds.Unknown || ds.Members == 0 || ds.Lowest >= version:
+		case ds.Highest < version:
+			list = append(list, "failure domain "+ds.Name)
+		case len(ds.Behind) == 0:
+			list = append(list, "failure domain "+ds.Name+" (not yet reported)")
+		default:
+			for _, vm := range ds.Behind {
+				list = append(list, "VM "+vm)
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/cmds/cmds.go
@@ -0,0 +1,164 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/flamingomast/flamingomast/internal/conf/accept"
+	"github.com/flamingomast/flamingomast/internal/conf/strict"
+	"github.com/flamingomast/flamingomast/internal/node/daemon"
+	"github.com/flamingomast/flamingomast/internal/node/setup"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// The exit codes, for pipelines.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2 // the command line, settings or declarations are wrong
+	ExitConflict = 3 // another submission changed the same resources
+	ExitWaiting  = 4 // accepted, but not yet in force everywhere
+	ExitUnknown  = 5 // it is not known whether the submission was accepted
+	ExitPlatform = 6 // the platform does not answer, or was set back
+)
+
+// memoryLimit is the soft limit of a daemon's heap, below the 32 MB that the
+// whole process may take.
+const memoryLimit = 24 << 20
+
+// app holds what the commands share.
+type app struct {
+	out, err io.Writer
+	// platform and daemons are set by flags of the operators' commands.
+	platform, daemon string
+	json             bool
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return Run(ctx, args, out, errOut)
+}
+
+// Run runs the command line until it is done or ctx ends.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	ap := &app{out: out, err: errOut}
+	root := ap.root()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintln(errOut, "flamingomast:", err)
+		return ExitUsage
+	}
+	return ap.code(root.Run(ctx))
+}
+
+// code prints an error and returns its exit code.
+func (ap *app) code(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	if errors.Is(err, flag.ErrHelp) {
+		return ExitUsage
+	}
+	fmt.Fprintln(ap.err, err)
+	var (
+		prs strict.Problems
+		ce  *accept.ConflictError
+		che *accept.CheckError
+		be  *accept.BehindError
+		ue  *accept.UnknownError
+		we  *waitError
+		se  *store.Error
+		use usageError
+	)
+	switch {
+	case errors.As(err, &prs), errors.As(err, &use):
+		return ExitUsage
+	case errors.As(err, &ce), errors.As(err, &che):
+		return ExitConflict
+	case errors.As(err, &we):
+		return ExitWaiting
+	case errors.As(err, &ue):
+		return ExitUnknown
+	case errors.As(err, &be), errors.As(err, &se):
+		return ExitPlatform
+	}
+	return ExitFailed
+}
+
+// usageError says that a command was called in a wrong way.
+type usageError string
+
+// Error returns the text.
+func (ue usageError) Error() string { return string(ue) }
+
+func (ap *app) root() *ffcli.Command {
+	fs := flag.NewFlagSet("flamingomast", flag.ContinueOnError)
+	fs.SetOutput(ap.err)
+	return &ffcli.Command{
+		Name:       "flamingomast",
+		ShortUsage: "flamingomast COMMAND [flags] [arguments]",
+		ShortHelp:  "Distribute the configuration of a service mesh and carry its requests.",
+		FlagSet:    fs,
+		Subcommands: []*ffcli.Command{
+			ap.daemonCmd(), ap.checkCmd(), ap.planCmd(), ap.applyCmd(), ap.statusCmd(), ap.historyCmd(),
+			ap.showCmd(), ap.drainCmd(), ap.devCmd(), ap.devPlatformCmd(), ap.devServerCmd(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usageError(fmt.Sprintf("flamingomast: no command %q; see flamingomast -h", args[0]))
+			}
+			return usageError("flamingomast: name a command; see flamingomast -h")
+		},
+	}
+}
+
+// flags returns a flag set whose flags can also be given by environment.
+func (ap *app) flags(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet("flamingomast "+name, flag.ContinueOnError)
+	fs.SetOutput(ap.err)
+	return fs
+}
+
+func envOption() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix(setup.EnvPrefix)} }
+
+// daemonCmd reads its settings itself, since it reports all that is wrong with
+// them at once and with their places in the file.
+func (ap *app) daemonCmd() *ffcli.Command {
+	fs := ap.flags("daemon")
+	return &ffcli.Command{
+		Name:       "daemon",
+		ShortUsage: "flamingomast daemon [--config FILE] [--SETTING VALUE ...]",
+		ShortHelp:  "Run the daemon of a VM.",
+		LongHelp:   "Settings come from flags, then from FLAMINGOMAST_* in the environment, then from the YAML file.\nSee flamingomast daemon -- -h for the list.",
+		FlagSet:    fs,
+		Exec:       func(ctx context.Context, args []string) error { return ap.runDaemon(ctx, args) },
+	}
+}
+
+func (ap *app) runDaemon(ctx context.Context, args []string) error {
+	se, err := setup.Parse(args, ap.err)
+	if errors.Is(err, flag.ErrHelp) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(memoryLimit)
+	log := slog.New(slog.NewJSONHandler(ap.err, &slog.HandlerOptions{Level: se.LogLevel}))
+	return daemon.New(se, daemon.Options{Log: log}).Run(ctx)
+}
--- /dev/null
+++ b/internal/node/cmds/doc.go
@@ -0,0 +1,3 @@
+// Package cmds is the command line: each command as a function that returns an
+// exit code.
+package cmds
--- /dev/null
+++ b/internal/node/daemon/daemon.go
@@ -0,0 +1,324 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/ctrl"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/node/setup"
+	"github.com/flamingomast/flamingomast/internal/path/inlet"
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/plat/guard"
+	"github.com/flamingomast/flamingomast/internal/plat/remote"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/stat/meter"
+)
+
+// The times of a shutdown.
+const (
+	// linger is how long a draining daemon goes on refusing new requests after
+	// the news has gone out. An outlet that has not heard it yet gets a clear
+	// refusal and not a connection that closes under its request.
+	linger = 2 * time.Second
+	// closeTime bounds the ending of what is then left.
+	closeTime = 2 * time.Second
+)
+
+// Daemon is one daemon.
+type Daemon struct {
+	Node   *ctrl.Node
+	Outlet *outlet.Outlet
+	Inlet  *inlet.Inlet
+
+	se    setup.Settings
+	log   *slog.Logger
+	guard *guard.Guard
+	bytes meter.Meter
+	drain sync.Once
+	// drained is closed when an order to drain has come.
+	drained chan struct{}
+	local   local
+}
+
+// Options replaces parts of a daemon; the zero value stands for the real ones.
+type Options struct {
+	Log   *slog.Logger
+	Store *store.Store
+}
+
+// New returns a daemon for checked settings.
+func New(se setup.Settings, op Options) *Daemon {
+	dm := &Daemon{se: se, log: op.Log, drained: make(chan struct{})}
+	if dm.log == nil {
+		dm.log = slog.New(slog.DiscardHandler)
+	}
+	dm.log = dm.log.With(slog.String("vm", se.VM))
+	kv := op.Store
+	if kv == nil {
+		st := remote.New(se.Platform).Store()
+		kv = &st
+	}
+	dm.guard = guard.New(*kv)
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	dm.Node = ctrl.New(ctrl.Config{
+		VM: se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token,
+		Store: dm.guard.Store(), Log: dm.log, Dial: dm.bytes.Dialer(dial), Drain: dm.Drain,
+	})
+	dm.Outlet = outlet.New(outlet.Options{Log: dm.log, Sample: se.AccessSample})
+	dm.Inlet = inlet.New(nil)
+	dm.Inlet.Unreachable = func(inlet.Target) { dm.lost() }
+	return dm
+}
+
+// listeners are the four sockets of a daemon.
+type listeners struct {
+	outlet, inlet, control, admin net.Listener
+}
+
+func (dm *Daemon) listen() (*listeners, error) {
+	var ls listeners
+	var errs []error
+	for _, it := range []struct {
+		name, addr string
+		ln         *net.Listener
+	}{
+		{"outlet", dm.se.Outlet, &ls.outlet}, {"inlet", dm.se.Inlet, &ls.inlet},
+		{"control", dm.se.Control, &ls.control}, {"admin", dm.se.Admin, &ls.admin},
+	} {
+		ln, err := net.Listen("tcp", it.addr)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w; free the address or set --%s to another", it.name, err, it.name))
+			continue
+		}
+		*it.ln = ln
+	}
+	return &ls, errors.Join(errs...)
+}
+
+// Run serves until ctx ends, then drains and returns. It returns an error when
+// it cannot start, or when another process has taken over this VM's name.
+func (dm *Daemon) Run(ctx context.Context) error {
+	ls, err := dm.listen()
+	if err != nil {
+		return err
+	}
+	dm.log.Info("daemon-start", slog.Any("settings", dm.se))
+	// Its parts outlive ctx by the time that the drain takes.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg conc.WaitGroup
+	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal} {
+		wg.Go(func() { fn(life) })
+	}
+	servers := dm.servers()
+	for _, sv := range []struct {
+		hs *http.Server
+		ln net.Listener
+	}{
+		{servers.outlet, ls.outlet}, {servers.inlet, ls.inlet},
+		{servers.control, dm.bytes.Listener(ls.control)}, {servers.admin, ls.admin},
+	} {
+		wg.Go(func() {
+			if err := sv.hs.Serve(sv.ln); !errors.Is(err, http.ErrServerClosed) {
+				dm.log.Error("listener-failed", slog.Any("error", err))
+			}
+		})
+	}
+	err = dm.waitForEnd(ctx)
+	dm.shutDown(servers, err != nil)
+	end()
+	wg.Wait()
+	dm.log.Info("daemon-end")
+	return err
+}
+
+// ReplacedError says that another process runs under the VM's name.
+type ReplacedError struct {
+	VM string
+}
+
+// Error names the VM.
+func (er *ReplacedError) Error() string {
+	return fmt.Sprintf("another daemon has taken over the VM name %q; this one ends", er.VM)
+}
+
+func (dm *Daemon) waitForEnd(ctx context.Context) error {
+	_, replaced := dm.Node.Board.Replaced.Watch()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-replaced:
+		return &ReplacedError{VM: dm.se.VM}
+	}
+}
+
+type servers struct {
+	outlet, inlet, control, admin *http.Server
+}
+
+// The limits of what callers may send.
+const (
+	headTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
+	maxHead     = 64 << 10
+)
+
+func (dm *Daemon) servers() *servers {
+	var both http.Protocols
+	both.SetHTTP1(true)
+	both.SetUnencryptedHTTP2(true)
+	plain := func(h http.Handler) *http.Server {
+		return &http.Server{
+			Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
+			ErrorLog: slog.NewLogLogger(dm.log.Handler(), slog.LevelDebug),
+		}
+	}
+	sv := &servers{
+		outlet: plain(dm.Outlet), inlet: plain(dm.closing(dm.Inlet)),
+		control: dm.Node.NewServer(), admin: plain(admin.New(dm.handlers())),
+	}
+	sv.outlet.Protocols = &both
+	sv.control.ErrorLog = sv.outlet.ErrorLog
+	return sv
+}
+
+// closing tells outlets to drop their connections once the daemon drains, so
+// that none of them is in use when the listener goes.
+func (dm *Daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-dm.drained:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Drain refuses new requests for the backend server, here at once and, by the
+// news, everywhere soon. It returns how many requests are running.
+func (dm *Daemon) Drain() int {
+	dm.drain.Do(func() {
+		dm.log.Info("drain")
+		close(dm.drained)
+	})
+	running, _ := dm.Inlet.Gate.Drain()
+	dm.local.poke()
+	return running
+}
+
+// shutDown ends the daemon without cutting off a request: no new ones come in,
+// the news goes out, running ones end, and only then do connections close. A
+// process that was replaced takes its leave without delay.
+func (dm *Daemon) shutDown(sv *servers, replaced bool) {
+	began := time.Now()
+	dm.Drain()
+	sv.outlet.SetKeepAlivesEnabled(false)
+	_, idle := dm.Inlet.Gate.Drain()
+	limit := time.After(dm.se.DrainTimeout)
+	select {
+	case <-idle:
+	case <-limit:
+		dm.log.Error("drain-timeout", slog.Int("running", dm.Inlet.Gate.Load().Running))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dm.se.DrainTimeout+closeTime)
+	defer cancel()
+	if !replaced {
+		time.Sleep(max(0, linger-time.Since(began)))
+	}
+	for _, hs := range []*http.Server{sv.outlet, sv.inlet} {
+		if err := hs.Shutdown(ctx); err != nil {
+			dm.log.Error("cut-off", slog.Any("error", err))
+			_ = hs.Close()
+		}
+	}
+	if !replaced {
+		dm.Node.Leave(ctx)
+	}
+	_ = sv.control.Close()
+	_ = sv.admin.Close()
+	dm.log.Info("drained", slog.Duration("took", time.Since(began)))
+}
+
+func (dm *Daemon) handlers() admin.Handlers {
+	return admin.Handlers{
+		Announce: dm.announce, Withdraw: dm.withdraw, Ready: dm.ready, Status: dm.Status, Drain: dm.drainVM,
+		Vars: dm.vars(),
+	}
+}
+
+func (dm *Daemon) ready() error {
+	select {
+	case <-dm.drained:
+		return errors.New("draining")
+	default:
+	}
+	if dm.Node.Board.Held.Get() == nil {
+		return errors.New("no configuration is held yet")
+	}
+	return nil
+}
+
+// Status returns what is known of the fleet.
+func (dm *Daemon) Status(ctx context.Context) admin.Status {
+	var domains []string
+	if sn := dm.Node.Board.Held.Get(); sn != nil {
+		domains = sn.Domains
+	}
+	return admin.NewStatus(dm.se.VM, dm.Node.Board.HeldVersion(), domains, dm.Node.Status(ctx, false))
+}
+
+// drainVM passes an order to drain on to the VM's own daemon.
+func (dm *Daemon) drainVM(ctx context.Context, vm string) (int, error) {
+	if vm == dm.se.VM {
+		return dm.Drain(), nil
+	}
+	rc := dm.Node.Board.Members.Get().Get(vm)
+	if rc == nil || !rc.Live() {
+		return 0, fmt.Errorf("no daemon of a VM %q is known; see flamingomast status", vm)
+	}
+	res, err := dm.Node.Client(rc.Control).Drain(ctx, connect.NewRequest(&wirepb.DrainRequest{Vm: vm}))
+	if err != nil {
+		return 0, fmt.Errorf("the daemon of %s at %s: %w", vm, rc.Control, err)
+	}
+	return int(res.Msg.Running), nil
+}
+
+// vars returns the daemon's metrics.
+func (dm *Daemon) vars() *expvar.Map {
+	m := new(expvar.Map)
+	num := func(name string, fn func() int64) { m.Set(name, expvar.Func(func() any { return fn() })) }
+	bd := dm.Node.Board
+	num("version-held", func() int64 { return int64(bd.HeldVersion()) })
+	num("version-latest", func() int64 { return int64(bd.LatestVersion()) })
+	num("members", func() int64 { return int64(bd.Members.Get().Len()) })
+	num("links", func() int64 { return int64(len(bd.Links.Get().Peers)) })
+	m.Set("relay", expvar.Func(func() any { return bd.Links.Get().Relay }))
+	num("control-bytes-in", dm.bytes.In.Load)
+	num("control-bytes-out", dm.bytes.Out.Load)
+	num("platform-calls", dm.guard.Calls.Load)
+	num("platform-calls-held", dm.guard.Held.Load)
+	num("slots-running", func() int64 { return int64(dm.Inlet.Gate.Load().Running) })
+	num("slots-waiting", func() int64 { return int64(dm.Inlet.Gate.Load().Waiting) })
+	m.Set("outlet", dm.Outlet.Stats.Var())
+	m.Set("inlet", dm.Inlet.Stats.Var())
+	return m
+}
+
+// State returns what the daemon says of its backend server.
+func (dm *Daemon) State() member.State { return dm.Node.Board.Self.Get().State }
--- /dev/null
+++ b/internal/node/demo/callers.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// The load of a demonstration.
+const (
+	workers  = 8
+	thinking = 10 * time.Millisecond
+)
+
+// callers send steady requests through the outlets of all units, in turn GET
+// and POST, each POST with an id of its own that may run only once.
+type callers struct {
+	fl   *fleet
+	http *http.Client
+
+	requests, answered, notRun, failed atomic.Int64
+
+	mu      sync.Mutex
+	outlets []string
+}
+
+func newCallers(fl *fleet) *callers {
+	cl := &callers{fl: fl, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}}
+	cl.refresh()
+	return cl
+}
+
+// refresh lists the outlets anew.
+func (cl *callers) refresh() {
+	var list []string
+	cl.fl.eachUnit(func(un *unit) { list = append(list, un.se.Outlet) })
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.outlets = list
+}
+
+func (cl *callers) outlet() string {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.outlets[rand.IntN(len(cl.outlets))]
+}
+
+func (cl *callers) run(ctx context.Context) {
+	var wg conc.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				cl.send(fmt.Sprintf("%d-%d", w, n), n%2 == 0)
+				_ = wait(ctx, thinking)
+			}
+		})
+	}
+	wg.Wait()
+	cl.http.CloseIdleConnections()
+}
+
+// send sends one request and judges its answer.
+func (cl *callers) send(id string, get bool) {
+	sv := cl.fl.ms.Services[rand.IntN(len(cl.fl.ms.Services))].Name
+	method, body := http.MethodPost, io.Reader(strings.NewReader(id))
+	if get {
+		method, body = http.MethodGet, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+cl.outlet()+"/demo/"+id, body)
+	if err != nil {
+		panic(err)
+	}
+	req.Host = sv
+	if !get {
+		req.Header.Set(IDHeader, id)
+	}
+	cl.requests.Add(1)
+	res, err := cl.http.Do(req)
+	if err != nil {
+		cl.fail(id, err.Error())
+		return
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	switch {
+	case err != nil:
+		cl.fail(id, err.Error())
+	case res.Header.Get(result.OutcomeHeader) == result.NotRun.String():
+		cl.notRun.Add(1)
+	case res.StatusCode != http.StatusOK || !strings.Contains(string(text), "/demo/"+id+" "):
+		cl.fail(id, res.Status+" "+string(text))
+	default:
+		cl.answered.Add(1)
+	}
+}
+
+func (cl *callers) fail(id, why string) {
+	cl.failed.Add(1)
+	cl.fl.op.Log.Error("request-failed", slog.String("id", id), slog.String("cause", why))
+}
--- /dev/null
+++ b/internal/node/demo/platform.go
@@ -0,0 +1,25 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/remote"
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
+)
+
+// ServePlatform serves a stand-in of the platform on ln until ctx ends.
+func ServePlatform(ctx context.Context, ln net.Listener, st *stand.Stand) error {
+	mux := http.NewServeMux()
+	mux.Handle(remote.Handler(st.Store()))
+	hs := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = hs.Close() })
+	defer stop()
+	if err := hs.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/demo/server.go
@@ -0,0 +1,138 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+)
+
+// IDHeader names a request, so that a server counts how often it ran.
+const IDHeader = "Request-Id"
+
+// Ledger counts how often each request ran, over all servers that share it.
+type Ledger struct {
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+// Run notes that a request runs.
+func (le *Ledger) Run(id string) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	if le.ran == nil {
+		le.ran = map[string]int{}
+	}
+	le.ran[id]++
+}
+
+// Doubled returns how many requests ran more than once.
+func (le *Ledger) Doubled() int {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	n := 0
+	for _, times := range le.ran {
+		if times > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// Server is a small backend server. It answers with the name of its VM and the
+// body that it got.
+type Server struct {
+	VM, Service string
+	// Listen is where it serves, Admin the admin address of its daemon.
+	Listen, Admin string
+	// Work is the mean time that a request takes.
+	Work   time.Duration
+	Ledger *Ledger
+}
+
+// ServeHTTP answers one request.
+func (sr *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(IDHeader); id != "" && sr.Ledger != nil {
+		sr.Ledger.Run(id)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		return
+	}
+	if sr.Work > 0 {
+		select {
+		case <-time.After(sr.Work/2 + rand.N(sr.Work)):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("Served-By", sr.VM)
+	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", sr.VM, r.Method, r.URL.Path, body)
+}
+
+// announceEvery is how often a server renews its announcement.
+const announceEvery = 2 * time.Second
+
+// Run serves and announces itself until ctx ends; then it withdraws and waits
+// for running requests.
+func (sr *Server) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", sr.Listen)
+	if err != nil {
+		return err
+	}
+	hs := &http.Server{Handler: sr, ReadHeaderTimeout: 10 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- hs.Serve(ln) }()
+	wait := time.Duration(0)
+	for {
+		select {
+		case err := <-served:
+			return err
+		case <-ctx.Done():
+			return sr.stop(hs)
+		case <-time.After(wait):
+		}
+		wait = announceEvery
+		if sr.announce(ctx, http.MethodPost, ln.Addr().String()) != nil {
+			wait = announceEvery / 10
+		}
+	}
+}
+
+func (sr *Server) stop(hs *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_ = sr.announce(ctx, http.MethodDelete, "")
+	return hs.Shutdown(ctx)
+}
+
+func (sr *Server) announce(ctx context.Context, method, addr string) error {
+	body, err := json.Marshal(admin.Announcement{Service: sr.Service, Address: addr})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+sr.Admin+"/announce", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusNoContent {
+		text, _ := io.ReadAll(io.LimitReader(res.Body, 1<<10))
+		return fmt.Errorf("announcing: %s: %s", res.Status, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/setup/setup.go
@@ -0,0 +1,288 @@
+package setup
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/flamingomast/flamingomast/internal/conf/strict"
+)
+
+// EnvPrefix begins the names of the environment variables: the setting
+// failure-domain is FLAMINGOMAST_FAILURE_DOMAIN.
+const EnvPrefix = "FLAMINGOMAST"
+
+// Settings is what a daemon is told at its start.
+type Settings struct {
+	VM, Domain string
+	// Outlet, Inlet, Control and Admin are the addresses (host:port) to listen
+	// on; Inlet and Control are also those that other VMs connect to.
+	Outlet, Inlet, Control, Admin string
+	// Platform is the address of the key-value service.
+	Platform string
+	// Seeds are control addresses of other daemons.
+	Seeds []string
+	// Token is the secret that all daemons share.
+	Token        string
+	LogLevel     slog.Level
+	AccessSample float64
+	DrainTimeout time.Duration
+}
+
+// String returns the settings without secrets.
+func (se Settings) String() string {
+	token := "unset"
+	if se.Token != "" {
+		token = "set"
+	}
+	return fmt.Sprintf("vm=%s failure-domain=%s outlet=%s inlet=%s control=%s admin=%s platform=%s seeds=%s mesh-token=%s",
+		se.VM, se.Domain, se.Outlet, se.Inlet, se.Control, se.Admin, se.Platform, strings.Join(se.Seeds, ","), token)
+}
+
+// LogValue returns the settings without secrets.
+func (se Settings) LogValue() slog.Value { return slog.StringValue(se.String()) }
+
+// raw holds the settings as given.
+type raw struct {
+	vm, domain, outlet, inlet, control, admin string
+	platform, seeds, token, level             string
+	sample                                    string
+	drain                                     string
+}
+
+// flags declares the settings; the text of each is the help a person sees.
+func (rw *raw) flags(fs *flag.FlagSet) {
+	fs.StringVar(&rw.vm, "vm", "", "name of this VM in the inventory (required)")
+	fs.StringVar(&rw.domain, "failure-domain", "", "failure domain that this VM is in (required)")
+	fs.StringVar(&rw.outlet, "outlet", "127.0.0.1:8080", "address for callers, IP:PORT")
+	fs.StringVar(&rw.inlet, "inlet", "", "address for the outlets of other VMs, IP:PORT (required)")
+	fs.StringVar(&rw.control, "control", "", "address for the daemons of other VMs, IP:PORT (required)")
+	fs.StringVar(&rw.admin, "admin", "127.0.0.1:8081", "address for announcements, health, metrics and operators, IP:PORT")
+	fs.StringVar(&rw.platform, "platform", "", "address of the platform's key-value service, IP:PORT (required)")
+	fs.StringVar(&rw.seeds, "seeds", "", "control addresses of other daemons to try before the platform is asked, IP:PORT,…")
+	fs.StringVar(&rw.token, "mesh-token", "", "secret that all daemons share; empty for none")
+	fs.StringVar(&rw.level, "log-level", "info", "debug, info, warn or error")
+	fs.StringVar(&rw.sample, "access-log-sample", "0", "share of requests that are logged, 0 to 1")
+	fs.StringVar(&rw.drain, "drain-timeout", "30s", "how long a shutdown waits for running requests")
+	fs.String("config", "", "YAML file with any of these settings")
+}
+
+// Parse reads the settings from args, the environment and the file that
+// --config names, in this order of precedence. The error is flag.ErrHelp or a
+// strict.Problems that lists all that is wrong.
+func Parse(args []string, errOut io.Writer) (Settings, error) {
+	var rw raw
+	fs := flag.NewFlagSet("flamingomast daemon", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	rw.flags(fs)
+	rd := &reader{fs: fs, lines: map[string]strict.Pos{}}
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(rd.parse),
+	)
+	if errors.Is(err, flag.ErrHelp) {
+		return Settings{}, err
+	}
+	if err != nil {
+		rd.prs.Add(strict.Pos{File: "command line"}, err.Error(), "see flamingomast daemon -h")
+		return Settings{}, rd.prs.Err()
+	}
+	if len(fs.Args()) > 0 {
+		rd.prs.Add(strict.Pos{File: "command line"}, fmt.Sprintf("unexpected argument %q", fs.Arg(0)), "settings are given as --name value")
+	}
+	rd.file = fs.Lookup("config").Value.String()
+	se := rd.check(&rw)
+	return se, rd.prs.Err()
+}
+
+// reader reads the file and remembers where each setting stands.
+type reader struct {
+	fs    *flag.FlagSet
+	file  string
+	lines map[string]strict.Pos
+	prs   strict.Problems
+}
+
+// namedReader is a file with a name, which ff opens.
+type namedReader interface{ Name() string }
+
+// parse is an ff.ConfigFileParser.
+func (rd *reader) parse(r io.Reader, set func(name, value string) error) error {
+	file := "settings"
+	if nr, ok := r.(namedReader); ok {
+		file = nr.Name()
+	}
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	if prs := strict.Decode(file, data, &struct{}{}); len(prs) > 0 && strings.HasPrefix(prs[0].What, "not YAML") {
+		rd.prs = append(rd.prs, prs[0])
+		return nil
+	}
+	var root yaml.Node
+	if err := yaml.Unmarshal(data, &root); err != nil || len(root.Content) == 0 {
+		return err
+	}
+	return rd.pairs(file, root.Content[0], set)
+}
+
+func (rd *reader) pairs(file string, n *yaml.Node, set func(name, value string) error) error {
+	pos := func(n *yaml.Node) strict.Pos { return strict.Pos{File: file, Line: n.Line, Column: n.Column} }
+	if n.Kind != yaml.MappingNode {
+		rd.prs.Add(pos(n), "the settings must be a mapping", "write each as \"name: value\"")
+		return nil
+	}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k, v := n.Content[i], n.Content[i+1]
+		first, repeated := rd.lines[k.Value]
+		switch {
+		case rd.fs.Lookup(k.Value) == nil || k.Value == "config":
+			rd.prs.Add(pos(k), fmt.Sprintf("unknown setting %q", k.Value), strict.Suggest(k.Value, rd.names()))
+		case repeated:
+			rd.prs.Add(pos(k), fmt.Sprintf("setting %q is already on line %d", k.Value, first.Line), "remove one of the two")
+		default:
+			rd.lines[k.Value] = pos(v)
+			text, ok := text(v)
+			if !ok {
+				rd.prs.Add(pos(v), fmt.Sprintf("setting %q must be a value or a list of values", k.Value), "")
+				continue
+			}
+			if err := set(k.Value, text); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func text(v *yaml.Node) (string, bool) {
+	switch v.Kind {
+	case yaml.ScalarNode:
+		return v.Value, true
+	case yaml.SequenceNode:
+		var list []string
+		for _, c := range v.Content {
+			list = append(list, c.Value)
+		}
+		return strings.Join(list, ","), true
+	}
+	return "", false
+}
+
+func (rd *reader) names() []string {
+	var list []string
+	rd.fs.VisitAll(func(fl *flag.Flag) {
+		if fl.Name != "config" {
+			list = append(list, fl.Name)
+		}
+	})
+	return list
+}
+
+// where tells where a setting was given.
+func (rd *reader) where(name string) strict.Pos {
+	env := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+	given := false
+	rd.fs.Visit(func(fl *flag.Flag) { given = given || fl.Name == name })
+	pos, inFile := rd.lines[name]
+	switch {
+	case os.Getenv(env) != "":
+		return strict.Pos{File: "environment " + env}
+	case inFile:
+		return pos
+	case given:
+		return strict.Pos{File: "flag --" + name}
+	}
+	return strict.Pos{File: "settings"}
+}
+
+func (rd *reader) add(name, what, remedy string) { rd.prs.Add(rd.where(name), what, remedy) }
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+func (rd *reader) check(rw *raw) Settings {
+	se := Settings{
+		VM: rd.name("vm", rw.vm), Domain: rd.name("failure-domain", rw.domain),
+		Outlet: rd.addr("outlet", rw.outlet), Inlet: rd.addr("inlet", rw.inlet),
+		Control: rd.addr("control", rw.control), Admin: rd.addr("admin", rw.admin),
+		Platform: rd.addr("platform", rw.platform), Token: rw.token,
+	}
+	rd.distinct(&se)
+	for _, sd := range strings.Split(rw.seeds, ",") {
+		if sd = strings.TrimSpace(sd); sd != "" {
+			se.Seeds = append(se.Seeds, rd.addr("seeds", sd))
+		}
+	}
+	if err := se.LogLevel.UnmarshalText([]byte(rw.level)); err != nil {
+		rd.add("log-level", fmt.Sprintf("log-level is %q", rw.level), "set it to debug, info, warn or error")
+	}
+	sample, err := strconv.ParseFloat(rw.sample, 64)
+	if err != nil || !(sample >= 0 && sample <= 1) {
+		rd.add("access-log-sample", fmt.Sprintf("access-log-sample is %q", rw.sample), "set it to a number from 0 to 1")
+	}
+	se.AccessSample = sample
+	se.DrainTimeout, err = time.ParseDuration(rw.drain)
+	if err != nil || se.DrainTimeout < 0 {
+		rd.add("drain-timeout", fmt.Sprintf("drain-timeout is %q", rw.drain), "set it to a duration such as 30s")
+	}
+	return se
+}
+
+func (rd *reader) name(setting, value string) string {
+	switch {
+	case value == "":
+		rd.add(setting, setting+" is not set", "set it to the name that the inventory has")
+	case !nameForm.MatchString(value):
+		rd.add(setting, fmt.Sprintf("%s is %q", setting, value), "set it to the name that the inventory has: 1 to 63 of a-z, 0-9, \"-\" and \".\"")
+	}
+	return value
+}
+
+// addr checks an address. Daemons reach each other by IP number; a host name
+// would bring in a resolver that may be out when it is needed.
+func (rd *reader) addr(setting, value string) string {
+	if value == "" {
+		rd.add(setting, setting+" is not set", "set it to an address as 10.0.0.1:7000")
+		return value
+	}
+	host, port, err := net.SplitHostPort(value)
+	if err == nil {
+		_, err = netip.ParseAddr(host)
+	}
+	if err == nil {
+		_, err = strconv.ParseUint(port, 10, 16)
+	}
+	if err != nil {
+		rd.add(setting, fmt.Sprintf("%s is %q", setting, value), "set it to an IP number and a port as 10.0.0.1:7000")
+	}
+	return value
+}
+
+func (rd *reader) distinct(se *Settings) {
+	seen := map[string]string{}
+	for _, it := range []struct{ name, addr string }{
+		{"outlet", se.Outlet}, {"inlet", se.Inlet}, {"control", se.Control}, {"admin", se.Admin},
+	} {
+		if it.addr == "" || strings.HasSuffix(it.addr, ":0") {
+			continue
+		}
+		if other, ok := seen[it.addr]; ok {
+			rd.add(it.name, fmt.Sprintf("%s and %s have the same address %s", other, it.name, it.addr), "give each its own port")
+		}
+		seen[it.addr] = it.name
+	}
+}
--- /dev/null
+++ b/internal/path/inlet/inlet.go
@@ -0,0 +1,179 @@
+package inlet
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/stat/hist"
+)
+
+// Target is the backend server behind an inlet and the process that serves it.
+type Target struct {
+	VM, Process, Service string
+	// Addr is the backend server's address (host:port), empty while there is
+	// none.
+	Addr string
+}
+
+// Inlet serves outlets.
+type Inlet struct {
+	Stats hist.Set
+	Gate  *limit.Gate
+	// Unreachable is called when the backend server takes no connection.
+	Unreachable func(Target)
+	fw          *proxy.Forwarder
+	target      atomic.Pointer[Target]
+}
+
+// New returns an inlet without a target; fw leads to the backend server.
+func New(fw *proxy.Forwarder) *Inlet {
+	if fw == nil {
+		fw = proxy.New(proxy.Options{})
+	}
+	return &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, fw: fw}
+}
+
+// SetTarget replaces the target. Requests that are running stay where they are.
+func (in *Inlet) SetTarget(tg Target) { in.target.Store(&tg) }
+
+// ServeHTTP serves one request of an outlet.
+func (in *Inlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	tg, rf := in.check(r.Header)
+	if rf != nil {
+		in.refuse(w, r, rf)
+		return
+	}
+	ctx, cancel := deadline(r)
+	defer cancel()
+	class := r.Header.Get(result.ClassHeader)
+	sr := in.Stats.For(tg.Service, class)
+	tk, rf := in.Gate.Enter(ctx, class)
+	sr.Queue.Record(time.Since(start))
+	if rf != nil {
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
+		return
+	}
+	defer tk.Leave()
+	if ctx.Err() != nil {
+		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadline})
+		return
+	}
+	in.forward(ctx, w, r, tg, sr)
+	sr.Latency.Record(time.Since(start))
+}
+
+// check compares the target that the outlet means with this one. An address
+// may have passed to another VM, or to another process of the same VM that
+// runs another service: an outlet with an old view is told that the request
+// was not run, and goes elsewhere.
+func (in *Inlet) check(hdr http.Header) (*Target, *result.Refusal) {
+	tg := in.target.Load()
+	if tg == nil || tg.VM != hdr.Get(result.VMHeader) || tg.Process != hdr.Get(result.ProcessHeader) ||
+		tg.Service != "" && tg.Service != hdr.Get(result.ServiceHeader) {
+		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonWrongTarget}
+	}
+	if tg.Addr == "" {
+		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer}
+	}
+	return tg, nil
+}
+
+func (in *Inlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
+	w.Header().Set(result.LoadHeader, in.Gate.Load().String())
+	if r.ContentLength > maxUnread && r.Header.Get("Expect") == "" {
+		w.Header().Set("Connection", "close")
+	}
+	rf.Write(w)
+}
+
+// maxUnread is the size up to which net/http reads the rest of a body itself
+// to keep the connection.
+const maxUnread = 256 << 10
+
+func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(result.TimeoutMs), 10, 32)
+	if err != nil || ms <= 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// forward sends an admitted request to the backend server and its answer back.
+func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, sr *hist.Series) {
+	at := in.fw.Do(in.outgoing(ctx, r, tg))
+	if at.Response == nil {
+		rf := in.failure(ctx, r, at, tg)
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		if r.Context().Err() == nil {
+			in.refuse(w, r, rf)
+		}
+		return
+	}
+	defer at.Response.Body.Close()
+	if rf := shed(at.Response); rf != nil {
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
+		return
+	}
+	proxy.CopyHead(w, at.Response, func(hdr http.Header) {
+		hdr[result.LoadHeader] = []string{in.Gate.Load().String()}
+	})
+	if err := proxy.Copy(w, at); err != nil {
+		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
+		panic(http.ErrAbortHandler)
+	}
+	sr.Outcomes.Add(result.Answered.String(), 1)
+}
+
+func (in *Inlet) failure(ctx context.Context, r *http.Request, at *proxy.Attempt, tg *Target) *result.Refusal {
+	oc, re := at.Outcome()
+	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second}
+	switch {
+	case r.Context().Err() != nil:
+		rf.Reason = result.ReasonCallerGone
+	case ctx.Err() != nil:
+		rf.Reason = result.ReasonDeadline
+	case oc == result.NotRun && re == result.ReasonConnect:
+		in.Unreachable(*tg)
+	}
+	return rf
+}
+
+// shed reads the agreed way in which a backend server says that it has not
+// begun to run a request.
+func shed(res *http.Response) *result.Refusal {
+	refusing := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
+	if !refusing || res.Header.Get(result.NotRunHeader) == "" {
+		return nil
+	}
+	rf := &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed, RetryAfter: time.Second}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
+		rf.RetryAfter = time.Duration(s) * time.Second
+	}
+	return rf
+}
+
+// outgoing makes the request for the backend server. Of this system's headers
+// it bears only what is left of the time.
+func (in *Inlet) outgoing(ctx context.Context, r *http.Request, tg *Target) *http.Request {
+	out := proxy.Outgoing(ctx, r, tg.Addr)
+	out.ContentLength = r.ContentLength
+	switch {
+	case r.ContentLength == 0:
+		out.Body = proxy.Body(nil)
+	case r.ContentLength < 0:
+		out.TransferEncoding = []string{"chunked"}
+		fallthrough
+	default:
+		out.Body = proxy.Body(http.MaxBytesReader(nil, r.Body, proxy.MaxBody))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/path/limit/limit.go
@@ -0,0 +1,284 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// Class is a kind of request with a share of the slots.
+type Class struct {
+	Name string
+	// Share is the percentage of the slots that is always its own.
+	Share int
+	// Queue is how many of its requests may wait.
+	Queue int
+}
+
+// Gate admits requests. Its methods may be called from any goroutine.
+type Gate struct {
+	mu       sync.Mutex
+	slots    int
+	running  int
+	waiting  int
+	draining bool
+	classes  map[string]*class
+	order    []*class
+	// service is the weighted mean time for which a slot is held.
+	service time.Duration
+	idle    chan struct{}
+}
+
+type class struct {
+	Class
+	own     int // slots that are always its own
+	running int
+	queue   []*waiter
+}
+
+type waiter struct {
+	ready   chan struct{}
+	granted bool
+	gone    bool
+}
+
+// New returns a gate without slots; Configure gives it some.
+func New() *Gate {
+	return &Gate{classes: map[string]*class{}}
+}
+
+// Configure sets the slots and classes. Requests that run or wait stay as they
+// are; a class that is no longer declared goes on without a share.
+func (ga *Gate) Configure(slots int, classes []Class) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.slots = slots
+	for _, cl := range ga.order {
+		cl.Share, cl.own, cl.Queue = 0, 0, 0
+	}
+	for _, cf := range classes {
+		cl := ga.class(cf.Name)
+		cl.Class = cf
+		cl.own = slots * cf.Share / 100
+		if cf.Share > 0 {
+			cl.own = max(1, cl.own)
+		}
+	}
+	ga.handOver()
+}
+
+// class returns the class of a name and makes it if need be; ga.mu is held.
+func (ga *Gate) class(name string) *class {
+	cl := ga.classes[name]
+	if cl == nil {
+		cl = &class{Class: Class{Name: name}}
+		ga.classes[name] = cl
+		ga.order = append(ga.order, cl)
+	}
+	return cl
+}
+
+// Ticket is a slot that a request holds.
+type Ticket struct {
+	ga    *Gate
+	cl    *class
+	since time.Time
+}
+
+// Enter waits for a slot. It returns a ticket, or the refusal of a request
+// that has certainly not run. A request that could not be served before its
+// deadline is refused at once, not when the deadline comes.
+func (ga *Gate) Enter(ctx context.Context, name string) (*Ticket, *result.Refusal) {
+	ga.mu.Lock()
+	if ga.draining {
+		ga.mu.Unlock()
+		return nil, refuse(result.ReasonDraining, 0)
+	}
+	cl := ga.class(name)
+	if ga.mayRun(cl) {
+		tk := ga.admit(cl)
+		ga.mu.Unlock()
+		return tk, nil
+	}
+	if rf := ga.hopeless(ctx, cl); rf != nil {
+		ga.mu.Unlock()
+		return nil, rf
+	}
+	wt := &waiter{ready: make(chan struct{})}
+	cl.queue = append(cl.queue, wt)
+	ga.waiting++
+	ga.mu.Unlock()
+	return ga.wait(ctx, cl, wt)
+}
+
+func refuse(re result.Reason, after time.Duration) *result.Refusal {
+	return &result.Refusal{Outcome: result.NotRun, Reason: re, RetryAfter: after}
+}
+
+// mayRun tells whether a request of the class gets a slot now. A class below
+// its own share goes first; above it, a class takes what is idle as long as
+// nobody waits for it. ga.mu is held.
+func (ga *Gate) mayRun(cl *class) bool {
+	if ga.running >= ga.slots {
+		return false
+	}
+	return cl.running < cl.own || ga.waiting == 0
+}
+
+func (ga *Gate) admit(cl *class) *Ticket {
+	ga.running++
+	cl.running++
+	return &Ticket{ga: ga, cl: cl, since: time.Now()}
+}
+
+// hopeless refuses a request that cannot wait; ga.mu is held.
+func (ga *Gate) hopeless(ctx context.Context, cl *class) *result.Refusal {
+	wait := ga.expectedWait(cl)
+	if len(cl.queue) >= cl.Queue {
+		return refuse(result.ReasonFull, wait)
+	}
+	if at, ok := ctx.Deadline(); ok && time.Until(at) < wait+ga.service {
+		return refuse(result.ReasonTooLate, wait)
+	}
+	return nil
+}
+
+// expectedWait estimates when a slot would come to a new request of the class,
+// from the rate at which slots really become free. ga.mu is held.
+func (ga *Gate) expectedWait(cl *class) time.Duration {
+	slots := ga.slots
+	ahead := ga.waiting + 1
+	if cl.own > 0 {
+		// Its own slots serve its own queue first.
+		slots, ahead = cl.own, len(cl.queue)+1
+	}
+	if slots <= 0 {
+		return time.Second
+	}
+	return ga.service * time.Duration(ahead) / time.Duration(slots)
+}
+
+func (ga *Gate) wait(ctx context.Context, cl *class, wt *waiter) (*Ticket, *result.Refusal) {
+	select {
+	case <-wt.ready:
+	case <-ctx.Done():
+	}
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if wt.granted {
+		// Granted and given up at the same moment counts as granted; the
+		// caller sees its ended context next and leaves the slot.
+		return &Ticket{ga: ga, cl: cl, since: time.Now()}, nil
+	}
+	if !wt.gone {
+		wt.gone = true
+		ga.waiting--
+		cl.remove(wt)
+	}
+	if ga.draining {
+		return nil, refuse(result.ReasonDraining, 0)
+	}
+	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl))
+}
+
+func (cl *class) remove(wt *waiter) {
+	for i, w := range cl.queue {
+		if w == wt {
+			cl.queue = append(cl.queue[:i], cl.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// Leave gives the slot back. It must be called once.
+func (tk *Ticket) Leave() {
+	ga := tk.ga
+	held := time.Since(tk.since)
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	if ga.service == 0 {
+		ga.service = held
+	}
+	ga.service += (held - ga.service) / 16
+	ga.running--
+	tk.cl.running--
+	ga.handOver()
+	if ga.running == 0 && ga.idle != nil {
+		close(ga.idle)
+		ga.idle = nil
+	}
+}
+
+// handOver gives free slots to those who wait: classes below their own share
+// first, the one farthest below leading, then the others by their use.
+// ga.mu is held.
+func (ga *Gate) handOver() {
+	for ga.running < ga.slots && ga.waiting > 0 {
+		cl := ga.nextClass()
+		if cl == nil {
+			return
+		}
+		wt := cl.queue[0]
+		cl.queue = cl.queue[1:]
+		ga.waiting--
+		wt.granted, wt.gone = true, true
+		ga.running++
+		cl.running++
+		close(wt.ready)
+	}
+}
+
+func (ga *Gate) nextClass() *class {
+	var best *class
+	for _, cl := range ga.order {
+		if len(cl.queue) == 0 {
+			continue
+		}
+		if best == nil || cl.use() < best.use() {
+			best = cl
+		}
+	}
+	return best
+}
+
+// use is the part of its own slots that a class uses; above 1 it borrows.
+func (cl *class) use() float64 {
+	if cl.own == 0 {
+		return 1 + float64(cl.running)
+	}
+	return float64(cl.running) / float64(cl.own)
+}
+
+// Drain refuses all new requests from now on and those that wait. It returns
+// how many run and a channel that is closed once none does.
+func (ga *Gate) Drain() (running int, idle <-chan struct{}) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.draining = true
+	for _, cl := range ga.order {
+		for _, wt := range cl.queue {
+			wt.gone = true
+			close(wt.ready)
+		}
+		ga.waiting -= len(cl.queue)
+		cl.queue = nil
+	}
+	if ga.idle == nil {
+		ga.idle = make(chan struct{})
+	}
+	ch := ga.idle
+	if ga.running == 0 {
+		close(ga.idle)
+		ga.idle = nil
+	}
+	return ga.running, ch
+}
+
+// Load returns how many requests run and wait, and the slots.
+func (ga *Gate) Load() result.Load {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return result.Load{Running: ga.running, Waiting: ga.waiting, Slots: ga.slots}
+}
--- /dev/null
+++ b/internal/path/outlet/outlet.go
@@ -0,0 +1,379 @@
+package outlet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/path/retry"
+	"github.com/flamingomast/flamingomast/internal/stat/hist"
+)
+
+// Outlet serves callers. Its table may be replaced at any time.
+type Outlet struct {
+	// Stats counts requests by service and class.
+	Stats   hist.Set
+	fw      *proxy.Forwarder
+	log     *slog.Logger
+	sample  float64
+	routing atomic.Pointer[routing]
+}
+
+// routing is a table with the state that belongs to its services.
+type routing struct {
+	tb      *pick.Table
+	budgets []*retry.Budget // by the index of the service
+}
+
+// Options sets an outlet; the zero value works.
+type Options struct {
+	Forwarder *proxy.Forwarder
+	Log       *slog.Logger
+	// Sample is the share of requests, 0 to 1, that are logged.
+	Sample float64
+}
+
+// New returns an outlet without a table; it refuses requests until SetTable.
+func New(op Options) *Outlet {
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, sample: op.Sample}
+	if ou.fw == nil {
+		ou.fw = proxy.New(proxy.Options{})
+	}
+	if ou.log == nil {
+		ou.log = slog.New(slog.DiscardHandler)
+	}
+	return ou
+}
+
+// SetTable replaces the table. Requests under way keep the one they have.
+func (ou *Outlet) SetTable(tb *pick.Table) {
+	known := map[string]*retry.Budget{}
+	if old := ou.routing.Load(); old != nil {
+		for i, sv := range old.tb.Snap.ServiceList {
+			known[sv.Name] = old.budgets[i]
+		}
+	}
+	rt := &routing{tb: tb}
+	for _, sv := range tb.Snap.ServiceList {
+		bu := known[sv.Name]
+		if bu == nil {
+			bu = retry.New()
+		}
+		rt.budgets = append(rt.budgets, bu)
+	}
+	ou.routing.Store(rt)
+}
+
+// Table returns the table in use, nil for none.
+func (ou *Outlet) Table() *pick.Table {
+	if rt := ou.routing.Load(); rt != nil {
+		return rt.tb
+	}
+	return nil
+}
+
+// request is one request of a caller with all its attempts.
+type request struct {
+	ou    *Outlet
+	route *snap.Route
+	sv    *snap.Service
+	gp    *pick.Group
+	bu    *retry.Budget
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	src   source
+	tried pick.Tried
+	start time.Time
+	// tries counts the attempts, busy those that found no room.
+	tries, busy int
+}
+
+// ServeHTTP serves one request.
+func (ou *Outlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	if rf := checkEdge(r); rf != nil {
+		ou.refuse(w, r, rf)
+		return
+	}
+	rt := ou.routing.Load()
+	if rt == nil {
+		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoConfig, RetryAfter: time.Second})
+		return
+	}
+	route := rt.tb.Snap.Match(r.Method, r.Host, r.URL.Path, r.Header)
+	if route == nil {
+		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoRoute})
+		return
+	}
+	limit := route.Deadline
+	if given, ok := timeout(r.Header); ok {
+		limit = min(limit, given)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	defer cancel()
+	sv := route.Target(rand.IntN(route.Total()))
+	rq := &request{
+		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
+		w: w, r: r, ctx: ctx, start: start,
+	}
+	defer guardTimes(w, start.Add(limit))()
+	rq.serve()
+}
+
+// guardTimes ends reads from and writes to a caller that takes longer than the
+// deadline: without it a caller that sends or reads slowly holds a slot of the
+// backend server for as long as it likes. It returns what undoes it.
+func guardTimes(w http.ResponseWriter, at time.Time) func() {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(at.Add(time.Second))
+	_ = rc.SetWriteDeadline(at.Add(time.Second))
+	return func() {
+		_ = rc.SetReadDeadline(time.Time{})
+		_ = rc.SetWriteDeadline(time.Time{})
+	}
+}
+
+func (ou *Outlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
+	ou.Stats.For("none", "none").Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+	if rf.Reason == result.ReasonBadRequest || r.ContentLength != 0 {
+		// What is left of the request is not read, so it cannot be taken for
+		// another one.
+		w.Header().Set("Connection", "close")
+	}
+	rf.Write(w)
+}
+
+// checkEdge refuses what is not carried, before anything of it is sent on.
+func checkEdge(r *http.Request) *result.Refusal {
+	bad := func(re result.Reason, format string, args ...any) *result.Refusal {
+		return &result.Refusal{Outcome: result.NotRun, Reason: re, Detail: fmt.Sprintf(format, args...)}
+	}
+	if r.Method == http.MethodConnect || proxy.Upgrades(r.Header) {
+		return bad(result.ReasonUpgrade, "CONNECT and upgrades are not carried")
+	}
+	if name := proxy.Forged(r.Header); name != "" {
+		return bad(result.ReasonBadRequest, "the header %s is not taken from callers", name)
+	}
+	if _, ok := timeout(r.Header); !ok && r.Header.Get(result.TimeoutMs) != "" {
+		return bad(result.ReasonBadRequest, "%s must be a whole number of milliseconds above 0", result.TimeoutMs)
+	}
+	if !strings.HasPrefix(r.URL.Path, "/") || dotted(r.URL.Path) {
+		return bad(result.ReasonBadRequest, "the path must begin with a slash and have no \".\" or \"..\" segment")
+	}
+	if r.ContentLength > proxy.MaxBody {
+		return bad(result.ReasonTooLarge, "a body may have %d bytes", proxy.MaxBody)
+	}
+	return nil
+}
+
+// dotted tells whether a decoded path has a segment that servers resolve in
+// ways of their own: a rule for /confirm must not be passed by /x/../confirm.
+func dotted(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for seg := range strings.SplitSeq(path, "/") {
+		if seg == "." || seg == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+func timeout(hdr http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(hdr.Get(result.TimeoutMs), 10, 32)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
+}
+
+func (rq *request) serve() {
+	rq.bu.Request()
+	if rf := rq.src.fill(rq.w, rq.r); rf != nil {
+		rq.end(rf)
+		return
+	}
+	var last *result.Refusal
+	for {
+		ep := rq.gp.Pick(time.Now(), &rq.tried, rand.IntN)
+		if ep == nil {
+			if last == nil {
+				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
+			}
+			rq.end(last)
+			return
+		}
+		rf := rq.attempt(ep)
+		if rf == nil {
+			rq.count(result.Answered, "")
+			return
+		}
+		rq.tried.Add(ep)
+		last = worse(last, rf)
+		if !rq.again(rf) {
+			rq.end(last)
+			return
+		}
+	}
+}
+
+// worse returns what must be said of two attempts together: a request of which
+// one attempt may have run may have run, whatever became of the others.
+func worse(last, rf *result.Refusal) *result.Refusal {
+	if last != nil && last.Outcome == result.MayHaveRun && rf.Outcome == result.NotRun {
+		return last
+	}
+	return rf
+}
+
+// maxBusy is how many servers without room a request tries. More would only
+// multiply the load when all are full.
+const maxBusy = 2
+
+// again tells whether the request is sent again after the refusal rf.
+func (rq *request) again(rf *result.Refusal) bool {
+	if rq.ctx.Err() != nil || rq.tries >= retry.MaxAttempts || !rq.src.replayable() {
+		return false
+	}
+	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate {
+		if rq.busy++; rq.busy >= maxBusy {
+			return false
+		}
+	}
+	if !retry.Allowed(rf.Outcome, rq.route.Repeat, rq.r.Method) {
+		return false
+	}
+	if rf.Reason == result.ReasonConnect || rf.Reason == result.ReasonDraining || rf.Reason == result.ReasonWrongTarget {
+		// The server was not there at all: sending again adds no load to any,
+		// and the cause is gone once the news has come.
+		return true
+	}
+	return rq.bu.Take()
+}
+
+// end writes the final answer of a request that no server answered. It does so
+// at once; when to come back stands in it.
+func (rq *request) end(rf *result.Refusal) {
+	rq.count(rf.Outcome, rf.Reason)
+	if rq.r.Context().Err() != nil {
+		return
+	}
+	if rq.src.streamed() {
+		rq.w.Header().Set("Connection", "close")
+	}
+	rf.Write(rq.w)
+}
+
+func (rq *request) count(oc result.Outcome, re result.Reason) {
+	sr := rq.ou.Stats.For(rq.sv.Name, rq.route.Class.Name)
+	took := time.Since(rq.start)
+	sr.Latency.Record(took)
+	name := oc.String()
+	if re != "" {
+		name += "/" + string(re)
+	}
+	sr.Outcomes.Add(name, 1)
+	sr.Attempts.Add(strconv.Itoa(rq.tries), 1)
+	if rq.ou.sample > 0 && rand.Float64() < rq.ou.sample {
+		rq.ou.log.Info("request", slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name),
+			slog.String("method", rq.r.Method), slog.String("outcome", name), slog.Int("attempts", rq.tries),
+			slog.Duration("took", took))
+	}
+}
+
+// attempt sends the request to one server. It returns nil once an answer was
+// passed on whole; an answer that breaks off ends the caller's connection.
+func (rq *request) attempt(ep *pick.Endpoint) *result.Refusal {
+	rq.tries++
+	ep.Begin(time.Now())
+	at := rq.ou.fw.Do(rq.outgoing(ep))
+	if at.Response == nil {
+		oc, re := at.Outcome()
+		vd := pick.Bad
+		if oc == result.NotRun {
+			vd = pick.Unreachable
+		}
+		if rq.r.Context().Err() != nil {
+			vd = pick.Good
+		}
+		ep.End(time.Now(), vd, rq.gp)
+		return rq.failure(at, oc, re)
+	}
+	defer at.Response.Body.Close()
+	if ld, ok := result.ParseLoad(at.Response.Header.Get(result.LoadHeader)); ok {
+		ep.SetLoad(ld, time.Now())
+	}
+	if rf := result.FromAnswer(at.Response); rf != nil {
+		ep.End(time.Now(), verdictOf(rf), rq.gp)
+		// A short body is read to its end, so that the connection is kept.
+		if _, err := io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10)); err == nil {
+			at.Finish()
+		}
+		return rf
+	}
+	vd := pick.Good
+	if at.Response.StatusCode >= http.StatusInternalServerError {
+		vd = pick.Bad
+	}
+	proxy.CopyHead(rq.w, at.Response, nil)
+	err := proxy.Copy(rq.w, at)
+	var ce *proxy.CopyError
+	if errors.As(err, &ce) && ce.Reading && rq.ctx.Err() == nil {
+		vd = pick.Bad
+	}
+	ep.End(time.Now(), vd, rq.gp)
+	if err != nil {
+		rq.count(result.Ended, result.ReasonBroken)
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// verdictOf tells what an inlet's refusal says of its server.
+func verdictOf(rf *result.Refusal) pick.Verdict {
+	switch rf.Reason {
+	case result.ReasonWrongTarget, result.ReasonDraining, result.ReasonNoServer, result.ReasonConnect:
+		return pick.Unreachable
+	case result.ReasonFull, result.ReasonTooLate, result.ReasonShed, result.ReasonDeadline:
+		return pick.Busy
+	}
+	return pick.Bad
+}
+
+// failure describes an attempt without an answer.
+func (rq *request) failure(at *proxy.Attempt, oc result.Outcome, re result.Reason) *result.Refusal {
+	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second}
+	switch {
+	case rq.r.Context().Err() != nil:
+		rf.Reason = result.ReasonCallerGone
+	case rq.ctx.Err() != nil:
+		rf.Reason = result.ReasonDeadline
+	case rq.src.tooLarge():
+		rf.Reason, rf.RetryAfter = result.ReasonTooLarge, 0
+	case at.Err != nil:
+		rf.Detail = "the connection to the backend server failed"
+	}
+	return rf
+}
+
+// outgoing makes the request for a server's inlet.
+func (rq *request) outgoing(ep *pick.Endpoint) *http.Request {
+	out := proxy.Outgoing(rq.ctx, rq.r, ep.Inlet)
+	out.Header[result.VMHeader] = []string{ep.VM}
+	out.Header[result.ProcessHeader] = []string{ep.Process}
+	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
+	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
+	rq.src.attach(out, rq.r)
+	return out
+}
--- /dev/null
+++ b/internal/path/pick/endpoint.go
@@ -0,0 +1,173 @@
+package pick
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// The times and shares that picking goes by.
+const (
+	// loadAge is how long a reported load counts; it fades over that time.
+	loadAge = time.Second
+	// stuckAfter is how long a server with requests may answer nothing before
+	// others are preferred to it. A frozen process accepts connections and
+	// requests; only its lack of answers shows it.
+	stuckAfter = time.Second
+	// firstEject and mostEject bound how long a failing server is left out.
+	firstEject = time.Second
+	mostEject  = 30 * time.Second
+	// failShare is the share of failures, in 1/one, above which a server is
+	// left out; one outcome weighs 1/8.
+	one       = 1 << 16
+	failShare = one * 6 / 10
+	// startShare is the least part of its share that a new server gets.
+	startShare = 0.1
+)
+
+// Endpoint is a backend server as one outlet sees it. Its counters are shared
+// by all tables that hold it.
+type Endpoint struct {
+	VM, Domain, Inlet string
+	// Process names the process of the VM's daemon.
+	Process string
+	Slots   int
+	// Since is when it began to serve, SlowStart for how long its share grows.
+	Since     time.Time
+	SlowStart time.Duration
+	// Weak marks one that may be out of reach.
+	Weak bool
+
+	live *live
+}
+
+// live is what changes with each request.
+type live struct {
+	running  atomic.Int32
+	reported atomic.Uint64 // load in the high 32 bits, milliseconds in the low
+	answered atomic.Int64  // time of the last answer, or of the first request since idle
+	failing  atomic.Int32  // weighted share of failures, in 1/one
+	ejected  atomic.Int64  // until when it is left out
+	times    atomic.Int32  // how often in a row it was left out
+}
+
+// NewEndpoint returns an endpoint without a past.
+func NewEndpoint(ep Endpoint) *Endpoint {
+	ep.live = &live{}
+	return &ep
+}
+
+// With returns an endpoint with the fields of next and the counters of ep.
+func (ep *Endpoint) With(next Endpoint) *Endpoint {
+	next.live = ep.live
+	return &next
+}
+
+// Running returns how many requests this outlet has there.
+func (ep *Endpoint) Running() int { return int(ep.live.running.Load()) }
+
+// Begin counts a request as sent.
+func (ep *Endpoint) Begin(now time.Time) {
+	if ep.live.running.Add(1) == 1 {
+		ep.live.answered.Store(now.UnixNano())
+	}
+}
+
+// Verdict is what an attempt tells of the server.
+type Verdict int
+
+// The verdicts.
+const (
+	// Good is an answer.
+	Good Verdict = iota
+	// Busy is a refusal for want of room, which is no fault.
+	Busy
+	// Bad is a failure, or an answer that the server failed.
+	Bad
+	// Unreachable means that no connection could be made.
+	Unreachable
+)
+
+// End counts a request as ended.
+func (ep *Endpoint) End(now time.Time, vd Verdict, gp *Group) {
+	ep.live.running.Add(-1)
+	if vd != Unreachable {
+		ep.live.answered.Store(now.UnixNano())
+	}
+	switch vd {
+	case Unreachable:
+		// No connection: the daemon or its VM is gone, and no request was lost
+		// to find out. It is left out at once.
+		ep.eject(now)
+	case Bad:
+		if ep.weigh(one) > failShare && gp.mayEject(now) {
+			ep.eject(now)
+		}
+	default:
+		if ep.weigh(0) < one/4 {
+			ep.live.times.Store(0)
+		}
+	}
+}
+
+// weigh adds an outcome to the share of failures and returns it.
+func (ep *Endpoint) weigh(outcome int32) int32 {
+	for {
+		old := ep.live.failing.Load()
+		next := old + (outcome-old)/8
+		if ep.live.failing.CompareAndSwap(old, next) {
+			return next
+		}
+	}
+}
+
+func (ep *Endpoint) eject(now time.Time) {
+	times := ep.live.times.Add(1)
+	rest := min(firstEject<<min(times-1, 6), mostEject)
+	ep.live.ejected.Store(now.Add(rest).UnixNano())
+	// Once it is back, a few failures leave it out again.
+	ep.live.failing.Store(failShare * 3 / 4)
+}
+
+// Out tells whether the server is left out for its failures.
+func (ep *Endpoint) Out(now time.Time) bool { return ep.live.ejected.Load() > now.UnixNano() }
+
+// SetLoad takes the load that an inlet reported.
+func (ep *Endpoint) SetLoad(ld result.Load, now time.Time) {
+	ep.live.reported.Store(uint64(ld.Running+ld.Waiting)<<32 | uint64(uint32(now.UnixMilli())))
+}
+
+// load estimates the requests at the server: those of this outlet for certain,
+// those of others as last reported, fading with age.
+func (ep *Endpoint) load(now time.Time) float64 {
+	own := float64(ep.live.running.Load())
+	rep := ep.live.reported.Load()
+	if rep == 0 {
+		return own
+	}
+	age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	if age >= loadAge {
+		return own
+	}
+	return max(own, float64(rep>>32)*(1-float64(age)/float64(loadAge)))
+}
+
+// score is the expected use of the server's slots if it got one more request,
+// where 1 is full. It is higher for a server that is new, and for one that
+// seems stuck.
+func (ep *Endpoint) score(now time.Time) float64 {
+	sc := (ep.load(now) + 1) / float64(max(1, ep.Slots))
+	if ep.SlowStart > 0 {
+		if age := now.Sub(ep.Since); age < ep.SlowStart {
+			sc /= max(startShare, float64(age)/float64(ep.SlowStart))
+		}
+	}
+	if ep.live.running.Load() > 0 && now.UnixNano()-ep.live.answered.Load() > int64(stuckAfter) {
+		sc += stuckScore
+	}
+	return sc
+}
+
+// stuckScore ranks a server that seems stuck behind all others.
+const stuckScore = 100
--- /dev/null
+++ b/internal/path/result/result.go
@@ -0,0 +1,198 @@
+package result
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Outcome is how one attempt, or a request as a whole, ended. Whether it may
+// be sent again follows from it alone.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered means that the backend server's answer was passed on whole.
+	Answered Outcome = iota + 1
+	// NotRun means that no backend server has begun to run the request.
+	NotRun
+	// MayHaveRun means that it failed after a backend server may have begun.
+	MayHaveRun
+	// Ended means that the caller has gone or the deadline has passed.
+	Ended
+)
+
+// String returns the outcome as the header Outcome bears it.
+func (oc Outcome) String() string {
+	switch oc {
+	case Answered:
+		return "answered"
+	case NotRun:
+		return "not-run"
+	case MayHaveRun:
+		return "may-have-run"
+	case Ended:
+		return "ended"
+	}
+	return "unknown"
+}
+
+// Reason says why a request was not answered, in a word for scripts.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoRoute     Reason = "no-route"
+	ReasonNoConfig    Reason = "no-configuration"
+	ReasonNoServer    Reason = "no-backend-server"
+	ReasonWrongTarget Reason = "wrong-target"
+	ReasonFull        Reason = "slots-full"
+	ReasonDraining    Reason = "draining"
+	ReasonTooLate     Reason = "deadline-too-near"
+	ReasonDeadline    Reason = "deadline-passed"
+	ReasonConnect     Reason = "no-connection"
+	ReasonBroken      Reason = "connection-broken"
+	ReasonShed        Reason = "shed-by-server"
+	ReasonBadRequest  Reason = "bad-request"
+	ReasonTooLarge    Reason = "too-large"
+	ReasonUpgrade     Reason = "upgrade-not-carried"
+	ReasonCallerGone  Reason = "caller-gone"
+)
+
+// The headers of this system. All begin with Prefix, and none but TimeoutMs is
+// taken from a caller.
+const (
+	Prefix = "Flamingomast-"
+	// OutcomeHeader and ReasonHeader stand on each answer that no backend
+	// server gave.
+	OutcomeHeader = Prefix + "Outcome"
+	ReasonHeader  = Prefix + "Reason"
+	// TimeoutMs is how many milliseconds the sender gives the request. A
+	// caller may set it; a backend server receives what is left of it and
+	// passes it on to the services that it calls.
+	TimeoutMs = Prefix + "Timeout-Ms"
+	// NotRunHeader on a 429 or 503 of a backend server says that it has not
+	// begun to run the request.
+	NotRunHeader = Prefix + "Not-Run"
+	// The target of a request from an outlet to an inlet.
+	VMHeader      = Prefix + "Vm"
+	ProcessHeader = Prefix + "Process"
+	ServiceHeader = Prefix + "Service"
+	ClassHeader   = Prefix + "Class"
+	// LoadHeader on an inlet's answer gives running requests, waiting requests
+	// and slots.
+	LoadHeader = Prefix + "Load"
+)
+
+// IsControl tells whether a canonical header name belongs to this system.
+func IsControl(name string) bool { return strings.HasPrefix(name, Prefix) }
+
+// Refusal describes a request that was not answered.
+type Refusal struct {
+	Outcome Outcome
+	Reason  Reason
+	Status  int
+	// RetryAfter is when the caller should come back; zero for no advice.
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// StatusFor returns the HTTP status of an outcome and reason.
+func StatusFor(oc Outcome, re Reason) int {
+	switch re {
+	case ReasonNoRoute:
+		return http.StatusNotFound
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ReasonUpgrade:
+		return http.StatusNotImplemented
+	case ReasonWrongTarget:
+		return http.StatusMisdirectedRequest
+	case ReasonDeadline, ReasonTooLate:
+		return http.StatusGatewayTimeout
+	}
+	if oc == MayHaveRun {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Write sends the refusal to a caller as status, headers and a small JSON body.
+func (rf *Refusal) Write(w http.ResponseWriter) {
+	hdr := w.Header()
+	hdr.Set(OutcomeHeader, rf.Outcome.String())
+	hdr.Set(ReasonHeader, string(rf.Reason))
+	hdr.Set("Content-Type", "application/json")
+	hdr.Set("Cache-Control", "no-store")
+	if rf.RetryAfter > 0 {
+		hdr.Set("Retry-After", Seconds(rf.RetryAfter))
+	}
+	status := rf.Status
+	if status == 0 {
+		status = StatusFor(rf.Outcome, rf.Reason)
+	}
+	body, err := json.Marshal(map[string]string{
+		"outcome": rf.Outcome.String(), "reason": string(rf.Reason), "detail": rf.Detail,
+	})
+	if err != nil {
+		body = nil
+	}
+	hdr.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// Seconds returns a duration in whole seconds, at least 1, for Retry-After.
+func Seconds(d time.Duration) string {
+	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
+}
+
+// FromAnswer reads the refusal of an inlet from its answer. It returns nil for
+// an answer of a backend server.
+func FromAnswer(res *http.Response) *Refusal {
+	oc := res.Header.Get(OutcomeHeader)
+	if oc == "" {
+		return nil
+	}
+	rf := &Refusal{Outcome: MayHaveRun, Reason: Reason(res.Header.Get(ReasonHeader)), Status: res.StatusCode}
+	if oc == NotRun.String() {
+		rf.Outcome = NotRun
+	}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		rf.RetryAfter = time.Duration(s) * time.Second
+	}
+	return rf
+}
+
+// Load is what an inlet says of its backend server.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// String returns the form that ParseLoad reads.
+func (ld Load) String() string {
+	var buf [32]byte
+	b := strconv.AppendInt(buf[:0], int64(ld.Running), 10)
+	b = append(b, '/')
+	b = strconv.AppendInt(b, int64(ld.Waiting), 10)
+	b = append(b, '/')
+	return string(strconv.AppendInt(b, int64(ld.Slots), 10))
+}
+
+// ParseLoad reads what String returns.
+func ParseLoad(s string) (ld Load, ok bool) {
+	for _, part := range []*int{&ld.Running, &ld.Waiting, &ld.Slots} {
+		text, rest, _ := strings.Cut(s, "/")
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return Load{}, false
+		}
+		*part, s = n, rest
+	}
+	return ld, s == ""
+}
--- /dev/null
+++ b/internal/plat/kvpb/doc.go
@@ -0,0 +1,3 @@
+// Package kvpb holds the messages of the platform's stand-in, generated from
+// kv.proto.
+package kvpb
--- /dev/null
+++ b/internal/plat/store/doc.go
@@ -0,0 +1,4 @@
+// Package store is the interface to the platform's key-value service: a small
+// set of functions with compare-and-swap, leases and watches, and its errors
+// as values.
+package store
--- /dev/null
+++ b/internal/plat/store/store.go
@@ -0,0 +1,114 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// MaxValue is the most bytes that a value may have.
+const MaxValue = 1 << 20
+
+// Revision counts the writes of a key; 0 stands for a key that does not exist.
+type Revision int64
+
+// LeaseID names a lease; 0 stands for none.
+type LeaseID int64
+
+// Entry is a value with the revision that wrote it.
+type Entry struct {
+	Value    []byte
+	Revision Revision
+}
+
+// Change is a compare-and-swap: it takes effect only while the key is still at
+// Revision.
+type Change struct {
+	Key      string
+	Revision Revision
+	Value    []byte
+	// Remove deletes the key in place of writing Value.
+	Remove bool
+	// Lease deletes the key when the lease ends.
+	Lease LeaseID
+}
+
+// Store is what the project uses of the platform. Every call ends with its
+// context. Every error is an *Error.
+type Store struct {
+	// Get returns the entry of a key, with revision 0 when there is none.
+	Get func(ctx context.Context, key string) (Entry, error)
+	// Swap applies a change. When the key is at another revision it returns
+	// false with the current entry.
+	Swap func(ctx context.Context, ch Change) (bool, Entry, error)
+	// Watch waits until the key's revision differs from after, or for as long
+	// as wait, and returns the entry. It counts as one call.
+	Watch func(ctx context.Context, key string, after Revision, wait time.Duration) (Entry, error)
+	// Grant opens a lease that ends when it is not renewed for ttl.
+	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew starts the lease's time anew; Gone says that it has ended.
+	Renew func(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and deletes its keys.
+	Revoke func(ctx context.Context, id LeaseID) error
+}
+
+// Kind says what an error means for the caller.
+type Kind int
+
+// The kinds of errors.
+const (
+	// Unavailable means that the call had no effect.
+	Unavailable Kind = iota + 1
+	// Unknown means that the call may have taken effect.
+	Unknown
+	// Limited means that the rate was exceeded and the call had no effect.
+	Limited
+	// TooLarge means that the value is above MaxValue.
+	TooLarge
+	// Gone means that the lease has ended.
+	Gone
+)
+
+// String returns the kind in words.
+func (kd Kind) String() string {
+	switch kd {
+	case Unavailable:
+		return "unavailable"
+	case Unknown:
+		return "outcome unknown"
+	case Limited:
+		return "rate exceeded"
+	case TooLarge:
+		return "value too large"
+	case Gone:
+		return "lease ended"
+	}
+	return fmt.Sprintf("Kind(%d)", int(kd))
+}
+
+// Error is the error of a call.
+type Error struct {
+	Kind Kind
+	Op   string
+	Key  string
+	Err  error
+}
+
+// Error names the operation, the key and the kind.
+func (er *Error) Error() string {
+	msg := fmt.Sprintf("platform: %s %s: %s", er.Op, er.Key, er.Kind)
+	if er.Err != nil {
+		msg += ": " + er.Err.Error()
+	}
+	return msg
+}
+
+// Unwrap returns the cause.
+func (er *Error) Unwrap() error { return er.Err }
+
+// Is tells whether err is an *Error of kind kd.
+func Is(err error, kd Kind) bool {
+	var er *Error
+	return errors.As(err, &er) && er.Kind == kd
+}
--- /dev/null
+++ b/internal/stat/hist/hist.go
@@ -0,0 +1,117 @@
+package hist
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The range of durations that a histogram tells apart; longer ones count as
+// the longest.
+const (
+	shortest = time.Microsecond
+	longest  = time.Minute
+	// digits is the precision of a value in decimal digits.
+	digits = 2
+)
+
+// Durations is a histogram of durations. It is an expvar.Var.
+type Durations struct {
+	mu sync.Mutex
+	hi *hdrhistogram.Histogram
+}
+
+// Record adds a duration.
+func (du *Durations) Record(d time.Duration) {
+	us := min(d, longest).Microseconds()
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	if du.hi == nil {
+		du.hi = hdrhistogram.New(1, longest.Microseconds(), digits)
+	}
+	_ = du.hi.RecordValue(max(us, shortest.Microseconds()))
+}
+
+// Quantile returns the duration below which the share q, from 0 to 100, lies.
+func (du *Durations) Quantile(q float64) time.Duration {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	if du.hi == nil {
+		return 0
+	}
+	return time.Duration(du.hi.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// summary is what a histogram shows, in milliseconds.
+type summary struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50-ms"`
+	P90   float64 `json:"p90-ms"`
+	P99   float64 `json:"p99-ms"`
+	P999  float64 `json:"p999-ms"`
+	Max   float64 `json:"max-ms"`
+}
+
+// String returns the count and some quantiles as JSON.
+func (du *Durations) String() string {
+	du.mu.Lock()
+	defer du.mu.Unlock()
+	var sm summary
+	if hi := du.hi; hi != nil {
+		ms := func(us int64) float64 { return float64(us) / 1000 }
+		sm = summary{
+			Count: hi.TotalCount(), P50: ms(hi.ValueAtQuantile(50)), P90: ms(hi.ValueAtQuantile(90)),
+			P99: ms(hi.ValueAtQuantile(99)), P999: ms(hi.ValueAtQuantile(99.9)), Max: ms(hi.Max()),
+		}
+	}
+	b, err := json.Marshal(sm)
+	if err != nil {
+		return "{}"
+	}
+	return string(b)
+}
+
+// Series is what is counted for one service and class on one side of the path.
+type Series struct {
+	// Latency is of whole requests, Queue of the wait for a slot.
+	Latency, Queue Durations
+	// Outcomes counts requests by outcome and reason, Attempts by how often
+	// they were sent.
+	Outcomes, Attempts expvar.Map
+}
+
+// Set holds the series of one side of the path, by service and class. The zero
+// value is ready for use.
+type Set struct {
+	all sync.Map // of *Series by key
+	top expvar.Map
+}
+
+type key struct {
+	service, class string
+}
+
+// For returns the series of a service and class.
+func (st *Set) For(service, class string) *Series {
+	ky := key{service: service, class: class}
+	if v, ok := st.all.Load(ky); ok {
+		return v.(*Series)
+	}
+	v, loaded := st.all.LoadOrStore(ky, &Series{})
+	sr := v.(*Series)
+	if !loaded {
+		m := new(expvar.Map)
+		m.Set("latency", &sr.Latency)
+		m.Set("queue", &sr.Queue)
+		m.Set("outcomes", &sr.Outcomes)
+		m.Set("attempts", &sr.Attempts)
+		st.top.Set(service+"/"+class, m)
+	}
+	return sr
+}
+
+// Var returns all series for expvar.
+func (st *Set) Var() expvar.Var { return &st.top }
--- /dev/null
+++ b/internal/stat/meter/doc.go
@@ -0,0 +1,3 @@
+// Package meter counts the bytes of connections, both ways and with all
+// framing above TCP.
+package meter
--- /dev/null
+++ b/internal/stat/meter/meter.go
@@ -0,0 +1,59 @@
+package meter
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts bytes. The zero value is ready for use.
+type Meter struct {
+	In, Out atomic.Int64
+}
+
+type conn struct {
+	net.Conn
+	mt *Meter
+}
+
+// Read counts what comes in.
+func (cn *conn) Read(p []byte) (int, error) {
+	n, err := cn.Conn.Read(p)
+	cn.mt.In.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes out.
+func (cn *conn) Write(p []byte) (int, error) {
+	n, err := cn.Conn.Write(p)
+	cn.mt.Out.Add(int64(n))
+	return n, err
+}
+
+type listener struct {
+	net.Listener
+	mt *Meter
+}
+
+// Accept counts the bytes of the connections it returns.
+func (ln *listener) Accept() (net.Conn, error) {
+	nc, err := ln.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, mt: ln.mt}, nil
+}
+
+// Listener returns ln with its connections counted.
+func (mt *Meter) Listener(ln net.Listener) net.Listener { return &listener{Listener: ln, mt: mt} }
+
+// Dialer returns dial with its connections counted.
+func (mt *Meter) Dialer(dial func(ctx context.Context, addr string) (net.Conn, error)) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: nc, mt: mt}, nil
+	}
+}
