--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -119,25 +120,40 @@
 
 // Link serves a link that another daemon has opened.
 func (sr *server) Link(ctx context.Context, bs *connect.BidiStream[wirepb.Packet, wirepb.Packet]) error {
-	rc, _ := ctx.Value(deadlineKey{}).(*http.ResponseController)
-	pr := link.New(link.Stream{
-		Send:    bs.Send,
-		Receive: bs.Receive,
-		// A deadline in the past ends a Send that waits for a peer which has
-		// stopped reading; ending the context alone does not.
-		Abort: func() {
-			if rc != nil {
-				past := time.Unix(1, 0)
-				_ = rc.SetReadDeadline(past)
-				_ = rc.SetWriteDeadline(past)
-			}
-		},
-	}, sr.nd.offer)
+	ab := &aborter{}
+	ab.rc, _ = ctx.Value(deadlineKey{}).(*http.ResponseController)
+	defer ab.over()
+	pr := link.New(link.Stream{Send: bs.Send, Receive: bs.Receive, Abort: ab.abort}, sr.nd.offer)
 	err := pr.Run(ctx, sr.nd.handle)
 	sr.nd.drop(pr, err)
 	return nil
 }
 
+// aborter ends a stream from the serving side. A deadline in the past ends a
+// Send that waits for a peer which has stopped reading; ending the context
+// alone does not. After the handler has returned the controller is no longer
+// valid and must not be touched.
+type aborter struct {
+	mu sync.Mutex
+	rc *http.ResponseController
+}
+
+func (ab *aborter) abort() {
+	ab.mu.Lock()
+	defer ab.mu.Unlock()
+	if ab.rc != nil {
+		past := time.Unix(1, 0)
+		_ = ab.rc.SetReadDeadline(past)
+		_ = ab.rc.SetWriteDeadline(past)
+	}
+}
+
+func (ab *aborter) over() {
+	ab.mu.Lock()
+	defer ab.mu.Unlock()
+	ab.rc = nil
+}
+
 // Fetch returns the newest configuration. Deltas cost little and are always
 // served; whole contents are bounded in rate and number, so that a herd of
 // daemons that starts at once is served in turn and told when to come back.
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -136,29 +136,21 @@
 
 func envOption() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix(setup.EnvPrefix)} }
 
-// daemonCmd reads its settings itself, since it reports all that is wrong with
-// them at once and with their places in the file.
 func (ap *app) daemonCmd() *ffcli.Command {
 	fs := ap.flags("daemon")
+	rd := setup.New(fs)
 	return &ffcli.Command{
-		Name:       "daemon",
-		ShortUsage: "flamingomast daemon [--config FILE] [--SETTING VALUE ...]",
-		ShortHelp:  "Run the daemon of a VM.",
-		LongHelp:   "Settings come from flags, then from FLAMINGOMAST_* in the environment, then from the YAML file.\nSee flamingomast daemon -- -h for the list.",
-		FlagSet:    fs,
-		Exec:       func(ctx context.Context, args []string) error { return ap.runDaemon(ctx, args) },
-	}
-}
-
-func (ap *app) runDaemon(ctx context.Context, args []string) error {
-	se, err := setup.Parse(args, ap.err)
-	if errors.Is(err, flag.ErrHelp) {
-		return nil
-	}
-	if err != nil {
-		return err
+		Name: "daemon", ShortUsage: "flamingomast daemon [--config FILE] [--SETTING VALUE ...]", FlagSet: fs, Options: rd.Options(),
+		ShortHelp: "Run the daemon of a VM.",
+		LongHelp:  "Settings come from flags, then from FLAMINGOMAST_* in the environment, then from the YAML file.",
+		Exec: func(ctx context.Context, _ []string) error {
+			se, err := rd.Settings()
+			if err != nil {
+				return err
+			}
+			debug.SetMemoryLimit(memoryLimit)
+			log := slog.New(slog.NewJSONHandler(ap.err, &slog.HandlerOptions{Level: se.LogLevel}))
+			return daemon.New(se, daemon.Options{Log: log}).Run(ctx)
+		},
 	}
-	debug.SetMemoryLimit(memoryLimit)
-	log := slog.New(slog.NewJSONHandler(ap.err, &slog.HandlerOptions{Level: se.LogLevel}))
-	return daemon.New(se, daemon.Options{Log: log}).Run(ctx)
 }
--- a/internal/node/daemon/routing.go
+++ b/internal/node/daemon/routing.go
@@ -33,7 +33,6 @@
 		case <-ctx.Done():
 			return
 		case <-held:
-			dm.local.poke()
 			continue
 		case <-members:
 		case <-reach:
@@ -126,7 +125,7 @@
 	for {
 		an, since, left, changed := dm.local.watch(time.Now())
 		_, self := dm.Node.Board.Self.Watch()
-		sn := dm.Node.Board.Held.Get()
+		sn, held := dm.Node.Board.Held.Watch()
 		dm.setGate(sn, an)
 		dm.setRecord(an, since)
 		dm.setTarget(sn, an)
@@ -135,6 +134,7 @@
 			return
 		case <-changed:
 		case <-self:
+		case <-held:
 		case <-time.After(left):
 		}
 	}
--- a/internal/node/demo/callers.go
+++ b/internal/node/demo/callers.go
@@ -100,6 +100,7 @@
 		cl.fail(id, err.Error())
 	case res.Header.Get(result.OutcomeHeader) == result.NotRun.String():
 		cl.notRun.Add(1)
+		cl.fl.op.Log.Warn("request-refused", slog.String("id", id), slog.String("reason", res.Header.Get(result.ReasonHeader)))
 	case res.StatusCode != http.StatusOK || !strings.Contains(string(text), "/demo/"+id+" "):
 		cl.fail(id, res.Status+" "+string(text))
 	default:
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -1,7 +1,6 @@
 package setup
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -79,48 +78,46 @@
 	fs.String("config", "", "YAML file with any of these settings")
 }
 
-// Parse reads the settings from args, the environment and the file that
-// --config names, in this order of precedence. The error is flag.ErrHelp or a
-// strict.Problems that lists all that is wrong.
-func Parse(args []string, errOut io.Writer) (Settings, error) {
-	var rw raw
-	fs := flag.NewFlagSet("flamingomast daemon", flag.ContinueOnError)
-	fs.SetOutput(errOut)
-	rw.flags(fs)
-	rd := &reader{fs: fs, lines: map[string]strict.Pos{}}
-	err := ff.Parse(fs, args,
+// Reader reads settings and remembers where each stands.
+type Reader struct {
+	raw   raw
+	fs    *flag.FlagSet
+	lines map[string]strict.Pos
+	prs   strict.Problems
+}
+
+// New declares the settings as flags of fs.
+func New(fs *flag.FlagSet) *Reader {
+	rd := &Reader{fs: fs, lines: map[string]strict.Pos{}}
+	rd.raw.flags(fs)
+	return rd
+}
+
+// Options tells ff where settings come from: flags, then the environment, then
+// the file that --config names.
+func (rd *Reader) Options() []ff.Option {
+	return []ff.Option{
 		ff.WithEnvVarPrefix(EnvPrefix),
 		ff.WithConfigFileFlag("config"),
 		ff.WithConfigFileParser(rd.parse),
-	)
-	if errors.Is(err, flag.ErrHelp) {
-		return Settings{}, err
-	}
-	if err != nil {
-		rd.prs.Add(strict.Pos{File: "command line"}, err.Error(), "see flamingomast daemon -h")
-		return Settings{}, rd.prs.Err()
-	}
-	if len(fs.Args()) > 0 {
-		rd.prs.Add(strict.Pos{File: "command line"}, fmt.Sprintf("unexpected argument %q", fs.Arg(0)), "settings are given as --name value")
 	}
-	rd.file = fs.Lookup("config").Value.String()
-	se := rd.check(&rw)
-	return se, rd.prs.Err()
 }
 
-// reader reads the file and remembers where each setting stands.
-type reader struct {
-	fs    *flag.FlagSet
-	file  string
-	lines map[string]strict.Pos
-	prs   strict.Problems
+// Settings returns the settings once the flags were parsed. The error is a
+// strict.Problems that lists all that is wrong.
+func (rd *Reader) Settings() (Settings, error) {
+	if rd.fs.NArg() > 0 {
+		rd.prs.Add(strict.Pos{File: "command line"}, fmt.Sprintf("unexpected argument %q", rd.fs.Arg(0)), "settings are given as --name value")
+	}
+	se := rd.check(&rd.raw)
+	return se, rd.prs.Err()
 }
 
 // namedReader is a file with a name, which ff opens.
 type namedReader interface{ Name() string }
 
 // parse is an ff.ConfigFileParser.
-func (rd *reader) parse(r io.Reader, set func(name, value string) error) error {
+func (rd *Reader) parse(r io.Reader, set func(name, value string) error) error {
 	file := "settings"
 	if nr, ok := r.(namedReader); ok {
 		file = nr.Name()
@@ -140,7 +137,7 @@
 	return rd.pairs(file, root.Content[0], set)
 }
 
-func (rd *reader) pairs(file string, n *yaml.Node, set func(name, value string) error) error {
+func (rd *Reader) pairs(file string, n *yaml.Node, set func(name, value string) error) error {
 	pos := func(n *yaml.Node) strict.Pos { return strict.Pos{File: file, Line: n.Line, Column: n.Column} }
 	if n.Kind != yaml.MappingNode {
 		rd.prs.Add(pos(n), "the settings must be a mapping", "write each as \"name: value\"")
@@ -183,7 +180,7 @@
 	return "", false
 }
 
-func (rd *reader) names() []string {
+func (rd *Reader) names() []string {
 	var list []string
 	rd.fs.VisitAll(func(fl *flag.Flag) {
 		if fl.Name != "config" {
@@ -194,7 +191,7 @@
 }
 
 // where tells where a setting was given.
-func (rd *reader) where(name string) strict.Pos {
+func (rd *Reader) where(name string) strict.Pos {
 	env := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
 	given := false
 	rd.fs.Visit(func(fl *flag.Flag) { given = given || fl.Name == name })
@@ -210,11 +207,11 @@
 	return strict.Pos{File: "settings"}
 }
 
-func (rd *reader) add(name, what, remedy string) { rd.prs.Add(rd.where(name), what, remedy) }
+func (rd *Reader) add(name, what, remedy string) { rd.prs.Add(rd.where(name), what, remedy) }
 
 var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
-func (rd *reader) check(rw *raw) Settings {
+func (rd *Reader) check(rw *raw) Settings {
 	se := Settings{
 		VM: rd.name("vm", rw.vm), Domain: rd.name("failure-domain", rw.domain),
 		Outlet: rd.addr("outlet", rw.outlet), Inlet: rd.addr("inlet", rw.inlet),
@@ -242,7 +239,7 @@
 	return se
 }
 
-func (rd *reader) name(setting, value string) string {
+func (rd *Reader) name(setting, value string) string {
 	switch {
 	case value == "":
 		rd.add(setting, setting+" is not set", "set it to the name that the inventory has")
@@ -254,7 +251,7 @@
 
 // addr checks an address. Daemons reach each other by IP number; a host name
 // would bring in a resolver that may be out when it is needed.
-func (rd *reader) addr(setting, value string) string {
+func (rd *Reader) addr(setting, value string) string {
 	if value == "" {
 		rd.add(setting, setting+" is not set", "set it to an address as 10.0.0.1:7000")
 		return value
@@ -272,7 +269,7 @@
 	return value
 }
 
-func (rd *reader) distinct(se *Settings) {
+func (rd *Reader) distinct(se *Settings) {
 	seen := map[string]string{}
 	for _, it := range []struct{ name, addr string }{
 		{"outlet", se.Outlet}, {"inlet", se.Inlet}, {"control", se.Control}, {"admin", se.Admin},
