ctrl: fault tests on the real control part; mend what they found

Cause, each seen to fail first: - TestRelayDiesInTransfer: 'not in 10s: version 2 held by all'. Only relays mark members as gone; when all relays of a failure domain died, the members waited for them for ever. Each daemon now leaves out of its choice what it cannot reach itself. A marked member that came back was never sent its own marked record, so it did not answer the mark. And a silent relay was given up only after several dials. Both mended. - TestCuts/both: 'status names [] as cut off', one time in eight. A relay that had stepped down left its last word on reach behind. Reach is soft state now. - TestDaemonReplaced compared before the new process was known: the test was wrong and waits now for the new record everywhere. Ruled out for the first: the transfer itself (members asked no other relay).

--- /dev/null
+++ b/internal/mesh/ctrl/fault_test.go
@@ -0,0 +1,458 @@
+package ctrl
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/accept"
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
+)
+
+// The bounds of the promises, in virtual time.
+const (
+	convergeLimit = 10 * time.Second
+	settleTime    = 12 * time.Second
+)
+
+// scenario starts a fleet of 24 VMs in three failure domains, lets it settle on
+// version 1, and ends it after fn. Throughout, watchVersion fails the test when
+// any VM goes back.
+func scenario(t *testing.T, fn func(fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, meshOf(24, 3, 4))
+		defer fl.stopAll()
+		fl.apply(fl.ms, 0)
+		fl.startAll()
+		fl.waitHeld(1, 20*time.Second)
+		fl.waitMembers(20 * time.Second)
+		time.Sleep(settleTime)
+		fn(fl)
+	})
+}
+
+// domain returns the names of a failure domain's VMs.
+func (fl *fleet) domain(name string) []string {
+	var list []string
+	for _, vm := range fl.ms.VMs {
+		if vm.Domain == name {
+			list = append(list, vm.Name)
+		}
+	}
+	return list
+}
+
+func (fl *fleet) relaysOf(domain string) []string {
+	return slices.DeleteFunc(fl.relays(), func(n string) bool { return fl.nodes[n].vm.Domain != domain })
+}
+
+func (fl *fleet) restart(names ...string) {
+	for _, vm := range fl.ms.VMs {
+		if slices.Contains(names, vm.Name) {
+			fl.startNode(vm)
+		}
+	}
+}
+
+func (fl *fleet) setPlatformCut(domains ...string) {
+	set := map[string]bool{}
+	for _, dm := range domains {
+		set[dm] = true
+	}
+	fl.noPlatform.Store(&set)
+}
+
+// cutDomain cuts a failure domain off from all others.
+func (fl *fleet) cutDomain(domain string) {
+	fl.nw.setCut(func(a, b *host) bool { return (a.domain == domain) != (b.domain == domain) })
+}
+
+// allKnown waits until the fleet is whole again: all VMs current and known.
+func (fl *fleet) allKnown(version uint64) {
+	fl.t.Helper()
+	took := fl.waitHeld(version, convergeLimit)
+	members := fl.waitMembers(20 * time.Second)
+	fl.t.Logf("all hold version %d after %s, all know all after %s more", version, took, members)
+}
+
+// TestDaemonReplaced: a VM's daemon dies and a new process comes at the same
+// address, with a clock that is behind. Callers must find the new process, the
+// record of the dead one must not come back, and the floor must hold.
+func TestDaemonReplaced(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		name := "vm-007"
+		old := fl.nodes[name].Board.Self.Get()
+		fl.kill(name)
+		v := fl.apply(changed(fl.ms, 1), 1)
+		tn := fl.startNode(fl.declared(name))
+		// The new process starts with an incarnation below the old one's.
+		tn.Announce(func(rc *member.Record) { rc.Incarnation = old.Incarnation - 1000 })
+		fl.waitFor("all know the new process", convergeLimit, func() bool {
+			for _, tn := range fl.nodes {
+				if rc := tn.Board.Members.Get().Get(name); rc.Nonce == old.Nonce || rc.Incarnation <= old.Incarnation {
+					return false
+				}
+			}
+			return true
+		})
+		fl.allKnown(v)
+	})
+}
+
+func (fl *fleet) declared(name string) decl.VM {
+	i := slices.IndexFunc(fl.ms.VMs, func(vm decl.VM) bool { return vm.Name == name })
+	return fl.ms.VMs[i]
+}
+
+// TestTwinStepsDown: a VM's daemon is cut off, a new process of the VM is
+// started elsewhere, and the cut heals. Two processes would then serve under
+// one name; the old one must learn that it was replaced.
+func TestTwinStepsDown(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		name := "vm-004"
+		old := fl.nodes[name]
+		fl.nw.setCut(func(a, b *host) bool { return a == old.ho || b == old.ho })
+		time.Sleep(15 * time.Second)
+		delete(fl.nodes, name)
+		fresh := fl.startNode(fl.declared(name))
+		fl.waitFor("the new process is known", convergeLimit, func() bool {
+			rc := fl.nodes["vm-000"].Board.Members.Get().Get(name)
+			return rc.Nonce == fresh.Board.Self.Get().Nonce && rc.Serving()
+		})
+		fl.nw.setCut(nil)
+		fl.waitFor("the old process knows that it was replaced", convergeLimit, func() bool { return old.Board.Replaced.Get() != nil })
+		if fresh.Board.Replaced.Get() != nil {
+			fl.t.Error("the new process took itself for replaced")
+		}
+		old.cancel()
+		<-old.done
+	})
+}
+
+// TestDomainHerd: all daemons of a failure domain die at once and come back at
+// once, while a version was accepted. All must hold it within seconds, and
+// nobody may take the others for dead for good.
+func TestDomainHerd(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		names := fl.domain("d1")
+		fl.kill(names...)
+		v := fl.apply(changed(fl.ms, 2), 1)
+		time.Sleep(3 * time.Second)
+		fl.restart(names...)
+		fl.allKnown(v)
+	})
+}
+
+// TestHerdWithPlatformOut: the same with the platform out. The failure domain
+// gets its configuration from the others, and no VM holds less than before.
+func TestHerdWithPlatformOut(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		v := fl.apply(changed(fl.ms, 2), 1)
+		fl.waitHeld(v, convergeLimit)
+		time.Sleep(time.Second)
+		fl.st.SetFaults(stand.Faults{Down: true})
+		names := fl.domain("d1")
+		fl.kill(names[1:]...)
+		fl.restart(names[1:]...)
+		fl.allKnown(v)
+	})
+}
+
+// TestRelayDiesInTransfer: the relays of a failure domain die at the moment at
+// which they have a new version. Their members must find others and hold it.
+func TestRelayDiesInTransfer(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		relays := fl.relaysOf("d2")
+		v := fl.apply(changed(fl.ms, 3), 1)
+		fl.waitFor("a relay of d2 has the version", convergeLimit, func() bool {
+			return slices.ContainsFunc(relays, func(n string) bool { return fl.nodes[n].Board.LatestVersion() == v })
+		})
+		fl.kill(relays...)
+		fl.t.Logf("held by the rest after %s", fl.waitHeld(v, convergeLimit))
+		fl.restart(relays...)
+		fl.allKnown(v)
+	})
+}
+
+// TestCuts: a failure domain is cut off from the platform, from the other
+// failure domains, or from both, while a version is accepted. Cut off from one
+// of them it still follows through the other; cut off from both it goes on
+// with what it holds, and is named as cut off; once healed it follows.
+func TestCuts(t *testing.T) {
+	for _, tc := range []struct {
+		name              string
+		platform, domains bool
+	}{{"platform", true, false}, {"domains", false, true}, {"both", true, true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			scenario(t, func(fl *fleet) {
+				if tc.platform {
+					fl.setPlatformCut("d1")
+				}
+				if tc.domains {
+					fl.cutDomain("d1")
+				}
+				time.Sleep(15 * time.Second)
+				v := fl.apply(changed(fl.ms, 4), 1)
+				if tc.platform && tc.domains {
+					time.Sleep(convergeLimit)
+					if got := fl.behind(v); !slices.Equal(got, fl.domain("d1")) {
+						fl.t.Errorf("behind during the cut: %v", got)
+					}
+					if res := fl.nodes["vm-000"].Status(context.Background(), false); !slices.Equal(res.Cut, []string{"d1"}) {
+						fl.t.Errorf("status names %v as cut off", res.Cut)
+					}
+				} else {
+					fl.waitHeld(v, convergeLimit)
+				}
+				for _, name := range fl.domain("d1") {
+					for rc := range fl.nodes[name].Board.Members.Get().All {
+						if rc.Domain == "d1" && !rc.Serving() {
+							fl.t.Errorf("%s does not use %s of its own failure domain during the cut", name, rc.VM)
+						}
+					}
+				}
+				fl.setPlatformCut()
+				fl.nw.setCut(nil)
+				fl.allKnown(v)
+			})
+		})
+	}
+}
+
+// TestPlatformOutage: the platform is out for a minute, its answers come late,
+// or an answer is lost after the write. Daemons keep what they hold, and an
+// operator's submission is in force within seconds of the platform's return.
+func TestPlatformOutage(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		fl.st.SetFaults(stand.Faults{Down: true})
+		time.Sleep(time.Minute)
+		if got := fl.behind(1); got != nil {
+			fl.t.Errorf("behind during the outage: %v", got)
+		}
+		fl.st.SetFaults(stand.Faults{Delay: 2 * time.Second, LoseAnswers: 5})
+		began := time.Now()
+		v := fl.apply(changed(fl.ms, 5), 1)
+		accepted := time.Since(began)
+		fl.t.Logf("slowest platform: accepted after %s, held after %s more", accepted, fl.waitHeld(v, convergeLimit))
+		if v != 2 {
+			fl.t.Errorf("a submission whose answers were lost became version %d, want 2", v)
+		}
+	})
+}
+
+// TestPlatformSetBack: the platform comes back from a backup with an older
+// head. No daemon follows it back; it is reported; submissions are refused
+// until an operator says to go on, and then the version rises above all.
+func TestPlatformSetBack(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		bk := fl.st.Backup()
+		v := fl.apply(changed(fl.ms, 6), 1)
+		fl.waitHeld(v, convergeLimit)
+		fl.st.Restore(bk)
+		relay := fl.nodes[fl.relays()[0]]
+		fl.waitFor("a relay reports the platform", convergeLimit, func() bool { return relay.Board.Platform.Get().Behind })
+		// A daemon that starts now must not take the old version.
+		name := fl.domain("d0")[3]
+		fl.kill(name)
+		fl.restart(name)
+		fl.waitHeld(v, convergeLimit)
+
+		co, err := pack.Encode(changed(fl.ms, 7))
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		sub := accept.Submission{ID: "again", Base: 1, Content: co, Floor: relay.Board.LatestVersion()}
+		var be *accept.BehindError
+		if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), sub); !errors.As(err, &be) {
+			fl.t.Fatalf("submitting to a platform that was set back: %v", err)
+		}
+		sub.Resume = true
+		res, err := accept.Submit(fl.t.Context(), fl.st.Store(), sub)
+		if err != nil || res.Entry.Version != v+1 {
+			fl.t.Fatalf("resumed with version %d, error %v", res.Entry.Version, err)
+		}
+		fl.allKnown(v + 1)
+	})
+}
+
+// TestLeaseLapses: all leases end while their holders know nothing of it. The
+// directory is empty for a moment; daemons that start must still find relays.
+func TestLeaseLapses(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		fl.st.LapseLeases()
+		v := fl.apply(changed(fl.ms, 8), 1)
+		name := fl.domain("d1")[4]
+		fl.kill(name)
+		fl.restart(name)
+		fl.allKnown(v)
+		fl.waitFor("the relays are registered again", convergeLimit, func() bool {
+			addrs, _, err := fl.nodes[name].readSlots(context.Background(), "d0", "")
+			return err == nil && len(addrs) > 0
+		})
+	})
+}
+
+// TestUnknownKind: a version holds a kind of resource that this release does
+// not know, as during a rolling replacement. It is refused whole, the one held
+// stays, status says so, and the next version that compiles is taken.
+func TestUnknownKind(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		co, err := pack.Encode(fl.ms)
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		odd := pack.New(append(slices.Clone(co.Resources), pack.Resource{Key: pack.Key{Kind: "mirror", Name: "x"}, Body: []byte(`{}`)}))
+		if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), accept.Submission{ID: "odd", Base: 1, Content: odd}); err != nil {
+			fl.t.Fatal(err)
+		}
+		fl.waitFor("all refuse version 2", convergeLimit, func() bool {
+			for _, tn := range fl.nodes {
+				if rf := tn.Board.Refused.Get(); rf == nil || rf.Version != 2 || tn.Board.HeldVersion() != 1 {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(time.Second)
+		res := fl.nodes[fl.relays()[0]].Status(context.Background(), false)
+		for _, su := range res.Summaries {
+			if len(su.Refused) == 0 || !strings.Contains(su.Refused[0], "does not know the kind") {
+				fl.t.Errorf("status of %s: refused %v", su.Domain, su.Refused)
+			}
+		}
+		fl.allKnown(fl.apply(changed(fl.ms, 9), 2))
+	})
+}
+
+// TestDamagedDelta: a relay's delta is damaged on its way, in each of its
+// bytes' values. It must not be applied, and the version must come by another
+// transfer.
+func TestDamagedDelta(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		damaged := 0
+		fl.nw.mu.Lock()
+		fl.nw.corrupt = func(from, to *host, p []byte) []byte {
+			// zstd frames begin with this number; what follows is content.
+			if i := bytes.Index(p, []byte{0x28, 0xb5, 0x2f, 0xfd}); i >= 0 && damaged < 10 && i+12 < len(p) {
+				damaged++
+				p[i+8+damaged%4] ^= 0x55
+			}
+			return p
+		}
+		fl.nw.mu.Unlock()
+		v := fl.apply(changed(fl.ms, 10), 1)
+		fl.allKnown(v)
+		if damaged == 0 {
+			fl.t.Error("nothing was damaged")
+		}
+		want := fl.nodes["vm-000"].Board.Held.Get().Digest
+		for name, tn := range fl.nodes {
+			if got := tn.Board.Held.Get().Digest; got != want {
+				fl.t.Errorf("%s holds digest %s, want %s", name, got, want)
+			}
+		}
+	})
+}
+
+// TestFrozenHosts: three hosts of a failure domain stop answering while their
+// connections stay open, as frozen processes do, for longer than every
+// timeout. The others must end those links and go on; nobody is lost for good.
+func TestFrozenHosts(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		frozen := fl.relaysOf("d0")
+		fl.nw.setCut(func(a, b *host) bool {
+			return slices.Contains(frozen, strings.TrimSuffix(a.addr, ":7000")) != slices.Contains(frozen, strings.TrimSuffix(b.addr, ":7000"))
+		})
+		v := fl.apply(changed(fl.ms, 11), 1)
+		fl.waitFor("all others hold the version", convergeLimit, func() bool {
+			return slices.Equal(fl.behind(v), fl.behind(v)) && len(slices.DeleteFunc(fl.behind(v), func(n string) bool { return slices.Contains(frozen, n) })) == 0
+		})
+		time.Sleep(30 * time.Second)
+		fl.nw.setCut(nil)
+		fl.allKnown(v)
+	})
+}
+
+// TestCutAndHerd is a pair: a failure domain is cut off from everything, its
+// daemons but one die and come back within the cut. They must get from the one
+// that lived what they held before, and nothing older.
+func TestCutAndHerd(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		v := fl.apply(changed(fl.ms, 12), 1)
+		fl.waitHeld(v, convergeLimit)
+		time.Sleep(time.Second)
+		fl.cutDomain("d2")
+		fl.setPlatformCut("d2")
+		names := fl.domain("d2")
+		fl.kill(names[1:]...)
+		fl.restart(names[1:]...)
+		fl.waitHeld(v, 2*convergeLimit)
+		next := fl.apply(changed(fl.ms, 13), v)
+		fl.nw.setCut(nil)
+		fl.setPlatformCut()
+		fl.allKnown(next)
+	})
+}
+
+// TestManyVersions: operators accept fifty versions in five seconds while
+// daemons come and go. Every daemon ends at the last one and never goes back.
+func TestManyVersions(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		v := uint64(1)
+		for i := range 50 {
+			v = fl.apply(changed(fl.ms, i), v)
+			if i%10 == 5 {
+				name := fl.ms.VMs[i%len(fl.ms.VMs)].Name
+				fl.kill(name)
+				fl.restart(name)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		fl.allKnown(v)
+	})
+}
+
+// TestFloorOfNewProcess: the process before held version 2, and the only other
+// daemon that is left holds version 1. The new process must not hold version 1,
+// and holds the first one that is not below 2.
+func TestFloorOfNewProcess(t *testing.T) {
+	bd := &board.Board{}
+	co, err := pack.Encode(meshOf(2, 1, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bd.RaiseFloor(2)
+	for _, tc := range []struct {
+		version uint64
+		want    bool
+	}{{1, false}, {2, true}, {1, false}, {3, true}, {2, false}, {3, false}} {
+		sn := mustCompile(t, tc.version, co)
+		if got := bd.Install(sn); got != tc.want {
+			t.Errorf("Install(version %d) = %t, want %t", tc.version, got, tc.want)
+		}
+	}
+	if got := fmt.Sprint(bd.HeldVersion()); got != "3" {
+		t.Errorf("held version %s, want 3", got)
+	}
+}
+
+func mustCompile(t *testing.T, version uint64, co *pack.Content) *snap.Snapshot {
+	t.Helper()
+	sn, err := snap.Compile(version, co, "d0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sn
+}
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -304,13 +304,22 @@
 	began := time.Now()
 	for !ok() {
 		if time.Since(began) > limit {
-			fl.t.Fatalf("not in %s: %s", limit, what)
+			fl.t.Fatalf("not in %s: %s; %s; holding %v; relays %v", limit, what, fl.unknown(), fl.held(), fl.relays())
 		}
 		time.Sleep(time.Millisecond)
 	}
 	return time.Since(began)
 }
 
+// held counts the nodes by the version that they hold.
+func (fl *fleet) held() map[uint64]int {
+	m := map[uint64]int{}
+	for _, tn := range fl.nodes {
+		m[tn.Board.HeldVersion()]++
+	}
+	return m
+}
+
 func (fl *fleet) waitHeld(version uint64, limit time.Duration) time.Duration {
 	fl.t.Helper()
 	return fl.waitFor(fmt.Sprintf("version %d held by all", version), limit, func() bool { return len(fl.behind(version)) == 0 })
@@ -319,21 +328,20 @@
 // waitMembers waits until every node knows all serving VMs.
 func (fl *fleet) waitMembers(limit time.Duration) time.Duration {
 	fl.t.Helper()
-	return fl.waitFor("all members known everywhere", limit, func() bool {
-		for _, tn := range fl.nodes {
-			vw := tn.Board.Members.Get()
-			n := 0
-			for rc := range vw.All {
-				if rc.Serving() && rc.Mark == member.MarkNone && fl.nodes[rc.VM] != nil {
-					n++
-				}
-			}
-			if n < len(fl.nodes) {
-				return false
+	return fl.waitFor("all members known everywhere", limit, func() bool { return fl.unknown() == "" })
+}
+
+// unknown names the first node that does not know another one as serving.
+func (fl *fleet) unknown() string {
+	for name, tn := range fl.nodes {
+		vw := tn.Board.Members.Get()
+		for other := range fl.nodes {
+			if rc := vw.Get(other); rc == nil || !rc.Serving() || rc.Mark != member.MarkNone {
+				return fmt.Sprintf("%s has of %s %+v", name, other, rc)
 			}
 		}
-		return true
-	})
+	}
+	return ""
 }
 
 func (fl *fleet) relays() []string {
@@ -352,12 +360,12 @@
 func TestFleetSmall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, meshOf(9, 3, 2))
+		defer fl.stopAll()
 		fl.apply(fl.ms, 0)
 		fl.startAll()
 		t.Logf("first version after %s", fl.waitHeld(1, 20*time.Second))
 		t.Logf("members after %s", fl.waitMembers(20*time.Second))
 		v := fl.apply(changed(fl.ms, 1), 1)
 		t.Logf("change after %s; relays %v", fl.waitHeld(v, 10*time.Second), fl.relays())
-		fl.stopAll()
 	})
 }
--- a/internal/mesh/ctrl/holds.go
+++ b/internal/mesh/ctrl/holds.go
@@ -104,18 +104,21 @@
 }
 
 // sendHeard tells the other relays of the own failure domain which VMs are
-// heard here. It is sent anew each time, so that nothing has to be taken back
+// heard here and which other failure domains are reached. It is sent anew each time, so that nothing has to be taken back
 // when a link or a relay is lost.
 func (nd *Node) sendHeard() {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	now := time.Now()
 	set := map[string]bool{}
+	domains := map[string]bool{}
 	for pr := range nd.peers {
-		if pr.Record.Domain == nd.cf.Domain {
-			set[pr.Record.VM] = true
-			nd.expiry.Heard(pr.Record.VM, now)
+		if pr.Record.Domain != nd.cf.Domain {
+			domains[pr.Record.Domain] = true
+			continue
 		}
+		set[pr.Record.VM] = true
+		nd.expiry.Heard(pr.Record.VM, now)
 	}
 	for vm, at := range nd.through {
 		if now.Sub(at) > 2*heardEvery {
@@ -126,8 +129,12 @@
 	}
 	list := slices.Sorted(maps.Keys(set))
 	for pr := range nd.peers {
-		if nd.isUpward(pr) && len(list) > 1 {
-			pr.Next(func(pk *wirepb.Packet) { pk.Heard = list })
+		if !nd.isUpward(pr) || len(list) <= 1 && len(domains) == 0 {
+			continue
+		}
+		pr.Next(func(pk *wirepb.Packet) { pk.Heard = list })
+		for dm := range domains {
+			pr.SendReach(&wirepb.Reach{Domain: dm})
 		}
 	}
 }
@@ -192,10 +199,9 @@
 	}
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
-	if nd.reach[pr.Record.VM] == nil {
-		nd.reach[pr.Record.VM] = map[string]bool{}
+	if pr.Relay && !re.Cut {
+		nd.reached[re.Domain] = time.Now()
 	}
-	nd.reach[pr.Record.VM][re.Domain] = !re.Cut
 }
 
 func (nd *Node) setCut(domain string, cut bool) {
@@ -319,47 +325,30 @@
 	}
 }
 
-// checkReach works out which failure domains can be reached and tells the
-// members and the other relays of the own one.
+// checkReach works out which failure domains can be reached, by this relay or
+// by another one of its own failure domain, and tells the members.
 func (nd *Node) checkReach() {
 	now := time.Now()
 	domains := nd.otherDomains()
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
-	direct := map[string]bool{}
 	for pr := range nd.peers {
-		direct[pr.Record.Domain] = true
+		nd.reached[pr.Record.Domain] = now
 	}
 	for _, dm := range domains {
-		reached := direct[dm]
-		if was, ok := nd.reach[nd.cf.VM][dm]; !ok || was != reached {
-			nd.tellReach(&wirepb.Reach{Domain: dm, Cut: !reached}, true)
-			if nd.reach[nd.cf.VM] == nil {
-				nd.reach[nd.cf.VM] = map[string]bool{}
-			}
-			nd.reach[nd.cf.VM][dm] = reached
-		}
-		for _, byRelay := range nd.reach {
-			reached = reached || byRelay[dm]
-		}
-		if reached || nd.reachSince[dm].IsZero() {
-			nd.reachSince[dm] = now
+		if nd.reached[dm].IsZero() {
+			nd.reached[dm] = now
 		}
-		cut := now.Sub(nd.reachSince[dm]) > cutAfter
-		if cs := nd.Board.Cut.Get(); cut != (cs != nil && (*cs)[dm]) {
-			nd.log.Warn("failure-domain-reach", slog.String("failure-domain", dm), slog.Bool("cut", cut))
-			nd.setCut(dm, cut)
-			nd.tellReach(&wirepb.Reach{Domain: dm, Cut: cut}, false)
+		cut := now.Sub(nd.reached[dm]) > cutAfter
+		if cs := nd.Board.Cut.Get(); cut == (cs != nil && (*cs)[dm]) {
+			continue
 		}
-	}
-}
-
-// tellReach sends to the relays or to the members of the own failure domain;
-// nd.mu is held.
-func (nd *Node) tellReach(re *wirepb.Reach, relays bool) {
-	for pr := range nd.peers {
-		if pr.Record.Domain == nd.cf.Domain && pr.Relay == relays {
-			pr.SendReach(re)
+		nd.log.Warn("failure-domain-reach", slog.String("failure-domain", dm), slog.Bool("cut", cut))
+		nd.setCut(dm, cut)
+		for pr := range nd.peers {
+			if pr.Record.Domain == nd.cf.Domain && !pr.Relay {
+				pr.SendReach(&wirepb.Reach{Domain: dm, Cut: cut})
+			}
 		}
 	}
 }
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -20,6 +21,8 @@
 	// daemons which lost one relay together do not come back together.
 	firstBackoff = 200 * time.Millisecond
 	mostBackoff  = 5 * time.Second
+	// failingFor is how long failed attempts count against an address.
+	failingFor = 10 * time.Second
 	// stable is how long a link must last for its backoff to start anew.
 	stable = 5 * time.Second
 	// grace is how long a choice must have changed before a working link or
@@ -46,11 +49,14 @@
 	cancel   context.CancelFunc
 	since    time.Time
 	unwanted time.Time
+	// failed is set at the end of a link that never came up or fell silent.
+	failed bool
 }
 
 type backoff struct {
-	bound time.Duration
-	until time.Time
+	bound  time.Duration
+	until  time.Time
+	failed bool
 }
 
 func newLinker(nd *Node) *linker {
@@ -94,6 +100,7 @@
 	} else {
 		bo = &backoff{bound: min(2*bo.bound, mostBackoff)}
 	}
+	bo.failed = ol.failed
 	bo.until = time.Now().Add(rand.N(bo.bound))
 	lk.backoff[ol.addr] = bo
 }
@@ -128,18 +135,31 @@
 	return bo == nil || time.Now().After(bo.until)
 }
 
-// failing tells whether the last attempts at an address failed, so that the
-// next best is tried too.
+// failing tells whether the last link to an address failed.
 func (lk *linker) failing(addr string) bool {
 	bo := lk.backoff[addr]
-	return bo != nil && lk.open[addr] == nil && bo.bound > firstBackoff
+	return bo != nil && bo.failed && time.Since(bo.until) < failingFor
+}
+
+// ownRelays returns the relays of the own failure domain as far as this daemon
+// can reach them. Only relays mark members as gone: when all relays of a
+// failure domain die together nobody does, and the others would wait for them
+// for ever. So each daemon leaves out those that it cannot reach itself.
+func (lk *linker) ownRelays() []*member.Record {
+	var list []*member.Record
+	for _, rc := range lk.nd.Board.Members.Get().Live(lk.nd.cf.Domain) {
+		if !lk.failing(rc.Control) {
+			list = append(list, rc)
+		}
+	}
+	return relay.Choose(list, relay.Count)
 }
 
 // setRole makes the daemon a relay once it is chosen, and takes the role away
 // when it has not been chosen for some time.
 func (lk *linker) setRole() {
 	nd := lk.nd
-	chosen := slices.ContainsFunc(nd.ownRelays(), func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
+	chosen := slices.ContainsFunc(lk.ownRelays(), func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
 	if chosen && !lk.settled() {
 		chosen = false
 	}
@@ -179,7 +199,7 @@
 			set[addr] = true
 		}
 	}
-	own := nd.ownRelays()
+	own := lk.ownRelays()
 	if nd.isRelay() {
 		for _, rc := range own {
 			if rc.VM > nd.cf.VM {
@@ -210,15 +230,12 @@
 	return len(lk.nd.peers) == 0
 }
 
-// upward adds the relay that a plain member is linked to: the first of its own
-// order that is not failing.
+// upward adds the relay that a plain member is linked to, the first of its own
+// order.
 func (lk *linker) upward(own []*member.Record, add func(string)) {
 	for _, rc := range relay.Order(own, lk.nd.cf.VM) {
-		if rc.VM == lk.nd.cf.VM {
-			continue
-		}
-		add(rc.Control)
-		if !lk.failing(rc.Control) {
+		if rc.VM != lk.nd.cf.VM {
+			add(rc.Control)
 			return
 		}
 	}
@@ -282,7 +299,7 @@
 	ol := &outLink{addr: addr, cancel: cancel, since: time.Now()}
 	started := lk.nd.background(func() {
 		defer cancel()
-		lk.nd.runLink(ctx, addr)
+		ol.failed = lk.nd.runLink(ctx, addr)
 		lk.ended <- ol
 	})
 	if !started {
@@ -292,8 +309,9 @@
 	lk.open[addr] = ol
 }
 
-// runLink opens a link and keeps it until it ends.
-func (nd *Node) runLink(ctx context.Context, addr string) {
+// runLink opens a link and keeps it until it ends. It tells whether the peer
+// failed: the link never came up, or fell silent.
+func (nd *Node) runLink(ctx context.Context, addr string) (failed bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bs := nd.Client(addr).Link(ctx)
@@ -311,4 +329,5 @@
 	nd.sayHello(pr)
 	err := pr.Run(ctx, nd.handle)
 	nd.drop(pr, err)
+	return !pr.Ready || errors.Is(err, link.ErrSilent)
 }
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -17,7 +17,6 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/expire"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
-	"github.com/flamingomast/flamingomast/internal/mesh/relay"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
@@ -60,8 +59,7 @@
 	peers      map[*link.Peer]bool
 	holds      map[string]hold
 	summaries  map[string]*wirepb.Summary
-	reach      map[string]map[string]bool
-	reachSince map[string]time.Time
+	reached    map[string]time.Time
 	expiry     *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
 	through   map[string]time.Time
@@ -105,8 +103,7 @@
 		peers:      map[*link.Peer]bool{},
 		holds:      map[string]hold{},
 		summaries:  map[string]*wirepb.Summary{},
-		reach:      map[string]map[string]bool{},
-		reachSince: map[string]time.Time{},
+		reached:    map[string]time.Time{},
 		expiry:     expire.New(),
 		through:    map[string]time.Time{},
 	}
@@ -203,8 +200,3 @@
 	default:
 	}
 }
-
-// ownRelays returns the relays of the daemon's own failure domain.
-func (nd *Node) ownRelays() []*member.Record {
-	return relay.Choose(nd.Board.Members.Get().Live(nd.cf.Domain), relay.Count)
-}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -146,10 +146,9 @@
 			pr.SendHeld(hd.toWire(vm))
 		}
 	}
-	if cut := nd.Board.Cut.Get(); cut != nil {
-		for dm := range *cut {
-			pr.SendReach(&wirepb.Reach{Domain: dm, Cut: true})
-		}
+	cut := nd.Board.Cut.Get()
+	for _, dm := range nd.otherDomains() {
+		pr.SendReach(&wirepb.Reach{Domain: dm, Cut: cut != nil && (*cut)[dm]})
 	}
 }
 
@@ -158,9 +157,6 @@
 	nd.mu.Lock()
 	known := nd.peers[pr]
 	delete(nd.peers, pr)
-	if known {
-		delete(nd.reach, pr.Record.VM)
-	}
 	nd.mu.Unlock()
 	if known {
 		nd.log.Debug("link-down", slog.String("peer", pr.Record.VM), slog.Any("cause", err))
@@ -279,7 +275,8 @@
 	nd.poke()
 }
 
-// repair sends all records of the failure domains in which the peer's differ.
+// repair sends all records of the failure domains in which the peer's differ,
+// the peer's own among them: it may bear a mark that the peer must answer.
 func (nd *Node) repair(pr *link.Peer, hashes []*wirepb.DomainHash) {
 	vw := nd.Board.Members.Get()
 	theirs := make(map[string]uint64, len(hashes))
@@ -288,7 +285,7 @@
 	}
 	var recs []*member.Record
 	for rc := range vw.All {
-		if theirs[rc.Domain] != vw.Hashes[rc.Domain] && rc.VM != pr.Record.VM {
+		if theirs[rc.Domain] != vw.Hashes[rc.Domain] {
 			recs = append(recs, rc)
 		}
 	}
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -14,6 +14,7 @@
 	for _, size := range []struct{ vms, domains, services int }{{9, 3, 2}, {90, 5, 9}, {790, 5, 73}} {
 		synctest.Test(t, func(t *testing.T) {
 			fl := newFleet(t, meshOf(size.vms, size.domains, size.services))
+			defer fl.stopAll()
 			fl.apply(fl.ms, 0)
 			fl.startAll()
 			began := time.Now()
@@ -57,7 +58,6 @@
 			sum()
 			t.Logf("%d: change after %s: relay %d B (max %d), member %d B (max %d) in that second", size.vms, took, rsum/int64(len(relays)), rmax, msum/nm, mmax)
 			t.Logf("%d: virtual time %s", size.vms, time.Since(began))
-			fl.stopAll()
 		})
 	}
 }
