ctrl: settle a new process's floor by a relay's word only

A daemon restarted after the platform was set back; its first peer was a plain member, which keeps nobody's floor, and its word settled the floor at 0; the platform's old head came first. Ruled out: the order of packets within a link (Welcome comes ahead of Version). Change: only relays settle the floor, a peer's own newest version raises it, and a daemon that becomes a relay welcomes its peers again.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -87,16 +87,19 @@
 	return taken
 }
 
-// RaiseFloor raises the floor to at least version and settles it.
-func (bd *Board) RaiseFloor(version uint64) {
+// RaiseFloor raises the floor to at least version; settle says that nobody is
+// left to ask who may know a higher one.
+func (bd *Board) RaiseFloor(version uint64, settle bool) {
 	bd.Floor.Update(func(cur *Floor) *Floor {
-		if cur == nil {
-			return &Floor{Version: version, Settled: true}
+		next := Floor{Version: version, Settled: settle}
+		if cur != nil {
+			next.Version = max(cur.Version, version)
+			next.Settled = cur.Settled || settle
+			if next == *cur {
+				return cur
+			}
 		}
-		if cur.Settled && cur.Version >= version {
-			return cur
-		}
-		return &Floor{Version: max(cur.Version, version), Settled: true}
+		return &next
 	})
 }
 
--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -117,7 +117,7 @@
 // settleAlone settles the floor when nobody is there to tell it.
 func (nd *Node) settleAlone() {
 	if time.Since(nd.linker.started) > bootTime {
-		nd.Board.RaiseFloor(0)
+		nd.Board.RaiseFloor(0, true)
 	}
 }
 
--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -433,7 +433,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	bd.RaiseFloor(2)
+	bd.RaiseFloor(2, true)
 	for _, tc := range []struct {
 		version uint64
 		want    bool
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -11,6 +11,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/relay"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
 )
 
 // The times of the linker.
@@ -178,7 +179,13 @@
 	nd.mu.Lock()
 	nd.sumDirty = true
 	nd.mu.Unlock()
-	nd.eachPeer(nd.sayHello)
+	nd.eachPeer(func(pr *link.Peer) {
+		nd.sayHello(pr)
+		if chosen {
+			floor := nd.floorOf(pr.Record)
+			pr.Next(func(pk *wirepb.Packet) { pk.Welcome = &wirepb.Welcome{Floor: floor} })
+		}
+	})
 }
 
 // settled tells whether the daemon knows its failure domain well enough to
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if pk.Welcome != nil {
-		nd.takeWelcome(pk.Welcome)
+		nd.takeWelcome(pr, pk.Welcome)
 	}
 	if pk.Records != nil {
 		recs := make([]*member.Record, len(pk.Records))
@@ -110,12 +110,17 @@
 	if len(hello.Digest) == len(pack.Digest{}) {
 		pr.Knows(hello.Latest, pack.Digest(hello.Digest))
 	}
-	if first && !pr.Outgoing {
-		nd.sayHello(pr)
+	// The peer can bring the version that it knows, so it is safe to take none
+	// below that, whatever the platform shows.
+	nd.Board.RaiseFloor(hello.Latest, false)
+	if first {
 		wc := &wirepb.Welcome{Floor: floor}
 		if known != nil {
 			wc.Incarnation, wc.Nonce = known.Incarnation, known.Nonce
 		}
+		if !pr.Outgoing {
+			nd.sayHello(pr)
+		}
 		pr.Next(func(pk *wirepb.Packet) { pk.Welcome = wc })
 	}
 	nd.takeRecords(pr, []*member.Record{rc})
@@ -186,8 +191,9 @@
 	}
 }
 
-// takeWelcome learns from a peer what the VM's former process was.
-func (nd *Node) takeWelcome(wc *wirepb.Welcome) {
+// takeWelcome learns from a peer what the VM's former process was and held.
+// Only relays keep what members hold, so only their word settles the floor.
+func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
 	nd.mu.Lock()
 	first := !nd.contacted
@@ -201,7 +207,7 @@
 	case former && wc.Incarnation > self.Incarnation:
 		nd.replaced(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
-	nd.Board.RaiseFloor(wc.Floor)
+	nd.Board.RaiseFloor(wc.Floor, pr.Relay)
 }
 
 // replaced notes that another process runs under this VM's name. Only one of
