--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -55,12 +55,12 @@
 	fetching  chan struct{}
 	kick      chan struct{}
 
-	mu         sync.Mutex
-	peers      map[*link.Peer]bool
-	holds      map[string]hold
-	summaries  map[string]*wirepb.Summary
-	reached    map[string]time.Time
-	expiry     *expire.Watch
+	mu        sync.Mutex
+	peers     map[*link.Peer]bool
+	holds     map[string]hold
+	summaries map[string]*wirepb.Summary
+	reached   map[string]time.Time
+	expiry    *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
 	through   map[string]time.Time
 	contacted bool
@@ -93,19 +93,19 @@
 // New returns the control part for cf; Run starts it.
 func New(cf Config) *Node {
 	nd := &Node{
-		Board:      &board.Board{},
-		cf:         cf,
-		log:        cf.Log,
-		wholes:     rate.NewLimiter(wholeRate, wholeBurst),
-		transfers:  make(chan struct{}, wholeAtOnce),
-		fetching:   make(chan struct{}, 1),
-		kick:       make(chan struct{}, 1),
-		peers:      map[*link.Peer]bool{},
-		holds:      map[string]hold{},
-		summaries:  map[string]*wirepb.Summary{},
-		reached:    map[string]time.Time{},
-		expiry:     expire.New(),
-		through:    map[string]time.Time{},
+		Board:     &board.Board{},
+		cf:        cf,
+		log:       cf.Log,
+		wholes:    rate.NewLimiter(wholeRate, wholeBurst),
+		transfers: make(chan struct{}, wholeAtOnce),
+		fetching:  make(chan struct{}, 1),
+		kick:      make(chan struct{}, 1),
+		peers:     map[*link.Peer]bool{},
+		holds:     map[string]hold{},
+		summaries: map[string]*wirepb.Summary{},
+		reached:   map[string]time.Time{},
+		expiry:    expire.New(),
+		through:   map[string]time.Time{},
 	}
 	if nd.log == nil {
 		nd.log = slog.New(slog.DiscardHandler)
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -1,63 +1,207 @@
 package ctrl
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
 )
 
 // traffic is what a node's connections have carried, both ways.
 func (tn *testNode) traffic() int64 { return tn.ho.in.Load() + tn.ho.out.Load() }
 
-// TestFleetScale measures at 9, 90 and 790 daemons.
-func TestFleetScale(t *testing.T) {
-	for _, size := range []struct{ vms, domains, services int }{{9, 3, 2}, {90, 5, 9}, {790, 5, 73}} {
-		synctest.Test(t, func(t *testing.T) {
-			fl := newFleet(t, meshOf(size.vms, size.domains, size.services))
-			defer fl.stopAll()
-			fl.apply(fl.ms, 0)
-			fl.startAll()
-			began := time.Now()
-			first := fl.waitHeld(1, 60*time.Second)
-			members := fl.waitMembers(60 * time.Second)
-			t.Logf("%d: first version after %s, members %s, wall", size.vms, first, members)
-			time.Sleep(20 * time.Second)
-			calls := fl.st.Calls.Total()
-			relays := map[string]bool{}
-			for _, r := range fl.relays() {
-				relays[r] = true
-			}
-			bytes := map[string]int64{}
-			for n, tn := range fl.nodes {
-				bytes[n] = tn.traffic()
-			}
-			const idle = 30 * time.Second
-			time.Sleep(idle)
-			var rsum, msum, rmax, mmax int64
-			sum := func() {
-				rsum, msum, rmax, mmax = 0, 0, 0, 0
-				for n, tn := range fl.nodes {
-					d := tn.traffic() - bytes[n]
-					bytes[n] = tn.traffic()
-					if relays[n] {
-						rsum += d
-						rmax = max(rmax, d)
-					} else {
-						msum += d
-						mmax = max(mmax, d)
-					}
+// load is the control traffic of one span of time, in bytes a node.
+type load struct {
+	relays                 int
+	relayMean, relayMax    int64
+	memberMean, memberMax  int64
+	calls                  int64
+	span                   time.Duration
+	relayBytes, memberByts int64
+}
+
+// String gives rates by the second.
+func (ld load) String() string {
+	sec := ld.span.Seconds()
+	return fmt.Sprintf("%d relays %.0f B/s each (most %.0f), members %.0f B/s each (most %.0f), platform %.1f calls/s",
+		ld.relays, float64(ld.relayMean)/sec, float64(ld.relayMax)/sec, float64(ld.memberMean)/sec, float64(ld.memberMax)/sec, float64(ld.calls)/sec)
+}
+
+// measure runs fn and returns the traffic of the nodes that live before and
+// after it.
+func (fl *fleet) measure(fn func()) load {
+	relays := fl.relays()
+	before := map[*testNode]int64{}
+	for _, tn := range fl.nodes {
+		before[tn] = tn.traffic()
+	}
+	calls, began := fl.st.Calls.Total(), time.Now()
+	fn()
+	ld := load{span: time.Since(began), calls: fl.st.Calls.Total() - calls}
+	members := 0
+	for name, tn := range fl.nodes {
+		was, ok := before[tn]
+		if !ok {
+			continue
+		}
+		n := tn.traffic() - was
+		if slices.Contains(relays, name) {
+			ld.relays++
+			ld.relayBytes += n
+			ld.relayMax = max(ld.relayMax, n)
+		} else {
+			members++
+			ld.memberByts += n
+			ld.memberMax = max(ld.memberMax, n)
+		}
+	}
+	ld.relayMean = ld.relayBytes / int64(max(1, ld.relays))
+	ld.memberMean = ld.memberByts / int64(max(1, members))
+	return ld
+}
+
+// size is a fleet's size.
+type size struct{ vms, domains, services int }
+
+// sized starts a fleet of a size, lets it settle and ends it after fn.
+func sized(t *testing.T, sz size, fn func(fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, meshOf(sz.vms, sz.domains, sz.services))
+		defer fl.stopAll()
+		fl.apply(fl.ms, 0)
+		fl.startAll()
+		first := fl.waitHeld(1, 30*time.Second)
+		members := fl.waitMembers(30 * time.Second)
+		t.Logf("%d daemons start at once: all hold version 1 after %s, know each other %s later", sz.vms, first, members)
+		time.Sleep(20 * time.Second)
+		fn(fl)
+	})
+}
+
+// TestScale measures an idle minute and one change at three sizes. The bounds
+// are the measured values and a small margin: platform calls do not grow with
+// the VMs, nor does what a change costs a plain member.
+func TestScale(t *testing.T) {
+	for _, tc := range []struct {
+		size
+		// The most bytes a second of a relay and a member when idle, bytes of
+		// a change at a member, and platform calls a second.
+		relayIdle, memberIdle, change int64
+		calls                         float64
+		converge                      time.Duration
+	}{
+		{size{9, 3, 2}, 600, 0, 0, 4, 50 * time.Millisecond},
+		{size{90, 5, 9}, 1500, 150, 450, 6, 50 * time.Millisecond},
+		{size{790, 5, 73}, 6000, 150, 450, 6, 50 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprint(tc.vms), func(t *testing.T) {
+			sized(t, tc.size, func(fl *fleet) {
+				idle := fl.measure(func() { time.Sleep(time.Minute) })
+				t.Logf("idle: %s", idle)
+				if got := idle.relayMean / 60; got > tc.relayIdle {
+					t.Errorf("idle relay: %d B/s, bound %d", got, tc.relayIdle)
 				}
-			}
-			sum()
-			nm := max(1, int64(size.vms-len(relays)))
-			t.Logf("%d: idle: %d relays, relay %d B/s (max %d), member %d B/s (max %d); platform calls %.1f/s", size.vms, len(relays),
-				rsum/int64(len(relays))/30, rmax/30, msum/nm/30, mmax/30, float64(fl.st.Calls.Total()-calls)/idle.Seconds())
-			v := fl.apply(changed(fl.ms, 1), 1)
-			took := fl.waitHeld(v, 10*time.Second)
-			time.Sleep(time.Second - took)
-			sum()
-			t.Logf("%d: change after %s: relay %d B (max %d), member %d B (max %d) in that second", size.vms, took, rsum/int64(len(relays)), rmax, msum/nm, mmax)
-			t.Logf("%d: virtual time %s", size.vms, time.Since(began))
+				if got := idle.memberMean / 60; got > tc.memberIdle {
+					t.Errorf("idle member: %d B/s, bound %d", got, tc.memberIdle)
+				}
+				if got := float64(idle.calls) / 60; got > tc.calls {
+					t.Errorf("idle: %.1f platform calls/s, bound %.1f", got, tc.calls)
+				}
+				var took time.Duration
+				change := fl.measure(func() {
+					v := fl.apply(changed(fl.ms, 1), 1)
+					took = fl.waitHeld(v, convergeLimit)
+					time.Sleep(time.Second - took)
+				})
+				t.Logf("one change: held by all after %s; in that second: relays %d B each, members %d B each", took, change.relayMean, change.memberMean)
+				if took > tc.converge {
+					t.Errorf("a change was held by all after %s, bound %s", took, tc.converge)
+				}
+				if change.memberMean > tc.change {
+					t.Errorf("a change cost a member %d B, bound %d", change.memberMean, tc.change)
+				}
+			})
 		})
 	}
 }
+
+var target = size{790, 5, 73}
+
+// TestTargetFaults brings about at the target size what happens there every
+// few weeks or months, one after another on one fleet: the relays of each
+// failure domain die amid a change, a failure domain is cut off and heals, the
+// platform is at its slowest, and all daemons die and come back at once.
+func TestTargetFaults(t *testing.T) {
+	sized(t, target, func(fl *fleet) {
+		v := uint64(1)
+		next := func() uint64 {
+			v = fl.apply(changed(fl.ms, int(v)), v)
+			return v
+		}
+		var dead []string
+		for _, dm := range fl.ms.Domains {
+			dead = append(dead, fl.relaysOf(dm.Name)[0])
+		}
+		next()
+		fl.kill(dead...)
+		t.Logf("a relay of each failure domain dies midway: held by the rest after %s", fl.waitHeld(v, convergeLimit))
+		fl.restart(dead...)
+		fl.allKnown(v)
+
+		fl.cutDomain("d3")
+		fl.setPlatformCut("d3")
+		time.Sleep(time.Minute)
+		next()
+		time.Sleep(5 * time.Second)
+		fl.nw.setCut(nil)
+		fl.setPlatformCut()
+		fl.allKnown(v)
+
+		fl.st.SetFaults(stand.Faults{Delay: time.Second})
+		next()
+		t.Logf("slow platform, 1 s a call: held by all after %s more", fl.waitHeld(v, convergeLimit))
+		fl.st.SetFaults(stand.Faults{Delay: toPlatform})
+		time.Sleep(20 * time.Second)
+
+		var all []string
+		for name := range fl.nodes {
+			all = append(all, name)
+		}
+		fl.kill(all...)
+		calls := fl.st.Calls.Total()
+		fl.startAll()
+		fl.allKnown(v)
+		time.Sleep(30 * time.Second)
+		t.Logf("all die and come back: %d platform calls in 30 s", fl.st.Calls.Total()-calls)
+	})
+}
+
+// TestOrdinaryDay puts the worst minute of an ordinary day on the target size:
+// ten VMs are replaced and five versions accepted within it, where a day has
+// 230 and 1,800. Each relay and member stays below 13 KB a second.
+func TestOrdinaryDay(t *testing.T) {
+	sized(t, target, func(fl *fleet) {
+		v := uint64(1)
+		ld := fl.measure(func() {
+			for i := range 10 {
+				name := fl.ms.VMs[(i*71)%len(fl.ms.VMs)].Name
+				fl.kill(name)
+				fl.restart(name)
+				if i%2 == 0 {
+					v = fl.apply(changed(fl.ms, i), v)
+				}
+				time.Sleep(6 * time.Second)
+			}
+		})
+		t.Logf("worst minute: %s", ld)
+		const most = 13_000 * 60
+		if ld.relayMax > most || ld.memberMax > most {
+			t.Errorf("a relay carried %d B and a member %d B in a minute, bound %d", ld.relayMax, ld.memberMax, most)
+		}
+		fl.allKnown(v)
+	})
+}
