conf, plat, mesh: contract, property and table tests

Cause: what was built had only whole-path tests. Found: an entry that could not be read gave a second problem without a place; a dangling route in an accepted content was refused without naming the route.

--- /dev/null
+++ b/internal/conf/accept/accept_test.go
@@ -0,0 +1,287 @@
+package accept
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// mesh declares services with the given slots, by name.
+func mesh(t interface{ Fatal(...any) }, slots map[string]int) *pack.Content {
+	ms := &decl.Mesh{}
+	for name, n := range slots {
+		ms.Services = append(ms.Services, decl.Service{Name: name, Port: 1, Slots: n})
+	}
+	co, err := pack.Encode(ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return co
+}
+
+func submit(t *testing.T, kv store.Store, sub Submission) Result {
+	t.Helper()
+	res, err := Submit(t.Context(), kv, sub)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+func TestSubmit(t *testing.T) {
+	kv := stand.New().Store()
+	one := mesh(t, map[string]int{"booking": 1})
+	two := mesh(t, map[string]int{"booking": 2, "portal": 1})
+	for _, tc := range []struct {
+		name string
+		sub  Submission
+		want Status
+		ver  uint64
+	}{
+		{"first", Submission{ID: "a", Content: one}, Accepted, 1},
+		{"the same again", Submission{ID: "a", Content: one}, Already, 1},
+		{"no change", Submission{ID: "b", Base: 1, Content: one}, Unchanged, 1},
+		{"second", Submission{ID: "c", Base: 1, Content: two}, Accepted, 2},
+		{"the first once more", Submission{ID: "a", Content: one}, Already, 1},
+		{"a revert is a new version", Submission{ID: "d", Base: 2, Content: one}, Accepted, 3},
+	} {
+		res := submit(t, kv, tc.sub)
+		if res.Status != tc.want || res.Entry.Version != tc.ver {
+			t.Errorf("%s: %s as version %d, want %s as %d", tc.name, res.Status, res.Entry.Version, tc.want, tc.ver)
+		}
+	}
+	hd, _, err := Load(t.Context(), kv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for v, want := range map[uint64]*pack.Content{1: one, 2: two, 3: one} {
+		en, err := Find(t.Context(), kv, hd, v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if co, err := Content(t.Context(), kv, en); err != nil || co.Digest != want.Digest {
+			t.Errorf("content of version %d: %v, %v", v, co, err)
+		}
+	}
+}
+
+// TestOperatorsRace: two operators start from version 1. Where they change
+// different services both changes stand; where they change the same one the
+// second is refused and told by whom, and nothing of it is applied.
+func TestOperatorsRace(t *testing.T) {
+	base := map[string]int{"booking": 1, "portal": 1}
+	for _, tc := range []struct {
+		name     string
+		mine     map[string]int
+		conflict string
+		want     map[string]int
+	}{
+		{"disjoint", map[string]int{"booking": 1, "portal": 5}, "", map[string]int{"booking": 9, "portal": 5}},
+		{"added", map[string]int{"booking": 1, "portal": 1, "x": 1}, "", map[string]int{"booking": 9, "portal": 1, "x": 1}},
+		{"removed", map[string]int{"booking": 1}, "", map[string]int{"booking": 9}},
+		{"same resource", map[string]int{"booking": 3, "portal": 1}, "service/booking", nil},
+		{"same change", map[string]int{"booking": 9, "portal": 1}, "", map[string]int{"booking": 9, "portal": 1}},
+		{"removed what the other changed", map[string]int{"portal": 1}, "service/booking", nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			kv := stand.New().Store()
+			submit(t, kv, Submission{ID: "0", Content: mesh(t, base)})
+			submit(t, kv, Submission{ID: "theirs", Base: 1, Author: "ana", Content: mesh(t, map[string]int{"booking": 9, "portal": 1})})
+			res, err := Submit(t.Context(), kv, Submission{ID: "mine", Base: 1, Content: mesh(t, tc.mine)})
+			if tc.conflict != "" {
+				var ce *ConflictError
+				if !errors.As(err, &ce) || ce.Keys[0].String() != tc.conflict || ce.Theirs.Author != "ana" {
+					t.Fatalf("error %v, want a conflict on %s", err, tc.conflict)
+				}
+				if hd, _, _ := Load(t.Context(), kv); hd.Last.Version != 2 {
+					t.Errorf("version %d after a conflict", hd.Last.Version)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if want := mesh(t, tc.want).Digest.String(); res.Entry.Digest != want {
+				t.Errorf("digest %s, want %s", res.Entry.Digest, want)
+			}
+		})
+	}
+}
+
+// TestRebaseIsChecked: one operator removes a service while another adds a
+// route to it. Each is right alone; together they would leave a dangling
+// route, so the second is refused.
+func TestRebaseIsChecked(t *testing.T) {
+	kv := stand.New().Store()
+	sv := []decl.Service{{Name: "booking", Port: 1, Slots: 1}, {Name: "portal", Port: 1, Slots: 1}}
+	enc := func(ms *decl.Mesh) *pack.Content {
+		co, err := pack.Encode(ms)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return co
+	}
+	submit(t, kv, Submission{ID: "0", Content: enc(&decl.Mesh{Services: sv})})
+	submit(t, kv, Submission{ID: "1", Base: 1, Content: enc(&decl.Mesh{Services: sv[:1]})})
+	rt := decl.Route{Name: "r", Match: decl.Match{Host: "h"}, To: []decl.Target{{Service: "portal", Weight: 1}}}
+	_, err := Submit(t.Context(), kv, Submission{ID: "2", Base: 1, Content: enc(&decl.Mesh{Services: sv, Routes: []decl.Route{rt}})})
+	var ce *CheckError
+	if !errors.As(err, &ce) {
+		t.Fatalf("error %v, want a CheckError", err)
+	}
+}
+
+// TestLostAnswers: the platform does what it is asked and its answer is lost,
+// at any of the writes of a submission. It is accepted exactly once.
+func TestLostAnswers(t *testing.T) {
+	for lost := range 6 {
+		synctest.Test(t, func(t *testing.T) {
+			st := stand.New()
+			submit(t, st.Store(), Submission{ID: "0", Content: mesh(t, map[string]int{"booking": 1})})
+			st.SetFaults(stand.Faults{LoseAnswers: lost})
+			res := submit(t, st.Store(), Submission{ID: "1", Base: 1, Content: mesh(t, map[string]int{"booking": 2})})
+			if res.Entry.Version != 2 {
+				t.Errorf("%d answers lost: version %d, want 2", lost, res.Entry.Version)
+			}
+		})
+	}
+}
+
+// TestUnknownOutcome: the platform takes the commit, its answer is lost, and it
+// goes down. The operator is told that it is not known, and the same submission
+// given again later is found, although other versions came after it.
+func TestUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := stand.New()
+		kv := st.Store()
+		swap := kv.Swap
+		kv.Swap = func(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
+			ok, cur, err := swap(ctx, ch)
+			if ch.Key == HeadKey {
+				st.SetFaults(stand.Faults{Down: true})
+				return false, store.Entry{}, &store.Error{Kind: store.Unknown, Op: "swap"}
+			}
+			return ok, cur, err
+		}
+		sub := Submission{ID: "x", Content: mesh(t, map[string]int{"booking": 1})}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := Submit(ctx, kv, sub)
+		var ue *UnknownError
+		if !errors.As(err, &ue) || ue.ID != "x" {
+			t.Fatalf("error %v, want an UnknownError", err)
+		}
+		st.SetFaults(stand.Faults{})
+		submit(t, st.Store(), Submission{ID: "y", Base: 1, Content: mesh(t, map[string]int{"booking": 2})})
+		if res := submit(t, st.Store(), sub); res.Status != Already || res.Entry.Version != 1 {
+			t.Errorf("given again: %s as version %d", res.Status, res.Entry.Version)
+		}
+	})
+}
+
+// TestRaceProperty: operators submit at once, each a change of a service of its
+// own, while answers get lost and the platform is slow or down. Every
+// submission is accepted exactly once, versions follow one another without a
+// gap, and the last one holds all changes.
+func TestRaceProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		operators := rapid.IntRange(2, 6).Draw(rt, "operators")
+		var faults []stand.Faults
+		for range rapid.IntRange(0, 4).Draw(rt, "faults") {
+			faults = append(faults, stand.Faults{
+				Down: rapid.Bool().Draw(rt, "down"), LoseAnswers: rapid.IntRange(0, 3).Draw(rt, "lost"),
+				Delay: time.Duration(rapid.IntRange(0, 300).Draw(rt, "delay")) * time.Millisecond,
+			})
+		}
+		synctest.Test(t, func(t *testing.T) { raceOnce(t, operators, faults) })
+	})
+}
+
+func raceOnce(t *testing.T, operators int, faults []stand.Faults) {
+	st := stand.New()
+	slots := map[string]int{}
+	for i := range operators {
+		slots[fmt.Sprint("s", i)] = 1
+	}
+	submit(t, st.Store(), Submission{ID: "0", Content: mesh(t, slots)})
+	var wg conc.WaitGroup
+	for i := range operators {
+		mine := map[string]int{}
+		for name, n := range slots {
+			mine[name] = n
+		}
+		mine[fmt.Sprint("s", i)] = 100 + i
+		co := mesh(t, mine)
+		wg.Go(func() {
+			if _, err := Submit(t.Context(), st.Store(), Submission{ID: fmt.Sprint("op", i), Base: 1, Content: co}); err != nil {
+				t.Errorf("operator %d: %v", i, err)
+			}
+		})
+	}
+	for _, fa := range faults {
+		time.Sleep(100 * time.Millisecond)
+		st.SetFaults(fa)
+	}
+	time.Sleep(100 * time.Millisecond)
+	st.SetFaults(stand.Faults{})
+	wg.Wait()
+
+	hd, _, err := Load(t.Context(), st.Store())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for v := range uint64(operators + 1) {
+		en, err := Find(t.Context(), st.Store(), hd, v+1)
+		if err != nil {
+			t.Fatalf("version %d: %v", v+1, err)
+		}
+		ids = append(ids, en.Submission)
+	}
+	slices.Sort(ids)
+	if hd.Last.Version != uint64(operators+1) || len(slices.Compact(ids)) != operators+1 {
+		t.Fatalf("%d versions of %d submissions: %v", hd.Last.Version, operators+1, ids)
+	}
+	for i := range operators {
+		slots[fmt.Sprint("s", i)] = 100 + i
+	}
+	if want := mesh(t, slots).Digest.String(); hd.Last.Digest != want {
+		t.Errorf("the last version does not hold all changes")
+	}
+}
+
+// TestOldContentsGo: what the platform keeps of old versions is bounded.
+func TestOldContentsGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := stand.New().Store()
+		for v := range uint64(KeepContents + 3) {
+			submit(t, kv, Submission{ID: fmt.Sprint(v), Base: v, Content: mesh(t, map[string]int{"booking": int(v) + 1})})
+			time.Sleep(time.Second)
+		}
+		hd, _, err := Load(t.Context(), kv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for v, kept := range map[uint64]bool{1: false, 3: false, 4: true, KeepContents + 3: true} {
+			en, err := Find(t.Context(), kv, hd, v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := Content(t.Context(), kv, en); (err == nil) != kept {
+				t.Errorf("content of version %d: %v, want kept %t", v, err, kept)
+			}
+		}
+	})
+}
--- a/internal/conf/decl/read.go
+++ b/internal/conf/decl/read.go
@@ -76,7 +76,14 @@
 		ms.Routes = append(ms.Routes, one.Routes...)
 		ms.Placements = append(ms.Placements, one.Placements...)
 	}
-	return &ms, append(prs, Check(&ms)...)
+	for _, pr := range Check(&ms) {
+		// What has no place comes from an entry that could not be read, which
+		// is a problem of its own.
+		if pr.Pos.Line > 0 {
+			prs = append(prs, pr)
+		}
+	}
+	return &ms, prs
 }
 
 // Sort puts each list into its canonical order, by name.
--- a/internal/conf/pack/pack.go
+++ b/internal/conf/pack/pack.go
@@ -165,7 +165,15 @@
 	case KindClass:
 		return decodeInto(&ms.Classes, rs.Body, func(cl *decl.Class) *strict.Pos { return &cl.Pos }, rs.Key)
 	case KindRoute:
-		return decodeInto(&ms.Routes, rs.Body, func(rt *decl.Route) *strict.Pos { return &rt.Pos }, rs.Key)
+		if err := decodeInto(&ms.Routes, rs.Body, func(rt *decl.Route) *strict.Pos { return &rt.Pos }, rs.Key); err != nil {
+			return err
+		}
+		rt := &ms.Routes[len(ms.Routes)-1]
+		rt.Match.Pos = rt.Pos
+		for i := range rt.To {
+			rt.To[i].Pos = rt.Pos
+		}
+		return nil
 	case KindPlacement:
 		return decodeInto(&ms.Placements, rs.Body, func(pl *decl.Placement) *strict.Pos { return &pl.Pos }, rs.Key)
 	}
--- /dev/null
+++ b/internal/conf/pack/pack_test.go
@@ -0,0 +1,178 @@
+package pack
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+)
+
+func drawContent(t *rapid.T, label string) *Content {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-d]{1,2}`), 0, 8, rapid.ID).Draw(t, label)
+	var res []Resource
+	for _, n := range names {
+		kind := rapid.SampledFrom([]Kind{KindService, KindVM, KindRoute}).Draw(t, "kind")
+		res = append(res, Resource{Key: Key{Kind: kind, Name: n}, Body: []byte(rapid.StringMatching(`[xy]{0,2}`).Draw(t, "body"))})
+	}
+	return New(res)
+}
+
+// TestDelta: the delta between any two contents, sent over the wire, leads from
+// the one to the other, and from no third content to anything.
+func TestDelta(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawContent(t, "a"), drawContent(t, "b"), drawContent(t, "c")
+		dt, err := Unmarshal(Marshal(Diff(a, b)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Apply(a, dt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(b, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("(-want +got):\n%s", diff)
+		}
+		var me *MismatchError
+		if got, err := Apply(c, dt); c.Digest != a.Digest && !errors.As(err, &me) {
+			t.Fatalf("applied to another base: %v, %v", got, err)
+		}
+		whole, err := Unmarshal(Marshal(Diff(nil, b)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Apply(nil, whole); err != nil || got.Digest != b.Digest {
+			t.Fatalf("whole: %v, %v", got, err)
+		}
+	})
+}
+
+// TestDamage: an encoded delta is damaged or cut short at any place. It is an
+// error, or the damage is such that the content comes out right all the same;
+// never does another content come out.
+func TestDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := drawContent(t, "a"), drawContent(t, "b")
+		body := Marshal(Diff(a, b))
+		i := rapid.IntRange(0, len(body)-1).Draw(t, "at")
+		if rapid.Bool().Draw(t, "cut") {
+			body = body[:i]
+		} else {
+			body[i] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		}
+		dt, err := Unmarshal(body)
+		if err != nil {
+			return
+		}
+		got, err := Apply(a, dt)
+		if err != nil || dt.Digest != b.Digest {
+			return
+		}
+		if diff := cmp.Diff(b, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Fatalf("another content came out (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	f.Add(Marshal(Diff(nil, New([]Resource{{Key: Key{Kind: KindVM, Name: "a"}, Body: []byte("{}")}}))))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		dt, err := Unmarshal(data)
+		if err != nil {
+			return
+		}
+		if co, err := Apply(nil, dt); err == nil && co.Digest != sum(co.Resources) {
+			t.Error("a content with a wrong digest")
+		}
+	})
+}
+
+// TestUnknownField: a newer release's field is not dropped in silence, since a
+// version is taken whole or not at all.
+func TestUnknownField(t *testing.T) {
+	for _, rs := range []Resource{
+		{Key: Key{Kind: KindService, Name: "a"}, Body: []byte(`{"name":"a","port":1,"slots":1,"mirror":"b"}`)},
+		{Key: Key{Kind: "mirror", Name: "a"}, Body: []byte(`{}`)},
+		{Key: Key{Kind: KindVM, Name: "a"}, Body: []byte(`{"name":`)},
+	} {
+		if ms, err := Decode(New([]Resource{rs})); err == nil {
+			t.Errorf("%s %s decoded as %+v", rs.Key, rs.Body, ms)
+		}
+	}
+}
+
+func ExampleDiff() {
+	old, _ := Encode(&decl.Mesh{Regions: []decl.Region{{Name: "r"}}, VMs: []decl.VM{{Name: "a"}}})
+	next, _ := Encode(&decl.Mesh{Regions: []decl.Region{{Name: "r"}}, VMs: []decl.VM{{Name: "b"}}})
+	for _, ky := range Diff(old, next).Keys() {
+		fmt.Println(ky)
+	}
+	// Output:
+	// vm/a
+	// vm/b
+}
+
+// targetMesh has the size of the target.
+func targetMesh() *decl.Mesh {
+	ms := &decl.Mesh{Regions: []decl.Region{{Name: "r"}}, Domains: []decl.Domain{{Name: "d", Region: "r"}}}
+	for i := range 73 {
+		name := fmt.Sprintf("service-%d", i)
+		ms.Services = append(ms.Services, decl.Service{Name: name, Port: 9000, Slots: 10})
+		ms.Routes = append(ms.Routes, decl.Route{Name: name, Match: decl.Match{Host: name + ".example", PathPrefix: "/confirm"}, To: []decl.Target{{Service: name, Weight: 1}}})
+	}
+	for i := range 790 {
+		ms.VMs = append(ms.VMs, decl.VM{Name: fmt.Sprintf("vm-%03d", i), Domain: "d", Service: ms.Services[i%73].Name})
+	}
+	return ms
+}
+
+// TestSizes bounds the bytes of a whole content and of one changed rule at the
+// target size.
+func TestSizes(t *testing.T) {
+	ms := targetMesh()
+	a, err := Encode(ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms.Routes[7].Deadline = 1_000_000
+	b, err := Encode(ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, delta := len(Marshal(Diff(nil, a))), len(Marshal(Diff(a, b)))
+	t.Logf("whole %d B, one rule %d B", whole, delta)
+	if whole > 13_000 || delta > 280 {
+		t.Errorf("whole %d B, bound 13000; one rule %d B, bound 280", whole, delta)
+	}
+}
+
+func BenchmarkDelta(b *testing.B) {
+	ms := targetMesh()
+	old, _ := Encode(ms)
+	ms.Routes[7].Deadline = 1_000_000
+	next, _ := Encode(ms)
+	b.Run("diff-and-marshal", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			Marshal(Diff(old, next))
+		}
+	})
+	body := Marshal(Diff(old, next))
+	b.Run("unmarshal-and-apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			dt, err := Unmarshal(body)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if _, err := Apply(old, dt); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -16,7 +16,10 @@
 
 // The times of the linker.
 const (
+	// linkTick is how often links are looked at while any is not as it should
+	// be, idleTick how often otherwise; news of members comes in between.
 	linkTick = 250 * time.Millisecond
+	idleTick = 5 * time.Second
 	// firstBackoff and mostBackoff bound the wait before an address is tried
 	// again; the wait is drawn from the whole range below the bound, so that
 	// daemons which lost one relay together do not come back together.
@@ -43,6 +46,9 @@
 	unchosen time.Time
 	ended    chan *outLink
 	dirs     directory
+	// chosen is the choice of relays among the members chosenOf.
+	chosen   []*member.Record
+	chosenOf *member.View
 }
 
 type outLink struct {
@@ -69,17 +75,18 @@
 
 func (lk *linker) run(ctx context.Context) {
 	lk.started = time.Now()
-	tick := time.NewTicker(linkTick)
-	defer tick.Stop()
 	for {
-		lk.look(ctx)
+		wait := idleTick
+		if lk.look(ctx) {
+			wait = linkTick
+		}
 		select {
 		case <-ctx.Done():
 			lk.drain()
 			return
 		case ol := <-lk.ended:
 			lk.closed(ol)
-		case <-tick.C:
+		case <-time.After(wait):
 		case <-lk.nd.kick:
 		}
 	}
@@ -106,16 +113,21 @@
 	lk.backoff[ol.addr] = bo
 }
 
-// look compares the links that should be open with those that are.
-func (lk *linker) look(ctx context.Context) {
+// look compares the links that should be open with those that are, and tells
+// whether anything is waiting for its time.
+func (lk *linker) look(ctx context.Context) (waiting bool) {
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	lk.setRole()
 	want := lk.wanted()
 	now := time.Now()
 	for _, addr := range want {
-		if lk.open[addr] == nil && lk.ready(addr) {
+		if lk.open[addr] != nil {
+			continue
+		}
+		waiting = true
+		if lk.ready(addr) {
 			lk.dial(ctx, addr)
 		}
 	}
@@ -125,10 +137,15 @@
 			ol.unwanted = time.Time{}
 		case ol.unwanted.IsZero():
 			ol.unwanted = now
+			waiting = true
 		case now.Sub(ol.unwanted) > grace:
 			ol.cancel()
+		default:
+			waiting = true
 		}
 	}
+	chosen := lk.unchosen.IsZero()
+	return waiting || !lk.settled() || chosen != lk.nd.isRelay()
 }
 
 func (lk *linker) ready(addr string) bool {
@@ -147,13 +164,17 @@
 // failure domain die together nobody does, and the others would wait for them
 // for ever. So each daemon leaves out those that it cannot reach itself.
 func (lk *linker) ownRelays() []*member.Record {
-	var list []*member.Record
-	for _, rc := range lk.nd.Board.Members.Get().Live(lk.nd.cf.Domain) {
-		if !lk.failing(rc.Control) {
-			list = append(list, rc)
-		}
+	vw := lk.nd.Board.Members.Get()
+	live := vw.Live(lk.nd.cf.Domain)
+	failing := func(rc *member.Record) bool { return lk.failing(rc.Control) }
+	if slices.ContainsFunc(live, failing) {
+		return relay.Choose(slices.DeleteFunc(slices.Clone(live), failing), relay.Count)
 	}
-	return relay.Choose(list, relay.Count)
+	// Without failures the choice depends on the members alone.
+	if lk.chosenOf != vw {
+		lk.chosenOf, lk.chosen = vw, relay.Choose(live, relay.Count)
+	}
+	return lk.chosen
 }
 
 // setRole makes the daemon a relay once it is chosen, and takes the role away
@@ -288,14 +309,9 @@
 // strangers adds addresses that the directory gave and whose daemons are not
 // members yet, or whose failure domain has no link.
 func (lk *linker) strangers(add func(string)) {
-	known := map[string]bool{}
-	for rc := range lk.nd.Board.Members.Get().All {
-		if rc.Live() {
-			known[rc.Control] = true
-		}
-	}
+	known := lk.nd.Board.Members.Get()
 	for _, addr := range lk.dirs.addresses() {
-		if !known[addr] || lk.open[addr] != nil && lk.alone() {
+		if !known.Controls[addr] || lk.open[addr] != nil && lk.alone() {
 			add(addr)
 		}
 	}
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -1,3 +1,8 @@
+//go:build !race
+
+// The race detector makes these runs many times slower; the same code runs
+// under it in the fault tests at 24 daemons.
+
 package ctrl
 
 import (
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -138,6 +138,8 @@
 	byVM map[string]*Record
 	// Domains has the live records of each failure domain, sorted by VM.
 	Domains map[string][]*Record
+	// Controls has the control addresses of the live records.
+	Controls map[string]bool
 	// Hashes sums up all records of each failure domain, for repair.
 	Hashes map[string]uint64
 }
@@ -222,10 +224,12 @@
 func (vw *View) sumUp() {
 	vw.Domains = map[string][]*Record{}
 	vw.Hashes = map[string]uint64{}
+	vw.Controls = make(map[string]bool, len(vw.byVM))
 	for _, rc := range vw.byVM {
 		vw.Hashes[rc.Domain] ^= rc.hash()
 		if rc.Live() {
 			vw.Domains[rc.Domain] = append(vw.Domains[rc.Domain], rc)
+			vw.Controls[rc.Control] = true
 		}
 	}
 	for _, list := range vw.Domains {
