path: prove under failing servers what callers are told

Cause: nothing yet proved the promises on requests. Found and mended: bytes that a server sends beyond its answer reached the next caller on the connection. Splitting reads at blank lines was tried first and reverted: a blank line inside a chunk broke a whole answer (TestSurplusBytes/chunked, with a blank line within: 'err' after 'fi'). Now the first byte of a request waits until the transport's idle read shows that its buffer is empty. A stale connection no longer counts against its server.

--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -219,7 +219,9 @@
 			rq.count(result.Answered, "")
 			return
 		}
-		rq.tried.Add(ep)
+		if !staleConn(rf) {
+			rq.tried.Add(ep)
+		}
 		last = worse(last, rf)
 		if !rq.again(rf) {
 			rq.end(last)
@@ -228,6 +230,12 @@
 	}
 }
 
+// staleConn tells whether a request met a kept connection that could not take
+// it. That says nothing of the server, which may be tried again.
+func staleConn(rf *result.Refusal) bool {
+	return rf.Outcome == result.NotRun && rf.Reason == result.ReasonBroken
+}
+
 // worse returns what must be said of two attempts together: a request of which
 // one attempt may have run may have run, whatever became of the others.
 func worse(last, rf *result.Refusal) *result.Refusal {
@@ -300,15 +308,9 @@
 	at := rq.ou.fw.Do(rq.outgoing(ep))
 	if at.Response == nil {
 		oc, re := at.Outcome()
-		vd := pick.Bad
-		if oc == result.NotRun {
-			vd = pick.Unreachable
-		}
-		if rq.r.Context().Err() != nil {
-			vd = pick.Good
-		}
-		ep.End(time.Now(), vd, rq.gp)
-		return rq.failure(at, oc, re)
+		rf := rq.failure(at, oc, re)
+		ep.End(time.Now(), verdictOf(rf), rq.gp)
+		return rf
 	}
 	defer at.Response.Body.Close()
 	if ld, ok := result.ParseLoad(at.Response.Header.Get(result.LoadHeader)); ok {
@@ -317,9 +319,7 @@
 	if rf := result.FromAnswer(at.Response); rf != nil {
 		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		// A short body is read to its end, so that the connection is kept.
-		if _, err := io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10)); err == nil {
-			at.Finish()
-		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10))
 		return rf
 	}
 	vd := pick.Good
@@ -340,13 +340,24 @@
 	return nil
 }
 
-// verdictOf tells what an inlet's refusal says of its server.
+// verdictOf tells what a refusal says of the server.
 func verdictOf(rf *result.Refusal) pick.Verdict {
+	if staleConn(rf) {
+		return pick.Busy
+	}
 	switch rf.Reason {
+	case result.ReasonCallerGone:
+		return pick.Busy
 	case result.ReasonWrongTarget, result.ReasonDraining, result.ReasonNoServer, result.ReasonConnect:
 		return pick.Unreachable
-	case result.ReasonFull, result.ReasonTooLate, result.ReasonShed, result.ReasonDeadline:
+	case result.ReasonFull, result.ReasonTooLate, result.ReasonShed:
 		return pick.Busy
+	case result.ReasonDeadline:
+		// Waiting for a slot until the deadline is no fault of the server;
+		// running until then may be.
+		if rf.Outcome == result.NotRun {
+			return pick.Busy
+		}
 	}
 	return pick.Bad
 }
--- /dev/null
+++ b/internal/path/outlet/rig_test.go
@@ -0,0 +1,247 @@
+package outlet_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/path/inlet"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+)
+
+// rules is what the tests route by. Requests below /once may not be repeated.
+const rules = `
+regions: [{name: r}]
+failure-domains: [{name: a, region: r}, {name: b, region: r}]
+services: [{name: booking, port: 1, slots: 4, deadline: 2s}, {name: portal, port: 1, slots: 4}]
+classes: [{name: default, share: 10, queue: 4}]
+vms: [{name: vm-0, failure-domain: a, service: booking}, {name: vm-1, failure-domain: b, service: booking}, {name: vm-2, failure-domain: a, service: portal}]
+routes:
+- {name: once, match: {host: booking, path-prefix: /once}, to: [{service: booking, weight: 1}], repeat: never, deadline: 2s}
+- {name: short, match: {host: booking, path-prefix: /short}, to: [{service: booking, weight: 1}], deadline: 200ms}
+- {name: always, match: {host: booking, path-prefix: /always}, to: [{service: booking, weight: 1}], repeat: always, deadline: 2s}
+`
+
+func compile(t testing.TB, text string) *snap.Snapshot {
+	t.Helper()
+	ms, prs := decl.Parse(map[string][]byte{"t.yaml": []byte(text)})
+	if len(prs) > 0 {
+		t.Fatal(prs)
+	}
+	co, err := pack.Encode(ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sn, err := snap.Compile(1, co, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sn
+}
+
+// rig is an outlet with the inlets of some VMs, over real connections.
+type rig struct {
+	t      testing.TB
+	sn     *snap.Snapshot
+	outlet *outlet.Outlet
+	front  *httptest.Server
+	vms    []*rigVM
+}
+
+// rigVM is a VM's inlet in front of a backend server.
+type rigVM struct {
+	rec  *member.Record
+	in   *inlet.Inlet
+	http *httptest.Server
+	// addr is the backend server's.
+	addr string
+}
+
+// newRig starts an outlet in front of one VM for each backend server address.
+func newRig(t testing.TB, servers ...string) *rig {
+	t.Helper()
+	rg := &rig{t: t, sn: compile(t, rules), outlet: outlet.New(outlet.Options{})}
+	for i, addr := range servers {
+		rg.addVM(i, addr)
+	}
+	rg.update()
+	rg.front = httptest.NewUnstartedServer(rg.outlet)
+	var ps http.Protocols
+	ps.SetHTTP1(true)
+	ps.SetUnencryptedHTTP2(true)
+	rg.front.Config.Protocols = &ps
+	rg.front.Config.MaxHeaderBytes = 64 << 10
+	rg.front.Start()
+	t.Cleanup(rg.front.Close)
+	return rg
+}
+
+func (rg *rig) addVM(i int, addr string) {
+	vm := &rigVM{in: inlet.New(nil), addr: addr}
+	vm.http = httptest.NewServer(vm.in)
+	rg.t.Cleanup(vm.http.Close)
+	vm.rec = &member.Record{
+		VM: fmt.Sprint("vm-", i), Domain: []string{"a", "b"}[i%2], Incarnation: 1, Sequence: 1, Nonce: rand.Uint64(),
+		State: member.StateServing, Service: "booking", Inlet: strings.TrimPrefix(vm.http.URL, "http://"),
+	}
+	vm.in.SetTarget(inlet.Target{VM: vm.rec.VM, Process: pick.Process(vm.rec), Service: "booking", Addr: addr})
+	vm.in.Gate.Configure(4, []limit.Class{{Name: "default", Share: 10, Queue: 4}})
+	rg.vms = append(rg.vms, vm)
+}
+
+// update gives the outlet a table of the VMs.
+func (rg *rig) update() {
+	var recs []*member.Record
+	for _, vm := range rg.vms {
+		recs = append(recs, vm.rec)
+	}
+	vw, _ := (&member.View{}).Merge(recs)
+	rg.outlet.SetTable(pick.Build(rg.sn, vw, nil, rg.outlet.Table()))
+}
+
+func (rg *rig) request(method, path, body string, hdr ...string) *http.Request {
+	rg.t.Helper()
+	var r io.Reader
+	if body != "" {
+		r = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, rg.front.URL+path, r)
+	if err != nil {
+		rg.t.Fatal(err)
+	}
+	req.Host = "booking"
+	for i := 0; i+1 < len(hdr); i += 2 {
+		req.Header.Set(hdr[i], hdr[i+1])
+	}
+	return req
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	retry   string
+	body    string
+	err     error
+	took    time.Duration
+}
+
+// do sends a request on a connection of its own.
+func (rg *rig) do(req *http.Request) answer {
+	cl := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	return send(cl, req)
+}
+
+func send(cl *http.Client, req *http.Request) (an answer) {
+	began := time.Now()
+	defer func() { an.took = time.Since(began) }()
+	res, err := cl.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return answer{
+		status: res.StatusCode, outcome: res.Header.Get("Flamingomast-Outcome"), reason: res.Header.Get("Flamingomast-Reason"),
+		retry: res.Header.Get("Retry-After"), body: string(text), err: err,
+	}
+}
+
+// rawServer is a backend server that speaks what it is told to and counts the
+// requests whose head it has read.
+type rawServer struct {
+	addr string
+	ln   net.Listener
+
+	mu    sync.Mutex
+	runs  int
+	conns []net.Conn
+}
+
+// behave handles one request, number n on its connection counting from 1, and
+// tells whether the connection goes on.
+type behave func(cn net.Conn, n int, req *http.Request) bool
+
+func newRaw(t testing.TB, fn behave) *rawServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rs := &rawServer{addr: ln.Addr().String(), ln: ln}
+	t.Cleanup(rs.close)
+	go func() {
+		for {
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			rs.mu.Lock()
+			rs.conns = append(rs.conns, cn)
+			rs.mu.Unlock()
+			go rs.serve(cn, fn)
+		}
+	}()
+	return rs
+}
+
+func (rs *rawServer) serve(cn net.Conn, fn behave) {
+	defer cn.Close()
+	br := bufio.NewReader(cn)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		rs.mu.Lock()
+		rs.runs++
+		rs.mu.Unlock()
+		if !fn(cn, n, req) {
+			return
+		}
+	}
+}
+
+func (rs *rawServer) close() {
+	rs.ln.Close()
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for _, cn := range rs.conns {
+		cn.Close()
+	}
+}
+
+func (rs *rawServer) count() int {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.runs
+}
+
+// answerOK answers with the request's path, in good order.
+func answerOK(cn net.Conn, _ int, req *http.Request) bool {
+	_, _ = io.Copy(io.Discard, req.Body)
+	text := "ok " + req.URL.Path
+	_, err := fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	return err == nil
+}
+
+// reset ends a connection with a TCP reset.
+func reset(cn net.Conn) bool {
+	_ = cn.(*net.TCPConn).SetLinger(0)
+	return false
+}
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -57,7 +57,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: nc}, nil
+			return newConn(nc), nil
 		},
 		MaxConnsPerHost:        op.MaxConns,
 		MaxIdleConnsPerHost:    op.MaxIdle,
@@ -82,7 +82,6 @@
 	sent   atomic.Bool
 	mu     sync.Mutex
 	cn     *conn
-	serial uint64
 	before int64
 }
 
@@ -112,8 +111,12 @@
 	trace := &httptrace.ClientTrace{GotConn: at.gotConn}
 	out = out.WithContext(httptrace.WithClientTrace(out.Context(), trace))
 	at.Response, at.Err = fw.tr.RoundTrip(out)
-	if at.Response != nil {
-		at.answer(out)
+	if cn, before := at.connection(); at.Response != nil && cn != nil && !cn.wrote(before) {
+		// The transport took surplus bytes for the answer to a request that
+		// was not written yet.
+		cn.poison()
+		_ = at.Response.Body.Close()
+		at.Response, at.Err = nil, errSurplus
 	}
 	return at
 }
@@ -128,45 +131,23 @@
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	at.cn = cn
-	at.serial, at.before = cn.begin()
+	at.before = cn.begin()
 }
 
-// answer prepares the connection for the body that follows the head.
-func (at *Attempt) answer(out *http.Request) {
-	res := at.Response
-	cn, serial := at.connection()
-	if cn == nil {
-		return
-	}
-	if res.ContentLength > 0 && out.Method != http.MethodHead {
-		cn.expect(serial, res.ContentLength)
-	}
-	if res.ContentLength == 0 || res.Body == nil || res.Body == http.NoBody {
-		cn.end(serial)
-	}
-}
-
-func (at *Attempt) connection() (*conn, uint64) {
+func (at *Attempt) connection() (cn *conn, before int64) {
 	at.mu.Lock()
 	defer at.mu.Unlock()
-	return at.cn, at.serial
-}
-
-// Finish says that the answer's body was read to its end.
-func (at *Attempt) Finish() {
-	if cn, serial := at.connection(); cn != nil {
-		cn.end(serial)
-	}
+	return at.cn, at.before
 }
 
 // Outcome tells how a failed attempt ended, and why. An attempt of which no
 // byte was written has not run; any other may have.
 func (at *Attempt) Outcome() (result.Outcome, result.Reason) {
-	cn, _ := at.connection()
+	cn, before := at.connection()
 	if cn == nil && !at.sent.Load() {
 		return result.NotRun, result.ReasonConnect
 	}
-	if cn != nil && cn.written.Load() == at.before {
+	if cn != nil && !cn.wrote(before) {
 		return result.NotRun, result.ReasonBroken
 	}
 	return result.MayHaveRun, result.ReasonBroken
@@ -249,7 +230,6 @@
 			return &CopyError{Reading: true, Err: err}
 		}
 	}
-	at.Finish()
 	for name, values := range res.Trailer {
 		if !result.IsControl(name) {
 			w.Header()[http.TrailerPrefix+name] = values
--- /dev/null
+++ b/internal/path/proxy/proxy_test.go
@@ -0,0 +1,300 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// serveRaw answers each request on a loopback listener with what fn returns.
+func serveRaw(t *testing.T, fn func(req *http.Request) string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer cn.Close()
+				br := bufio.NewReader(cn)
+				for {
+					req, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if _, err := io.WriteString(cn, fn(req)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func newRequest(t *testing.T, method, addr, path string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+addr+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Body = Body(nil)
+	return req
+}
+
+// TestSurplusUnderLoad: a server sends, with each answer and in the same write,
+// a second one that nobody asked for. The next request waits for that very
+// connection (there is only one), so it gets it the moment that the answer
+// ends. It must not be given the surplus: it has not run, and is told so.
+func TestSurplusUnderLoad(t *testing.T) {
+	const stolen = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen"
+	for _, tc := range []struct{ name, format string }{
+		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: %[1]d\r\n\r\n%[2]s"},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\n\r\n"},
+		{"chunked, with trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n%[1]x\r\n%[2]s\r\n0\r\nX: y\r\n\r\n"},
+		{"without a body", "HTTP/1.1 204 No Content\r\nX-Len: %[1]d\r\nX-Path: %[2]s\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := serveRaw(t, func(req *http.Request) string {
+				return fmt.Sprintf(tc.format, len(req.URL.Path), req.URL.Path) + stolen
+			})
+			fw := New(Options{MaxConns: 1})
+			defer fw.Close()
+			var wg conc.WaitGroup
+			for w := range 4 {
+				wg.Go(func() {
+					for i := range 100 {
+						path := fmt.Sprintf("/%d-%d", w, i)
+						at := fw.Do(newRequest(t, "GET", addr, path))
+						if at.Response == nil {
+							if oc, _ := at.Outcome(); oc != result.NotRun {
+								t.Errorf("%s: %s, %v", path, oc, at.Err)
+							}
+							continue
+						}
+						text, err := io.ReadAll(at.Response.Body)
+						at.Response.Body.Close()
+						if got := string(text) + at.Response.Header.Get("X-Path"); err != nil || got != path {
+							t.Errorf("%s was answered with %q, %v", path, got, err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// TestGreeting: a server that speaks first is not speaking HTTP, and nothing of
+// the request was sent to it.
+func TestGreeting(t *testing.T) {
+	client, server := net.Pipe()
+	defer server.Close()
+	fw := New(Options{Dial: func(context.Context, string) (net.Conn, error) { return client, nil }})
+	go func() { _, _ = io.WriteString(server, "220 mail ready\r\n") }()
+	cn := newConn(client)
+	if _, err := cn.Read(make([]byte, 10)); !errors.Is(err, errSurplus) {
+		t.Errorf("reading a greeting: %v", err)
+	}
+	if _, err := cn.Write([]byte("x")); !errors.Is(err, errSurplus) {
+		t.Errorf("writing after a greeting: %v", err)
+	}
+	fw.Close()
+}
+
+// TestOutcome: what is said of a failed attempt follows from what was written.
+func TestOutcome(t *testing.T) {
+	refused := errors.New("refused")
+	for _, tc := range []struct {
+		name   string
+		dial   func() (net.Conn, error)
+		want   result.Outcome
+		reason result.Reason
+	}{
+		{"no connection", func() (net.Conn, error) { return nil, refused }, result.NotRun, result.ReasonConnect},
+		{"closed before the request", func() (net.Conn, error) {
+			client, server := net.Pipe()
+			server.Close()
+			return &brokenConn{Conn: client}, nil
+		}, result.MayHaveRun, result.ReasonBroken},
+		{"closed after a byte", func() (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				_, _ = server.Read(make([]byte, 1))
+				server.Close()
+			}()
+			return client, nil
+		}, result.MayHaveRun, result.ReasonBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			fw := New(Options{Dial: func(context.Context, string) (net.Conn, error) { return tc.dial() }})
+			at := fw.Do(newRequest(t, "POST", "10.0.0.1:1", "/"))
+			if oc, re := at.Outcome(); at.Err == nil || oc != tc.want || re != tc.reason {
+				t.Errorf("%s, %s (%v); want %s, %s", oc, re, at.Err, tc.want, tc.reason)
+			}
+		})
+	}
+}
+
+// brokenConn waits when read and fails when written, as a connection does whose
+// other side went away unseen.
+type brokenConn struct {
+	net.Conn
+}
+
+func (bc *brokenConn) Read(p []byte) (int, error)  { select {} }
+func (bc *brokenConn) Write(p []byte) (int, error) { return 0, io.ErrClosedPipe }
+
+func TestClean(t *testing.T) {
+	hdr := http.Header{
+		"Connection": {"keep-alive, X-Hop", "close"}, "X-Hop": {"1"}, "Te": {"trailers"}, "Transfer-Encoding": {"chunked"},
+		"Upgrade": {"h2c"}, "Expect": {"100-continue"}, "Keep-Alive": {"5"}, "Flamingomast-Outcome": {"not-run"},
+		"X-Kept": {"1"}, "Idempotency-Key": {"k"}, "Content-Type": {"text/plain"},
+	}
+	Clean(hdr)
+	var left []string
+	for name := range hdr {
+		left = append(left, name)
+	}
+	slices.Sort(left)
+	if got := strings.Join(left, " "); got != "Content-Type Idempotency-Key X-Kept" {
+		t.Errorf("left are %s", got)
+	}
+}
+
+// TestCopyStreams: what a server has flushed of an answer without a length
+// reaches the caller before the answer goes on.
+func TestCopyStreams(t *testing.T) {
+	next := make(chan bool)
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "one")
+		_ = http.NewResponseController(w).Flush()
+		<-next
+		_, _ = io.WriteString(w, "two")
+	}))
+	defer back.Close()
+	fw := New(Options{})
+	defer fw.Close()
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		at := fw.Do(newRequest(t, "GET", strings.TrimPrefix(back.URL, "http://"), "/"))
+		defer at.Response.Body.Close()
+		CopyHead(w, at.Response, nil)
+		if err := Copy(w, at); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer front.Close()
+	res, err := http.Get(front.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	buf := make([]byte, 3)
+	if _, err := io.ReadFull(res.Body, buf); err != nil || string(buf) != "one" {
+		t.Fatalf("read %q, %v", buf, err)
+	}
+	close(next)
+	if rest, err := io.ReadAll(res.Body); err != nil || string(rest) != "two" {
+		t.Errorf("then %q, %v", rest, err)
+	}
+}
+
+// BenchmarkHop compares one forwarding hop with the transport alone.
+func BenchmarkHop(b *testing.B) {
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer back.Close()
+	addr := strings.TrimPrefix(back.URL, "http://")
+	run := func(name string, do func(*http.Request) (*http.Response, error)) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				req, err := http.NewRequestWithContext(b.Context(), "GET", "http://"+addr, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				req.Body = Body(nil)
+				res, err := do(req)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+			}
+		})
+	}
+	tr := &http.Transport{DisableCompression: true}
+	defer tr.CloseIdleConnections()
+	fw := New(Options{})
+	defer fw.Close()
+	run("transport", tr.RoundTrip)
+	run("forwarder", func(req *http.Request) (*http.Response, error) {
+		at := fw.Do(req)
+		return at.Response, at.Err
+	})
+}
+
+// TestSlowWriter: a caller that takes nothing of a large answer holds a bounded
+// memory: the copy stops reading once the caller's connection is full.
+func TestSlowWriter(t *testing.T) {
+	pr, pw := io.Pipe()
+	go func() {
+		buf := make([]byte, 32<<10)
+		for {
+			if _, err := pw.Write(buf); err != nil {
+				return
+			}
+		}
+	}()
+	rec := &blockingWriter{header: http.Header{}, block: make(chan struct{})}
+	done := make(chan error, 1)
+	go func() {
+		done <- Copy(rec, &Attempt{Response: &http.Response{Body: pr, ContentLength: 1 << 30}})
+	}()
+	select {
+	case err := <-done:
+		t.Fatalf("the copy ended: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(rec.block)
+	if err := <-done; err == nil {
+		t.Error("no error from a caller that went away")
+	}
+	pr.Close()
+	if rec.most > bufSize {
+		t.Errorf("%d bytes at once, bound %d", rec.most, bufSize)
+	}
+}
+
+type blockingWriter struct {
+	header http.Header
+	block  chan struct{}
+	most   int
+}
+
+func (bw *blockingWriter) Header() http.Header { return bw.header }
+func (bw *blockingWriter) WriteHeader(int)     {}
+func (bw *blockingWriter) Write(p []byte) (int, error) {
+	bw.most = max(bw.most, len(p))
+	<-bw.block
+	return 0, errors.New("gone")
+}
