path: load, faults and hostile callers in virtual time; pick by latency too

Cause: the policies had no measurement. Ruled out: load alone (2 random choices saw 4 slots with one request as the better one).

--- /dev/null
+++ b/internal/path/outlet/edge_test.go
@@ -0,0 +1,406 @@
+package outlet_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
+)
+
+// raw sends bytes to the outlet and returns the answer's first line and all of
+// it, or what came until the connection ended.
+func (rg *rig) raw(text string) (first, all string) {
+	rg.t.Helper()
+	cn, err := net.Dial("tcp", strings.TrimPrefix(rg.front.URL, "http://"))
+	if err != nil {
+		rg.t.Fatal(err)
+	}
+	defer cn.Close()
+	if err := cn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		rg.t.Fatal(err)
+	}
+	go func() { _, _ = io.WriteString(cn, text) }()
+	b, _ := io.ReadAll(cn)
+	first, _, _ = strings.Cut(string(b), "\r\n")
+	return first, string(b)
+}
+
+// TestHostileCallers: forged headers, smuggled requests, bad targets and
+// oversized heads are refused at the edge. The backend server sees nothing of
+// them, and others are served on.
+func TestHostileCallers(t *testing.T) {
+	for _, tc := range []struct{ name, text, want string }{
+		{"forged target", "GET / HTTP/1.1\r\nHost: booking\r\nFlamingomast-Vm: vm-0\r\nConnection: close\r\n\r\n", "400"},
+		{"forged outcome", "GET / HTTP/1.1\r\nHost: booking\r\nflamingomast-outcome: answered\r\nConnection: close\r\n\r\n", "400"},
+		{"bad timeout", "GET / HTTP/1.1\r\nHost: booking\r\nFlamingomast-Timeout-Ms: -1\r\nConnection: close\r\n\r\n", "400"},
+		{"upgrade", "GET / HTTP/1.1\r\nHost: booking\r\nConnection: Upgrade, close\r\nUpgrade: websocket\r\n\r\n", "501"},
+		{"connect", "CONNECT booking:80 HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n\r\n", "501"},
+		{"asterisk", "OPTIONS * HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n\r\n", ""},
+		{"dot segment past a rule", "GET /x/../once/a HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n\r\n", "400"},
+		{"escaped dot segment", "GET /x/%2e%2e/once/a HTTP/1.1\r\nHost: booking\r\nConnection: close\r\n\r\n", "400"},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: booking\r\nContent-Length: 1\r\nContent-Length: 5\r\n\r\nxGET /smuggled", "400"},
+		{"bad length", "POST / HTTP/1.1\r\nHost: booking\r\nContent-Length: +1\r\n\r\nx", "400"},
+		{"bad coding", "POST / HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", "501"},
+		{"space before colon", "GET / HTTP/1.1\r\nHost: booking\r\nContent-Length : 5\r\n\r\nhello", "400"},
+		{"folded header", "GET / HTTP/1.1\r\nHost: booking\r\nX: a\r\n b\r\nConnection: close\r\n\r\n", ""},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: booking\r\nHost: portal\r\n\r\n", "400"},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", "400"},
+		{"huge head", "GET / HTTP/1.1\r\nHost: booking\r\nX: " + strings.Repeat("x", 1<<20) + "\r\n\r\n", "431"},
+		{"huge body", "POST / HTTP/1.1\r\nHost: booking\r\nContent-Length: 99999999999\r\n\r\n", "413"},
+		{"unknown host", "GET / HTTP/1.1\r\nHost: nobody\r\nConnection: close\r\n\r\n", "404"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rs := newRaw(t, answerOK)
+			rg := newRig(t, rs.addr)
+			first, all := rg.raw(tc.text)
+			if tc.want != "" && !strings.HasPrefix(first, "HTTP/1.1 "+tc.want) {
+				t.Errorf("answered %q, want %s", first, tc.want)
+			}
+			if tc.want != "" && rs.count() > 0 {
+				t.Errorf("the server saw %d requests", rs.count())
+			}
+			if strings.Contains(all, "smuggled") {
+				t.Errorf("a smuggled request was answered: %q", all)
+			}
+			if an := rg.do(rg.request("GET", "/a", "")); an.status != http.StatusOK {
+				t.Errorf("another caller got %+v", an)
+			}
+		})
+	}
+}
+
+// TestSmuggling: a request with both a length and a coding. One hop might go by
+// the one and the next by the other; here it is framed anew, and the server
+// sees one request.
+func TestSmuggling(t *testing.T) {
+	var mu sync.Mutex
+	var seen []string
+	rs := newRaw(t, func(cn net.Conn, n int, req *http.Request) bool {
+		body, _ := io.ReadAll(req.Body)
+		mu.Lock()
+		seen = append(seen, fmt.Sprintf("%s %s %q %d", req.Method, req.URL.Path, body, len(req.TransferEncoding)))
+		mu.Unlock()
+		return answerOK(cn, n, req)
+	})
+	rg := newRig(t, rs.addr)
+	rg.raw("POST /a HTTP/1.1\r\nHost: booking\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n" +
+		"3\r\nabc\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: booking\r\n\r\n")
+	mu.Lock()
+	defer mu.Unlock()
+	if len(seen) != 1 || seen[0] != `POST /a "abc" 1` {
+		t.Errorf("the server saw %q", seen)
+	}
+}
+
+// TestPassedOn: what passes both hops and what does not.
+func TestPassedOn(t *testing.T) {
+	var got http.Header
+	var host, method, uri string
+	back := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got, host, method, uri = r.Header.Clone(), r.Host, r.Method, r.RequestURI
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Flamingomast-Outcome", "not-run")
+		w.Header().Set("Flamingomast-Load", "0/0/99")
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("Trailer", "X-Sum")
+		w.WriteHeader(http.StatusAccepted)
+		_, _ = io.WriteString(w, "body")
+		w.Header().Set("X-Sum", "7")
+	}))
+	rg := newRig(t, back)
+	req := rg.request("PATCH", "/a%2Fb/c?q=1&q=2", "text", "X-Hop-Too", "1", "Connection", "X-Hop-Too", "Flamingomast-Timeout-Ms", "1500", "Idempotency-Key", "k")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || string(body) != "body" || res.StatusCode != http.StatusAccepted || res.Trailer.Get("X-Sum") != "7" {
+		t.Errorf("answer %d %q, trailer %v, %v", res.StatusCode, body, res.Trailer, err)
+	}
+	for name := range res.Header {
+		if strings.HasPrefix(name, "Flamingomast-") || name == "X-Hop" {
+			t.Errorf("the answer bears %s", name)
+		}
+	}
+	if host != "booking" || method != "PATCH" || uri != "/a%2Fb/c?q=1&q=2" || got.Get("Idempotency-Key") != "k" || got.Get("X-Hop-Too") != "" {
+		t.Errorf("the server saw %s %s%s %v", method, host, uri, got)
+	}
+	for name := range got {
+		if strings.HasPrefix(name, "Flamingomast-") && name != "Flamingomast-Timeout-Ms" {
+			t.Errorf("the server saw %s", name)
+		}
+	}
+	if ms := got.Get("Flamingomast-Timeout-Ms"); ms == "" || ms > "1500" {
+		t.Errorf("the server was given %q ms of 1500", ms)
+	}
+}
+
+// TestLargeBodies: a body above what is buffered, with and without a length,
+// passes whole. When the first server's slots are full it is refused before
+// any of the body is read, and goes whole to the other.
+func TestLargeBodies(t *testing.T) {
+	back := func() string {
+		return startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n, err := io.Copy(io.Discard, r.Body)
+			_, _ = fmt.Fprintf(w, "%d %v", n, err)
+		}))
+	}
+	rg := newRig(t, back(), back())
+	rg.vms[0].in.Gate.Configure(0, nil)
+	const size = 3 << 20
+	for _, chunked := range []bool{false, true} {
+		req := rg.request("POST", "/a", "")
+		var r io.Reader = bytes.NewReader(make([]byte, size))
+		if chunked {
+			r = io.MultiReader(r)
+		}
+		req.Body = io.NopCloser(r)
+		req.ContentLength = size
+		if chunked {
+			req.ContentLength = -1
+		}
+		if an := rg.do(req); an.body != fmt.Sprintf("%d <nil>", size) {
+			t.Errorf("chunked %t: %+v", chunked, an)
+		}
+	}
+}
+
+// TestEndlessBody: a body without a length that goes beyond the limit ends with
+// an error, and memory stays bounded since it is never kept.
+func TestEndlessBody(t *testing.T) {
+	rs := newRaw(t, func(_ net.Conn, _ int, req *http.Request) bool { drainBody(req); return false })
+	rg := newRig(t, rs.addr)
+	req := rg.request("POST", "/always/a", "")
+	req.Body = io.NopCloser(io.LimitReader(zeros{}, proxy.MaxBody+1<<20))
+	req.ContentLength = -1
+	if an := rg.do(req); an.err == nil && an.status < 400 {
+		t.Errorf("got %+v", an)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestSlowCallers: callers that send their body a byte at a time, or do not
+// read their answer, hold a slot until their deadline and no longer; others
+// are served meanwhile.
+func TestSlowCallers(t *testing.T) {
+	big := strings.Repeat("x", 32<<20)
+	back := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/short/big" {
+			_, _ = io.WriteString(w, big)
+		}
+	}))
+	rg := newRig(t, back)
+	addr := strings.TrimPrefix(rg.front.URL, "http://")
+	for _, text := range []string{
+		"POST /short/slow HTTP/1.1\r\nHost: booking\r\nContent-Length: 70000\r\n\r\nx",
+		"POST /short/slow HTTP/1.1\r\nHost: booking\r\nContent-Length: 10\r\n\r\nx",
+		"GET /short/big HTTP/1.1\r\nHost: booking\r\n\r\n",
+	} {
+		cn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer cn.Close()
+		_, _ = io.WriteString(cn, text)
+	}
+	if an := rg.do(rg.request("GET", "/a", "")); an.status != http.StatusOK {
+		t.Errorf("another caller got %+v", an)
+	}
+	eventually(t, func() bool { return rg.vms[0].in.Gate.Load().Running == 0 })
+}
+
+// TestCallerGone: a caller gives up. The server learns it at once through both
+// hops, and its slot is free.
+func TestCallerGone(t *testing.T) {
+	began, ended := make(chan bool, 1), make(chan error, 1)
+	back := startServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		began <- true
+		<-r.Context().Done()
+		ended <- r.Context().Err()
+	}))
+	rg := newRig(t, back)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	rg.do(rg.request("GET", "/a", "").WithContext(ctx))
+	if err := <-ended; err == nil {
+		t.Error("the server did not learn that the caller had gone")
+	}
+	eventually(t, func() bool { return rg.vms[0].in.Gate.Load().Running == 0 })
+}
+
+// TestHTTP2Caller: over HTTP/2 a broken answer must break too.
+func TestHTTP2Caller(t *testing.T) {
+	rs := newRaw(t, func(cn net.Conn, n int, req *http.Request) bool {
+		if req.URL.Path == "/whole" {
+			return answerOK(cn, n, req)
+		}
+		drainBody(req)
+		_, _ = fmt.Fprint(cn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+		return false
+	})
+	rg := newRig(t, rs.addr)
+	var ps http.Protocols
+	ps.SetUnencryptedHTTP2(true)
+	cl := &http.Client{Transport: &http.Transport{Protocols: &ps, TLSClientConfig: &tls.Config{}}}
+	defer cl.CloseIdleConnections()
+	if an := send(cl, rg.request("GET", "/whole", "")); an.body != "ok /whole" {
+		t.Errorf("a whole answer: %+v", an)
+	}
+	if an := send(cl, rg.request("GET", "/half", "")); an.err == nil && an.outcome != "may-have-run" {
+		t.Errorf("a broken answer looked whole: %+v", an)
+	}
+}
+
+// TestVersionAmidRequest: a new version comes, and with it the service and its
+// VMs go, while a request is running and another waits for its second attempt.
+// The request that runs ends whole by the version it began with.
+func TestVersionAmidRequest(t *testing.T) {
+	began, goOn := make(chan bool), make(chan bool)
+	rs := newRaw(t, func(cn net.Conn, n int, req *http.Request) bool {
+		began <- true
+		<-goOn
+		return answerOK(cn, n, req)
+	})
+	rg := newRig(t, rs.addr)
+	var wg conc.WaitGroup
+	var an answer
+	wg.Go(func() { an = rg.do(rg.request("POST", "/once/a", "visit")) })
+	<-began
+	rg.sn = compile(t, "regions: [{name: r}]\nfailure-domains: [{name: a, region: r}]\n")
+	rg.update()
+	if other := rg.do(rg.request("GET", "/b", "")); other.status != http.StatusNotFound || other.outcome != "not-run" {
+		t.Errorf("after the change: %+v", other)
+	}
+	close(goOn)
+	wg.Wait()
+	if an.status != http.StatusOK || an.body != "ok /once/a" {
+		t.Errorf("the request that was running got %+v", an)
+	}
+}
+
+// TestNoConfiguration: an outlet that holds no version yet says so at once.
+func TestNoConfiguration(t *testing.T) {
+	rg := newRig(t)
+	an := rg.do(rg.request("GET", "/a", ""))
+	if an.outcome != "not-run" || an.reason != "no-backend-server" || an.retry != "1" {
+		t.Errorf("without a backend server: %+v", an)
+	}
+}
+
+// FuzzEdge: whatever a caller writes, the outlet answers in HTTP or ends the
+// connection, and the server sees only requests for the host that is served.
+func FuzzEdge(f *testing.F) {
+	f.Add("GET / HTTP/1.1\r\nHost: booking\r\n\r\n")
+	f.Add("POST /a HTTP/1.1\r\nHost: booking\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	rs := newRaw(f, answerOK)
+	rg := newRig(f, rs.addr)
+	addr := strings.TrimPrefix(rg.front.URL, "http://")
+	f.Fuzz(func(t *testing.T, text string) {
+		cn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Skip(err)
+		}
+		defer cn.Close()
+		_ = cn.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(cn, text)
+		_ = cn.(*net.TCPConn).CloseWrite()
+		br := bufio.NewReader(cn)
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		if _, err := http.ReadResponse(br, nil); err != nil {
+			t.Errorf("answered no HTTP: %v", err)
+		}
+	})
+}
+
+// members is a fleet of vms serving VMs of services services.
+func members(vms, services int) (string, *member.View) {
+	var b strings.Builder
+	b.WriteString("regions: [{name: r}]\nfailure-domains: [{name: a, region: r}, {name: b, region: r}, {name: c, region: r}, {name: d, region: r}, {name: e, region: r}]\nservices:\n")
+	for i := range services {
+		fmt.Fprintf(&b, "- {name: s%d, port: 1, slots: 10}\n", i)
+	}
+	b.WriteString("vms:\n")
+	var recs []*member.Record
+	for i := range vms {
+		rc := &member.Record{
+			VM: fmt.Sprint("vm-", i), Domain: string(rune('a' + i%5)), Service: fmt.Sprint("s", i%services), State: member.StateServing,
+			Incarnation: 1, Sequence: 1, Inlet: "10.0.0.1:1", Slots: 10,
+		}
+		recs = append(recs, rc)
+		fmt.Fprintf(&b, "- {name: %s, failure-domain: %s, service: %s}\n", rc.VM, rc.Domain, rc.Service)
+	}
+	vw, _ := (&member.View{}).Merge(recs)
+	return b.String(), vw
+}
+
+func pickTable(tb testing.TB, vms, services int) (*pick.Table, *snap.Service) {
+	text, vw := members(vms, services)
+	table := pick.Build(compile(tb, text), vw, nil, nil)
+	return table, table.Snap.Services["s1"]
+}
+
+// TestPickAllocates: picking is on the path of each request.
+func TestPickAllocates(t *testing.T) {
+	table, sv := pickTable(t, 790, 73)
+	now := time.Now()
+	var tried pick.Tried
+	if n := testing.AllocsPerRun(100, func() { table.Group(sv).Pick(now, &tried, fixed) }); n > 0 {
+		t.Errorf("%v allocations a pick", n)
+	}
+}
+
+func fixed(n int) int { return n / 2 }
+
+func BenchmarkPick(b *testing.B) {
+	for _, services := range []int{2, 73, 700} {
+		table, sv := pickTable(b, 790, services)
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			b.ReportAllocs()
+			now := time.Now()
+			i := 0
+			next := func(n int) int { i++; return i % n }
+			for b.Loop() {
+				var tried pick.Tried
+				if table.Group(sv).Pick(now, &tried, next) == nil {
+					b.Fatal("no server")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	text, vw := members(790, 73)
+	sn := compile(b, text)
+	var tb *pick.Table
+	b.ReportAllocs()
+	for b.Loop() {
+		tb = pick.Build(sn, vw, nil, tb)
+	}
+}
--- /dev/null
+++ b/internal/path/outlet/load_test.go
@@ -0,0 +1,532 @@
+package outlet_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/path/inlet"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
+)
+
+// memNet connects outlets, inlets and backend servers inside a bubble, over
+// net.Pipe, so that load runs in virtual time.
+type memNet struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+}
+
+type pipeListener struct {
+	addr  string
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func (pl *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case cn := <-pl.conns:
+		return cn, nil
+	case <-pl.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (pl *pipeListener) Close() error {
+	pl.once.Do(func() { close(pl.done) })
+	return nil
+}
+
+func (pl *pipeListener) Addr() net.Addr  { return pl }
+func (pl *pipeListener) Network() string { return "mem" }
+func (pl *pipeListener) String() string  { return pl.addr }
+
+func (mn *memNet) dial(ctx context.Context, addr string) (net.Conn, error) {
+	mn.mu.Lock()
+	pl := mn.listeners[addr]
+	mn.mu.Unlock()
+	if pl == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case pl.conns <- far:
+		return near, nil
+	case <-pl.done:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serve serves h at addr and returns what ends it.
+func (mn *memNet) serve(addr string, h http.Handler) (stop func()) {
+	pl := &pipeListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
+	mn.mu.Lock()
+	mn.listeners[addr] = pl
+	mn.mu.Unlock()
+	hs := &http.Server{Handler: h}
+	go func() { _ = hs.Serve(pl) }()
+	return func() { _ = hs.Close() }
+}
+
+// backend is a backend server with as many workers as slots, which takes the
+// requests in their order and does not see that a caller has given up.
+type backend struct {
+	work    func() time.Duration
+	workers chan struct{}
+	// fail, when set, may answer in place of working.
+	fail func(w http.ResponseWriter, r *http.Request) bool
+	// call, when set, makes the server call another service.
+	call func(r *http.Request) int
+
+	mu  sync.Mutex
+	ran int
+}
+
+func (be *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	be.mu.Lock()
+	be.ran++
+	be.mu.Unlock()
+	if be.fail != nil && be.fail(w, r) {
+		return
+	}
+	be.workers <- struct{}{}
+	time.Sleep(be.work())
+	<-be.workers
+	if be.call != nil {
+		if status := be.call(r); status != http.StatusOK {
+			w.WriteHeader(status)
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "ok")
+}
+
+func (be *backend) runs() int {
+	be.mu.Lock()
+	defer be.mu.Unlock()
+	return be.ran
+}
+
+const (
+	slots = 4
+	work  = 20 * time.Millisecond
+)
+
+func uniform(mean time.Duration) func() time.Duration {
+	return func() time.Duration { return mean/2 + rand.N(mean) }
+}
+
+// loadRig is a mesh with one outlet in virtual time.
+type loadRig struct {
+	t   *testing.T
+	mn  *memNet
+	out *outlet.Outlet
+	// front is where requests go: out, or a baseline.
+	front  http.Handler
+	rules  string
+	recs   []*member.Record
+	gates  []*limit.Gate
+	back   []*backend
+	stops  []func()
+	closes []*proxy.Forwarder
+}
+
+// loadRules declares vms VMs of the service booking, in turn in the failure
+// domains a, b and c, and two classes.
+func loadRules(vms int, more string) string {
+	var b strings.Builder
+	b.WriteString("regions: [{name: r}]\nfailure-domains: [{name: a, region: r}, {name: b, region: r}, {name: c, region: r}]\n")
+	fmt.Fprintf(&b, "services: [{name: booking, port: 1, slots: %d, deadline: 1s}]\n", slots)
+	b.WriteString("classes: [{name: confirm, share: 50, queue: 8}, {name: default, share: 25, queue: 4}]\n")
+	b.WriteString("routes: [{name: c, match: {host: booking, path-prefix: /confirm}, to: [{service: booking, weight: 1}], class: confirm}]\nvms:\n")
+	for i := range vms {
+		fmt.Fprintf(&b, "- {name: vm-%d, failure-domain: %s, service: booking}\n", i, []string{"a", "b", "c"}[i%3])
+	}
+	b.WriteString(more)
+	return b.String()
+}
+
+const anyDomain = "placements: [{service: booking, order: [any], spill: true}]\n"
+
+func newLoadRig(t *testing.T, vms int, more string) *loadRig {
+	lr := &loadRig{t: t, mn: &memNet{listeners: map[string]*pipeListener{}}, rules: loadRules(vms, more)}
+	lr.out = outlet.New(outlet.Options{Forwarder: lr.forwarder()})
+	lr.front = lr.out
+	for i := range vms {
+		lr.addVM(i)
+	}
+	lr.update()
+	return lr
+}
+
+func (lr *loadRig) forwarder() *proxy.Forwarder {
+	fw := proxy.New(proxy.Options{Dial: lr.mn.dial})
+	lr.closes = append(lr.closes, fw)
+	return fw
+}
+
+func (lr *loadRig) addVM(i int) {
+	name := fmt.Sprint("vm-", i)
+	be := &backend{work: uniform(work), workers: make(chan struct{}, slots)}
+	lr.stops = append(lr.stops, lr.mn.serve(name+":1", be))
+	in := inlet.New(lr.forwarder())
+	rec := &member.Record{
+		VM: name, Domain: []string{"a", "b", "c"}[i%3], Incarnation: 1, Sequence: 1, State: member.StateServing,
+		Service: "booking", Slots: slots, Inlet: name + ":2",
+	}
+	in.SetTarget(inlet.Target{VM: name, Process: pick.Process(rec), Service: "booking", Addr: name + ":1"})
+	in.Gate.Configure(slots, []limit.Class{{Name: "confirm", Share: 50, Queue: 8}, {Name: "default", Share: 25, Queue: 4}})
+	lr.stops = append(lr.stops, lr.mn.serve(rec.Inlet, in))
+	lr.recs, lr.gates, lr.back = append(lr.recs, rec), append(lr.gates, in.Gate), append(lr.back, be)
+}
+
+func (lr *loadRig) update() {
+	vw, _ := (&member.View{}).Merge(lr.recs)
+	lr.out.SetTable(pick.Build(compile(lr.t, lr.rules), vw, nil, lr.out.Table()))
+}
+
+func (lr *loadRig) close() {
+	for _, fw := range lr.closes {
+		fw.Close()
+	}
+	for _, stop := range lr.stops {
+		stop()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// tally counts what callers got.
+type tally struct {
+	mu                            sync.Mutex
+	good, notRun, mayHaveRun, bad int
+	latency, refusal              []time.Duration
+}
+
+func (ta *tally) add(rec *httptest.ResponseRecorder, took time.Duration) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	switch oc := rec.Header().Get("Flamingomast-Outcome"); {
+	case oc == "not-run":
+		ta.notRun++
+		ta.refusal = append(ta.refusal, took)
+	case oc != "":
+		ta.mayHaveRun++
+	case rec.Code != http.StatusOK:
+		ta.bad++
+	default:
+		ta.good++
+		ta.latency = append(ta.latency, took)
+	}
+}
+
+func (ta *tally) total() int { return ta.good + ta.notRun + ta.mayHaveRun + ta.bad }
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[int(q*float64(len(list)-1))]
+}
+
+// send sends one request to the outlet.
+func (lr *loadRig) send(path string, ta *tally) {
+	lr.sendTo(lr.front, "booking", path, nil, ta)
+}
+
+func (lr *loadRig) sendTo(h http.Handler, host, path string, hdr http.Header, ta *tally) int {
+	req := httptest.NewRequest(http.MethodGet, path, nil)
+	req.Host = host
+	for k, v := range hdr {
+		req.Header[k] = v
+	}
+	rec := httptest.NewRecorder()
+	began := time.Now()
+	func() {
+		defer func() {
+			if v := recover(); v != nil {
+				rec.Code = http.StatusTeapot
+			}
+		}()
+		h.ServeHTTP(rec, req)
+	}()
+	if ta != nil {
+		ta.add(rec, time.Since(began))
+	}
+	return rec.Code
+}
+
+// load sends requests at a rate, at random intervals, for a time.
+func (lr *loadRig) load(rate float64, span time.Duration, path func() string) *tally {
+	ta := &tally{}
+	var wg conc.WaitGroup
+	mean := time.Duration(float64(time.Second) / rate)
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		time.Sleep(time.Duration(rand.ExpFloat64() * float64(mean)))
+		p := path()
+		wg.Go(func() { lr.send(p, ta) })
+	}
+	wg.Wait()
+	return ta
+}
+
+func always(path string) func() string { return func() string { return path } }
+
+// TestGoodput loads two servers with once, twice and five times what their
+// slots can serve. The protected class keeps to 0.3 of the capacity, below its
+// share of half the slots; all the rest is of another class. What they serve
+// in time must stay near their capacity, the protected class near its unloaded
+// latency, and who is refused must learn it at once.
+func TestGoodput(t *testing.T) {
+	const vms = 2
+	capacity := float64(vms*slots) / work.Seconds()
+	const span = 5 * time.Second
+	const protected = 0.3
+	run := func(times float64, spoil func(*loadRig)) (lookup, confirm *tally) {
+		synctest.Test(t, func(t *testing.T) {
+			lr := newLoadRig(t, vms, anyDomain)
+			defer lr.close()
+			spoil(lr)
+			var wg conc.WaitGroup
+			wg.Go(func() { confirm = lr.load(min(times, 1)*protected*capacity, span, always("/confirm")) })
+			lookup = lr.load((times-min(times, 1)*protected)*capacity, span, always("/lookup"))
+			wg.Wait()
+		})
+		return lookup, confirm
+	}
+	_, light := run(0.1, func(*loadRig) {})
+	unloaded := quantile(light.latency, 0.99)
+	t.Logf("capacity %.0f/s; unloaded 99th %s", capacity, unloaded)
+	for _, times := range []float64{1, 2, 5} {
+		lookup, confirm := run(times, func(*loadRig) {})
+		good := float64(lookup.good+confirm.good) / span.Seconds()
+		refused := quantile(slices.Concat(lookup.refusal, confirm.refusal), 0.99)
+		t.Logf("%.0f x: goodput %.1f%% of capacity; protected: %d of %d answered, 99th %s; others: %d of %d; refused in %s (99th)",
+			times, 100*good/capacity, confirm.good, confirm.total(), quantile(confirm.latency, 0.99), lookup.good, lookup.total(), refused)
+		if times > 1 && good < 0.95*capacity {
+			t.Errorf("%.0f x: goodput %.0f/s of %.0f/s", times, good, capacity)
+		}
+		if got := quantile(confirm.latency, 0.99); got > 2*unloaded {
+			t.Errorf("%.0f x: protected 99th %s, unloaded %s", times, got, unloaded)
+		}
+		if confirm.good < confirm.total() {
+			t.Errorf("%.0f x: %d of %d protected requests answered", times, confirm.good, confirm.total())
+		}
+	}
+	// The baseline: no limit at the inlet.
+	lookup, confirm := run(5, func(lr *loadRig) {
+		for _, ga := range lr.gates {
+			ga.Configure(1_000_000, nil)
+		}
+	})
+	good := float64(lookup.good+confirm.good) / span.Seconds()
+	t.Logf("5 x without limits: goodput %.1f%% of capacity, protected 99th %s", 100*good/capacity, quantile(confirm.latency, 0.99))
+}
+
+// attempts returns how many requests the servers have seen.
+func (lr *loadRig) attempts() int {
+	n := 0
+	for _, be := range lr.back {
+		n += be.runs()
+	}
+	return n
+}
+
+func abort(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+
+// TestThirdFails: a third of the servers take each request and break the
+// connection. Safe requests are sent again, but the servers must see few more
+// requests than callers sent, and callers few failures; when the servers are
+// well again, the requests to them must come back without a peak.
+func TestThirdFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 6, anyDomain)
+		defer lr.close()
+		for _, be := range lr.back[:2] {
+			be.fail = abort
+		}
+		ta := lr.load(200, 10*time.Second, always("/lookup"))
+		per := float64(lr.attempts()) / float64(ta.total())
+		t.Logf("attempts per request %.3f; %d of %d answered", per, ta.good, ta.total())
+		if per > 1.2 || ta.good < ta.total()*99/100 {
+			t.Errorf("attempts per request %.3f, answered %d of %d", per, ta.good, ta.total())
+		}
+		for _, be := range lr.back[:2] {
+			be.fail = nil
+		}
+		before := lr.attempts()
+		ta = lr.load(200, 40*time.Second, always("/lookup"))
+		per = float64(lr.attempts()-before) / float64(ta.total())
+		share := float64(lr.back[0].runs()+lr.back[1].runs()) / float64(lr.attempts())
+		t.Logf("recovered: attempts per request %.3f, share of the recovered third %.2f", per, share)
+		if per > 1.02 || ta.good < ta.total() {
+			t.Errorf("after recovery: attempts per request %.3f, answered %d of %d", per, ta.good, ta.total())
+		}
+	})
+}
+
+// TestThirdFailsThreeDeep: the same where each request makes two more, one
+// below the other. A retry at each level must not multiply.
+func TestThirdFailsThreeDeep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 6, anyDomain)
+		defer lr.close()
+		for i, be := range lr.back {
+			be.work = uniform(time.Millisecond)
+			be.call = func(r *http.Request) int {
+				if r.URL.Path == "/1/1" {
+					return http.StatusOK
+				}
+				hdr := http.Header{"Flamingomast-Timeout-Ms": r.Header["Flamingomast-Timeout-Ms"]}
+				return lr.sendTo(lr.out, "booking", r.URL.Path+"/1", hdr, nil)
+			}
+			if i < 2 {
+				be.fail = abort
+			}
+		}
+		ta := lr.load(60, 10*time.Second, always("/1"))
+		// A request without failures is seen twice: once at each level.
+		per := float64(lr.attempts()) / float64(2*ta.total())
+		t.Logf("attempts per call %.3f; %d of %d answered", per, ta.good, ta.total())
+		if per > 1.3 || ta.good < ta.total()*98/100 {
+			t.Errorf("attempts per call %.3f, answered %d of %d", per, ta.good, ta.total())
+		}
+	})
+}
+
+// TestMisleadingServers: one of six servers fails at once while it looks idle,
+// crawls, is new, or sheds. Few requests may be hurt by it.
+func TestMisleadingServers(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		spoil func(lr *loadRig)
+		// hurt is the most requests that may fail, and share the range of the
+		// odd server's part of the requests.
+		hurt     float64
+		low, top float64
+	}{
+		{"fails at once with 500", func(lr *loadRig) {
+			lr.back[0].fail = func(w http.ResponseWriter, _ *http.Request) bool {
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+		}, 0.02, 0, 0.02},
+		{"crawls", func(lr *loadRig) { lr.back[0].work = uniform(20 * work) }, 0.01, 0, 0.06},
+		{"is well", func(*loadRig) {}, 0, 0.12, 0.22},
+		{"sheds", func(lr *loadRig) {
+			lr.back[0].fail = func(w http.ResponseWriter, _ *http.Request) bool {
+				w.Header().Set("Flamingomast-Not-Run", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			}
+		}, 0.01, 0, 0.25},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			lr := newLoadRig(t, 6, anyDomain)
+			defer lr.close()
+			tc.spoil(lr)
+			ta := lr.load(400, 10*time.Second, always("/lookup"))
+			hurt := float64(ta.total()-ta.good) / float64(ta.total())
+			share := float64(lr.back[0].runs()) / float64(lr.attempts())
+			t.Logf("%s: hurt %.4f of the requests, its share %.3f, attempts per request %.3f", tc.name, hurt, share, float64(lr.attempts())/float64(ta.total()))
+			if hurt > tc.hurt || share < tc.low || share > tc.top {
+				t.Errorf("%s: hurt %.4f, bound %.4f; share %.3f, from %.3f to %.3f", tc.name, hurt, tc.hurt, share, tc.low, tc.top)
+			}
+		})
+	}
+}
+
+// TestSlowStart: a new server gets a growing share, and its whole one once its
+// time is over.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 6, anyDomain)
+		defer lr.close()
+		lr.rules = strings.Replace(lr.rules, "deadline: 1s", "deadline: 1s, slow-start: 10s", 1)
+		lr.recs[0].Since = time.Now()
+		lr.update()
+		var shares []float64
+		for range 6 {
+			own, all := lr.back[0].runs(), lr.attempts()
+			lr.load(200, 2*time.Second, always("/lookup"))
+			shares = append(shares, float64(lr.back[0].runs()-own)/float64(lr.attempts()-all))
+		}
+		t.Logf("share in each 2 s: %.3f", shares)
+		if shares[0] > 0.08 || shares[5] < 0.12 {
+			t.Errorf("shares %.3f; want a small first and a whole last one", shares)
+		}
+	})
+}
+
+// TestDomainLost: all servers of the callers' own failure domain die at once.
+// Requests that were not in flight there must all be answered by the others.
+func TestDomainLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 6, "")
+		defer lr.close()
+		ta := lr.load(100, 2*time.Second, always("/lookup"))
+		if own := lr.back[0].runs() + lr.back[3].runs(); own < ta.total()*95/100 {
+			t.Errorf("%d of %d requests stayed in the own failure domain", own, ta.total())
+		}
+		inFlight := 0
+		for i := range lr.recs {
+			if lr.recs[i].Domain == "a" {
+				inFlight += lr.gates[i].Load().Running
+				lr.stops[2*i]()
+				lr.stops[2*i+1]()
+			}
+		}
+		ta = lr.load(100, 5*time.Second, always("/lookup"))
+		t.Logf("after the loss: %d of %d answered, %d refused; %d were in flight", ta.good, ta.total(), ta.notRun, inFlight)
+		if ta.good < ta.total() {
+			t.Errorf("%d of %d answered", ta.good, ta.total())
+		}
+	})
+}
+
+// TestDrainUnderLoad: a server drains under load, and the news of it takes two
+// seconds to come. No request fails for it, and none starts there after the
+// order.
+func TestDrainUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 6, anyDomain)
+		defer lr.close()
+		done := make(chan *tally)
+		go func() { done <- lr.load(300, 8*time.Second, always("/lookup")) }()
+		time.Sleep(3 * time.Second)
+		lr.gates[0].Drain()
+		ran := lr.back[0].runs()
+		time.Sleep(2 * time.Second)
+		rec := *lr.recs[0]
+		rec.Sequence, rec.State = 2, member.StateDraining
+		lr.recs[0] = &rec
+		lr.update()
+		ta := <-done
+		if ta.good < ta.total() {
+			t.Errorf("%d of %d answered", ta.good, ta.total())
+		}
+		if after := lr.back[0].runs() - ran; after > slots {
+			t.Errorf("%d requests ran after the order; only those already admitted may", after)
+		}
+	})
+}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -254,7 +254,7 @@
 	if rq.ctx.Err() != nil || rq.tries >= retry.MaxAttempts || !rq.src.replayable() {
 		return false
 	}
-	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate {
+	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate || rf.Reason == result.ReasonShed {
 		if rq.busy++; rq.busy >= maxBusy {
 			return false
 		}
@@ -304,12 +304,13 @@
 // passed on whole; an answer that breaks off ends the caller's connection.
 func (rq *request) attempt(ep *pick.Endpoint) *result.Refusal {
 	rq.tries++
-	ep.Begin(time.Now())
+	began := time.Now()
+	ep.Begin(began)
 	at := rq.ou.fw.Do(rq.outgoing(ep))
 	if at.Response == nil {
 		oc, re := at.Outcome()
 		rf := rq.failure(at, oc, re)
-		ep.End(time.Now(), verdictOf(rf), rq.gp)
+		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
 		return rf
 	}
 	defer at.Response.Body.Close()
@@ -317,7 +318,7 @@
 		ep.SetLoad(ld, time.Now())
 	}
 	if rf := result.FromAnswer(at.Response); rf != nil {
-		ep.End(time.Now(), verdictOf(rf), rq.gp)
+		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
 		// A short body is read to its end, so that the connection is kept.
 		_, _ = io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10))
 		return rf
@@ -326,13 +327,14 @@
 	if at.Response.StatusCode >= http.StatusInternalServerError {
 		vd = pick.Bad
 	}
+	took := time.Since(began)
 	proxy.CopyHead(rq.w, at.Response, nil)
 	err := proxy.Copy(rq.w, at)
 	var ce *proxy.CopyError
 	if errors.As(err, &ce) && ce.Reading && rq.ctx.Err() == nil {
 		vd = pick.Bad
 	}
-	ep.End(time.Now(), vd, rq.gp)
+	ep.End(time.Now(), vd, took, rq.gp)
 	if err != nil {
 		rq.count(result.Ended, result.ReasonBroken)
 		panic(http.ErrAbortHandler)
@@ -350,8 +352,10 @@
 		return pick.Busy
 	case result.ReasonWrongTarget, result.ReasonDraining, result.ReasonNoServer, result.ReasonConnect:
 		return pick.Unreachable
-	case result.ReasonFull, result.ReasonTooLate, result.ReasonShed:
+	case result.ReasonFull, result.ReasonTooLate:
 		return pick.Busy
+	case result.ReasonShed:
+		return pick.Shed
 	case result.ReasonDeadline:
 		// Waiting for a slot until the deadline is no fault of the server;
 		// running until then may be.
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -11,6 +11,8 @@
 const (
 	// loadAge is how long a reported load counts; it fades over that time.
 	loadAge = time.Second
+	// latencyAge is the time after which a latency counts half.
+	latencyAge = 5 * time.Second
 	// stuckAfter is how long a server with requests may answer nothing before
 	// others are preferred to it. A frozen process accepts connections and
 	// requests; only its lack of answers shows it.
@@ -18,6 +20,8 @@
 	// firstEject and mostEject bound how long a failing server is left out.
 	firstEject = time.Second
 	mostEject  = 30 * time.Second
+	// shedRest is how long a server that shed a request is left out.
+	shedRest = 500 * time.Millisecond
 	// failShare is the share of failures, in 1/one, above which a server is
 	// left out; one outcome weighs 1/8.
 	one       = 1 << 16
@@ -50,6 +54,7 @@
 	failing  atomic.Int32  // weighted share of failures, in 1/one
 	ejected  atomic.Int64  // until when it is left out
 	times    atomic.Int32  // how often in a row it was left out
+	latency  atomic.Int64  // weighted mean time of an answer, 0 for unknown
 }
 
 // NewEndpoint returns an endpoint without a past.
@@ -83,14 +88,16 @@
 	Good Verdict = iota
 	// Busy is a refusal for want of room, which is no fault.
 	Busy
+	// Shed is a refusal by the server itself, whose slots may look free.
+	Shed
 	// Bad is a failure, or an answer that the server failed.
 	Bad
 	// Unreachable means that no connection could be made.
 	Unreachable
 )
 
-// End counts a request as ended.
-func (ep *Endpoint) End(now time.Time, vd Verdict, gp *Group) {
+// End counts a request as ended that took as long as took.
+func (ep *Endpoint) End(now time.Time, vd Verdict, took time.Duration, gp *Group) {
 	ep.live.running.Add(-1)
 	if vd != Unreachable {
 		ep.live.answered.Store(now.UnixNano())
@@ -100,10 +107,18 @@
 		// No connection: the daemon or its VM is gone, and no request was lost
 		// to find out. It is left out at once.
 		ep.eject(now)
+	case Shed:
+		// It has few requests and would draw more and more of them.
+		if gp.mayEject(now) {
+			ep.live.ejected.Store(now.Add(shedRest).UnixNano())
+		}
 	case Bad:
 		if ep.weigh(one) > failShare && gp.mayEject(now) {
 			ep.eject(now)
 		}
+	case Good:
+		ep.setLatency(took)
+		fallthrough
 	default:
 		if ep.weigh(0) < one/4 {
 			ep.live.times.Store(0)
@@ -111,6 +126,24 @@
 	}
 }
 
+// setLatency adds the time of an answer to the mean.
+func (ep *Endpoint) setLatency(took time.Duration) {
+	old := ep.live.latency.Load()
+	if old == 0 {
+		old = int64(took)
+	}
+	ep.live.latency.Store(old + (int64(took)-old)/8)
+}
+
+// expectedLatency returns the mean time of an answer, which fades while the
+// server answers nothing, so that one that was slow is tried again; 0 for a
+// server that is not known.
+func (ep *Endpoint) expectedLatency(now time.Time) float64 {
+	lat := float64(ep.live.latency.Load())
+	idle := float64(now.UnixNano() - ep.live.answered.Load())
+	return lat / (1 + max(0, idle)/float64(latencyAge))
+}
+
 // weigh adds an outcome to the share of failures and returns it.
 func (ep *Endpoint) weigh(outcome int32) int32 {
 	for {
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -189,7 +189,14 @@
 	if b == nil {
 		return a, sa
 	}
-	if sb := b.score(now); sb < sa {
+	sb := b.score(now)
+	la, lb := a.expectedLatency(now), b.expectedLatency(now)
+	if la == 0 || lb == 0 {
+		la, lb = 1, 1
+	}
+	// Of two with the same load the one that answers sooner is better: a
+	// server may be slow and say that it has room.
+	if sb*lb < sa*la {
 		return b, sb
 	}
 	return a, sa
