node, mesh: scripts of the commands, settings, daemon and message properties

Cause: the commands and settings had no tests of their messages and statuses. Found: a setting given by a flag was reported with its place in the file; a file that was no YAML was followed by a list of missing settings.

--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -84,6 +84,8 @@
 	fs    *flag.FlagSet
 	lines map[string]strict.Pos
 	prs   strict.Problems
+	// unread is set when the file could not be read at all.
+	unread bool
 }
 
 // New declares the settings as flags of fs.
@@ -109,6 +111,9 @@
 	if rd.fs.NArg() > 0 {
 		rd.prs.Add(strict.Pos{File: "command line"}, fmt.Sprintf("unexpected argument %q", rd.fs.Arg(0)), "settings are given as --name value")
 	}
+	if rd.unread {
+		return Settings{}, rd.prs.Err()
+	}
 	se := rd.check(&rd.raw)
 	return se, rd.prs.Err()
 }
@@ -127,7 +132,7 @@
 		return err
 	}
 	if prs := strict.Decode(file, data, &struct{}{}); len(prs) > 0 && strings.HasPrefix(prs[0].What, "not YAML") {
-		rd.prs = append(rd.prs, prs[0])
+		rd.prs, rd.unread = append(rd.prs, prs[0]), true
 		return nil
 	}
 	var root yaml.Node
@@ -139,7 +144,10 @@
 
 func (rd *Reader) pairs(file string, n *yaml.Node, set func(name, value string) error) error {
 	pos := func(n *yaml.Node) strict.Pos { return strict.Pos{File: file, Line: n.Line, Column: n.Column} }
+	given := map[string]bool{}
+	rd.fs.Visit(func(fl *flag.Flag) { given[fl.Name] = true })
 	if n.Kind != yaml.MappingNode {
+		rd.unread = true
 		rd.prs.Add(pos(n), "the settings must be a mapping", "write each as \"name: value\"")
 		return nil
 	}
@@ -153,6 +161,10 @@
 			rd.prs.Add(pos(k), fmt.Sprintf("setting %q is already on line %d", k.Value, first.Line), "remove one of the two")
 		default:
 			rd.lines[k.Value] = pos(v)
+			if given[k.Value] {
+				// A flag or the environment goes before the file.
+				rd.lines[k.Value] = strict.Pos{}
+			}
 			text, ok := text(v)
 			if !ok {
 				rd.prs.Add(pos(v), fmt.Sprintf("setting %q must be a value or a list of values", k.Value), "")
@@ -195,12 +207,11 @@
 	env := EnvPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
 	given := false
 	rd.fs.Visit(func(fl *flag.Flag) { given = given || fl.Name == name })
-	pos, inFile := rd.lines[name]
 	switch {
+	case rd.lines[name].File != "":
+		return rd.lines[name]
 	case os.Getenv(env) != "":
 		return strict.Pos{File: "environment " + env}
-	case inFile:
-		return pos
 	case given:
 		return strict.Pos{File: "flag --" + name}
 	}
--- /dev/null
+++ b/internal/node/setup/setup_test.go
@@ -0,0 +1,125 @@
+package setup
+
+import (
+	"flag"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/peterbourgon/ff/v3"
+)
+
+// whole has each required setting.
+var whole = map[string]string{
+	"vm": "centro-1", "failure-domain": "sala-centro", "inlet": "127.0.0.1:7001", "control": "127.0.0.1:7002", "platform": "127.0.0.1:7070",
+}
+
+// read reads settings given as a file.
+func read(t *testing.T, text string, args ...string) (Settings, []string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "daemon.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	fs := flag.NewFlagSet("daemon", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	rd := New(fs)
+	if err := ff.Parse(fs, append([]string{"--config", file}, args...), rd.Options()...); err != nil {
+		t.Fatal(err)
+	}
+	se, err := rd.Settings()
+	if err == nil {
+		return se, nil
+	}
+	return se, strings.Split(strings.ReplaceAll(err.Error(), file, "daemon.yaml"), "\n")
+}
+
+func settings(without, more string) string {
+	var b strings.Builder
+	for _, name := range []string{"vm", "failure-domain", "inlet", "control", "platform"} {
+		if name != without {
+			b.WriteString(name + ": " + whole[name] + "\n")
+		}
+	}
+	return b.String() + more
+}
+
+// TestMissing starts with each required setting missing.
+func TestMissing(t *testing.T) {
+	for name := range whole {
+		_, got := read(t, settings(name, ""))
+		remedy := "set it to an address as 10.0.0.1:7000"
+		if name == "vm" || name == "failure-domain" {
+			remedy = "set it to the name that the inventory has"
+		}
+		if diff := cmp.Diff([]string{"settings: " + name + " is not set; " + remedy}, got); diff != "" {
+			t.Errorf("without %s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		args, want []string
+	}{
+		{"none wrong", settings("", ""), nil, nil},
+		{"unknown", settings("", "seed: 127.0.0.1:1\n"), nil, []string{`daemon.yaml:6:1: unknown setting "seed"; did you mean "seeds"?`}},
+		{"twice", settings("", "vm: b\n"), nil, []string{`daemon.yaml:6:1: setting "vm" is already on line 1; remove one of the two`}},
+		{"no mapping", "- a", nil, []string{
+			`daemon.yaml:1:1: the settings must be a mapping; write each as "name: value"`,
+		}},
+		{"not YAML", settings("", "seeds: [\n"), nil, []string{
+			`daemon.yaml:6: not YAML: did not find expected node content; mend the syntax on that line`,
+		}},
+		{"host name", settings("inlet", "inlet: localhost:7001\n"), nil, []string{
+			`daemon.yaml:5:8: inlet is "localhost:7001"; set it to an IP number and a port as 10.0.0.1:7000`,
+		}},
+		{"all listed", settings("control", "control: 127.0.0.1\nseeds: [127.0.0.1:1, x]\nlog-level: loud\naccess-log-sample: 2\ndrain-timeout: soon\n"), nil, []string{
+			`daemon.yaml:5:10: control is "127.0.0.1"; set it to an IP number and a port as 10.0.0.1:7000`,
+			`daemon.yaml:6:8: seeds is "x"; set it to an IP number and a port as 10.0.0.1:7000`,
+			`daemon.yaml:7:12: log-level is "loud"; set it to debug, info, warn or error`,
+			`daemon.yaml:8:20: access-log-sample is "2"; set it to a number from 0 to 1`,
+			`daemon.yaml:9:16: drain-timeout is "soon"; set it to a duration such as 30s`,
+		}},
+		{"same address", settings("control", "control: 127.0.0.1:7001\n"), nil, []string{
+			`daemon.yaml:5:10: inlet and control have the same address 127.0.0.1:7001; give each its own port`,
+		}},
+		{"flag before file", settings("", ""), []string{"--vm", "Centro"}, []string{
+			`flag --vm: vm is "Centro"; set it to the name that the inventory has: 1 to 63 of a-z, 0-9, "-" and "."`,
+		}},
+		{"argument", settings("", ""), []string{"x"}, []string{`command line: unexpected argument "x"; settings are given as --name value`}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, got := read(t, tc.text, tc.args...)
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestPrecedence: a flag goes before the environment, which goes before the
+// file.
+func TestPrecedence(t *testing.T) {
+	t.Setenv("FLAMINGOMAST_FAILURE_DOMAIN", "from-environment")
+	t.Setenv("FLAMINGOMAST_VM", "from-environment")
+	se, prs := read(t, settings("", ""), "--vm", "from-flag")
+	if prs != nil || se.VM != "from-flag" || se.Domain != "from-environment" || se.Inlet != whole["inlet"] {
+		t.Errorf("settings %s, problems %v", se, prs)
+	}
+}
+
+// TestSecret: the mesh token is in no printed form of the settings.
+func TestSecret(t *testing.T) {
+	se, _ := read(t, settings("", "mesh-token: hush\n"))
+	if se.Token != "hush" {
+		t.Fatalf("token %q", se.Token)
+	}
+	if s := se.String() + se.LogValue().String(); strings.Contains(s, "hush") {
+		t.Errorf("printed as %s", s)
+	}
+}
--- /dev/null
+++ b/internal/path/limit/limit_test.go
@@ -0,0 +1,207 @@
+package limit
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+var classes = []Class{{Name: "confirm", Share: 50, Queue: 4}, {Name: "lookup", Share: 25, Queue: 2}}
+
+// TestExact: whatever comes and goes, never do more requests run than there are
+// slots, none is granted a slot that is not free, and none is forgotten.
+func TestExact(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type job struct {
+			class          string
+			at, work, wait int
+		}
+		jobs := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) job {
+			return job{
+				class: rapid.SampledFrom([]string{"confirm", "lookup", "other"}).Draw(t, "class"),
+				at:    rapid.IntRange(0, 50).Draw(t, "at"), work: rapid.IntRange(1, 20).Draw(t, "work"), wait: rapid.IntRange(1, 30).Draw(t, "wait"),
+			}
+		}), 1, 40).Draw(rt, "jobs")
+		slots := rapid.IntRange(1, 6).Draw(rt, "slots")
+		drainAt := rapid.IntRange(0, 80).Draw(rt, "drain")
+		synctest.Test(t, func(t *testing.T) {
+			ga := New()
+			ga.Configure(slots, classes)
+			var running, most, done atomic.Int64
+			var wg conc.WaitGroup
+			for _, jb := range jobs {
+				wg.Go(func() {
+					time.Sleep(time.Duration(jb.at) * time.Millisecond)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(jb.wait)*time.Millisecond)
+					defer cancel()
+					tk, rf := ga.Enter(ctx, jb.class)
+					done.Add(1)
+					if rf != nil {
+						if rf.Outcome != result.NotRun {
+							t.Errorf("refused with %s", rf.Outcome)
+						}
+						return
+					}
+					if n := running.Add(1); n > most.Load() {
+						most.Store(n)
+					}
+					time.Sleep(time.Duration(jb.work) * time.Millisecond)
+					running.Add(-1)
+					tk.Leave()
+				})
+			}
+			time.Sleep(time.Duration(drainAt) * time.Millisecond)
+			_, idle := ga.Drain()
+			<-idle
+			if n := running.Load(); n != 0 {
+				t.Errorf("idle with %d running", n)
+			}
+			wg.Wait()
+			if most.Load() > int64(slots) || done.Load() != int64(len(jobs)) {
+				t.Errorf("%d ran at once in %d slots; %d of %d came back", most.Load(), slots, done.Load(), len(jobs))
+			}
+			if ld := ga.Load(); ld.Running != 0 || ld.Waiting != 0 {
+				t.Errorf("left over: %+v", ld)
+			}
+		})
+	})
+}
+
+// fill takes n slots for a class.
+func fill(t *testing.T, ga *Gate, class string, n int) []*Ticket {
+	t.Helper()
+	var list []*Ticket
+	for range n {
+		tk, rf := ga.Enter(t.Context(), class)
+		if rf != nil {
+			t.Fatalf("refused: %+v", rf)
+		}
+		list = append(list, tk)
+	}
+	return list
+}
+
+// TestShare: one class has borrowed all slots. Of those that wait, the class
+// below its share gets each slot that becomes free, until it has its share and
+// both use theirs alike; the class declared first then goes first.
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := New()
+		ga.Configure(4, classes)
+		held := fill(t, ga, "lookup", 4)
+		order := make(chan string, 10)
+		end := make(chan struct{})
+		defer close(end)
+		enter := func(class string) {
+			go func() {
+				if tk, rf := ga.Enter(t.Context(), class); rf == nil {
+					order <- class
+					<-end
+					tk.Leave()
+				}
+			}()
+			synctest.Wait()
+		}
+		enter("lookup")
+		enter("confirm")
+		enter("confirm")
+		enter("confirm")
+		var got []string
+		for _, tk := range held {
+			tk.Leave()
+			got = append(got, <-order)
+		}
+		want := []string{"confirm", "confirm", "confirm", "lookup"}
+		for i := range want {
+			if got[i] != want[i] {
+				t.Fatalf("order %v, want %v", got, want)
+			}
+		}
+	})
+}
+
+// TestHopeless: a request that cannot be served before its deadline is refused
+// at once, and told when to come back by the rate at which slots become free.
+func TestHopeless(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := New()
+		ga.Configure(1, classes)
+		// Slots are held for two seconds each.
+		for range 50 {
+			tk := fill(t, ga, "lookup", 1)[0]
+			time.Sleep(2 * time.Second)
+			tk.Leave()
+		}
+		fill(t, ga, "lookup", 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		_, rf := ga.Enter(ctx, "lookup")
+		if took := time.Since(began); rf == nil || rf.Reason != result.ReasonTooLate || took != 0 {
+			t.Errorf("refused with %+v after %s", rf, took)
+		}
+		if rf.RetryAfter < 1500*time.Millisecond || rf.RetryAfter > 4*time.Second {
+			t.Errorf("told to come back in %s, where a slot becomes free every 2 s", rf.RetryAfter)
+		}
+	})
+}
+
+// TestFull: the queue of a class is as long as declared, and the others are not
+// touched by it.
+func TestFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := New()
+		ga.Configure(2, classes)
+		fill(t, ga, "lookup", 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for range 2 {
+			go func() { _, _ = ga.Enter(ctx, "lookup") }()
+		}
+		synctest.Wait()
+		if _, rf := ga.Enter(t.Context(), "lookup"); rf == nil || rf.Reason != result.ReasonFull {
+			t.Errorf("the third that waits: %+v", rf)
+		}
+		go func() { _, _ = ga.Enter(ctx, "confirm") }()
+		synctest.Wait()
+		if ld := ga.Load(); ld.Waiting != 3 {
+			t.Errorf("%d wait, want 3", ld.Waiting)
+		}
+	})
+}
+
+// TestReconfigured: slots shrink below what runs. Nothing that runs is ended,
+// and nothing new begins until enough has ended.
+func TestReconfigured(t *testing.T) {
+	ga := New()
+	ga.Configure(4, classes)
+	held := fill(t, ga, "lookup", 4)
+	ga.Configure(1, nil)
+	for i, tk := range held {
+		if _, rf := ga.Enter(t.Context(), "lookup"); rf == nil {
+			t.Fatalf("entered with %d running in 1 slot", len(held)-i)
+		}
+		tk.Leave()
+	}
+	fill(t, ga, "lookup", 1)
+}
+
+func BenchmarkGate(b *testing.B) {
+	ga := New()
+	ga.Configure(100, classes)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if tk, rf := ga.Enter(b.Context(), "lookup"); rf == nil {
+				tk.Leave()
+			}
+		}
+	})
+}
