--- a/internal/conf/pack/pack_test.go
+++ b/internal/conf/pack/pack_test.go
@@ -79,6 +79,19 @@
 	})
 }
 
+// TestWrongContent: a delta that decodes well, and whose content is not the one
+// that it names, is refused: the checksum of the transfer does not see that.
+func TestWrongContent(t *testing.T) {
+	a := New([]Resource{{Key: Key{Kind: KindVM, Name: "a"}, Body: []byte("1")}})
+	b := New([]Resource{{Key: Key{Kind: KindVM, Name: "a"}, Body: []byte("2")}})
+	dt := Diff(a, b)
+	dt.Set[0].Body = []byte("3")
+	var me *MismatchError
+	if co, err := Apply(a, dt); !errors.As(err, &me) {
+		t.Errorf("a wrong content was taken: %v, %v", co, err)
+	}
+}
+
 func FuzzUnmarshal(f *testing.F) {
 	f.Add(Marshal(Diff(nil, New([]Resource{{Key: Key{Kind: KindVM, Name: "a"}, Body: []byte("{}")}}))))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/mesh/ctrl/message_test.go
+++ b/internal/mesh/ctrl/message_test.go
@@ -162,3 +162,26 @@
 		}
 	})
 }
+
+// TestFloorSettles: a new process is welcomed by a plain member, which keeps
+// nobody's floor, and by a relay that knows what the VM held. Only the relay's
+// word may let it take a version, and none below the floor.
+func TestFloorSettles(t *testing.T) {
+	nd := New(Config{VM: "vm-x", Domain: "d0", Control: "x:1"})
+	defer nd.end()
+	welcome := func(vm string, relay bool, floor uint64) *board.Floor {
+		pr := link.New(link.Stream{Abort: func() {}}, nd.offer)
+		pr.Outgoing = true
+		nd.handle(pr, &wirepb.Packet{
+			Hello:   &wirepb.Hello{Relay: relay, Latest: 2, Record: (&member.Record{VM: vm, Domain: "d0", Incarnation: 1}).ToWire()},
+			Welcome: &wirepb.Welcome{Floor: floor},
+		})
+		return nd.Board.Floor.Get()
+	}
+	if fl := welcome("vm-m", false, 0); fl.Settled || fl.Version != 2 {
+		t.Errorf("after a plain member's word: %+v", fl)
+	}
+	if fl := welcome("vm-r", true, 5); !fl.Settled || fl.Version != 5 {
+		t.Errorf("after a relay's word: %+v", fl)
+	}
+}
--- a/internal/path/limit/limit_test.go
+++ b/internal/path/limit/limit_test.go
@@ -94,7 +94,7 @@
 func TestShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ga := New()
-		ga.Configure(4, classes)
+		ga.Configure(4, []Class{classes[1], classes[0]})
 		held := fill(t, ga, "lookup", 4)
 		order := make(chan string, 10)
 		end := make(chan struct{})
@@ -118,7 +118,7 @@
 			tk.Leave()
 			got = append(got, <-order)
 		}
-		want := []string{"confirm", "confirm", "confirm", "lookup"}
+		want := []string{"confirm", "confirm", "lookup", "confirm"}
 		for i := range want {
 			if got[i] != want[i] {
 				t.Fatalf("order %v, want %v", got, want)
--- a/internal/path/outlet/edge_test.go
+++ b/internal/path/outlet/edge_test.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,8 +202,8 @@
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
 
 // TestSlowCallers: callers that send their body a byte at a time, or do not
-// read their answer, hold a slot until their deadline and no longer; others
-// are served meanwhile.
+// read their answer, hold a slot and the outlet's memory until their deadline
+// and no longer; others are served meanwhile.
 func TestSlowCallers(t *testing.T) {
 	big := strings.Repeat("x", 32<<20)
 	back := startServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -211,7 +213,14 @@
 		}
 	}))
 	rg := newRig(t, back)
-	addr := strings.TrimPrefix(rg.front.URL, "http://")
+	var serving atomic.Int64
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serving.Add(1)
+		defer serving.Add(-1)
+		rg.outlet.ServeHTTP(w, r)
+	}))
+	defer front.Close()
+	addr := strings.TrimPrefix(front.URL, "http://")
 	for _, text := range []string{
 		"POST /short/slow HTTP/1.1\r\nHost: booking\r\nContent-Length: 70000\r\n\r\nx",
 		"POST /short/slow HTTP/1.1\r\nHost: booking\r\nContent-Length: 10\r\n\r\nx",
@@ -224,10 +233,11 @@
 		defer cn.Close()
 		_, _ = io.WriteString(cn, text)
 	}
+	eventually(t, func() bool { return serving.Load() == 3 })
 	if an := rg.do(rg.request("GET", "/a", "")); an.status != http.StatusOK {
 		t.Errorf("another caller got %+v", an)
 	}
-	eventually(t, func() bool { return rg.vms[0].in.Gate.Load().Running == 0 })
+	eventually(t, func() bool { return rg.vms[0].in.Gate.Load().Running == 0 && serving.Load() == 0 })
 }
 
 // TestCallerGone: a caller gives up. The server learns it at once through both
--- a/internal/plat/guard/guard_test.go
+++ b/internal/plat/guard/guard_test.go
@@ -30,12 +30,13 @@
 			_, err := kv.Watch(t.Context(), "a", 0, 25*time.Second)
 			watched <- err
 		}()
+		synctest.Wait()
+		if _, err := kv.Get(t.Context(), "a"); err != nil {
+			t.Errorf("the first call beside the watch: %v", err)
+		}
 		if err := <-watched; err != nil {
 			t.Errorf("the first watch: %v", err)
 		}
-		if _, err := kv.Get(t.Context(), "a"); err != nil {
-			t.Errorf("the first call after the watch: %v", err)
-		}
 	})
 }
 
