--- /dev/null
+++ b/cmd/flamingomast/measure_test.go
@@ -0,0 +1,396 @@
+//go:build measure
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
+)
+
+// These measurements run outside CI, since their figures are times:
+//
+//	go test -tags measure -run TestMeasure -v ./cmd/flamingomast
+
+// plainBuild builds the command without the race detector.
+func plainBuild(t *testing.T) {
+	t.Helper()
+	buildOnce.Do(func() {
+		dir, err := os.MkdirTemp("", "flamingomast-measure")
+		if err != nil {
+			buildErr = err
+			return
+		}
+		binary = filepath.Join(dir, "flamingomast")
+		out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+		if err != nil {
+			buildErr = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatal(buildErr)
+	}
+}
+
+// rss returns a process's resident set in kilobytes, and cpu its processor time.
+func usage(t *testing.T, pr *proc) (rss int, cpu time.Duration) {
+	t.Helper()
+	pid := strconv.Itoa(pr.cmd.Process.Pid)
+	status, err := os.ReadFile("/proc/" + pid + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.SplitSeq(string(status), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			_, _ = fmt.Sscanf(strings.TrimSpace(rest), "%d", &rss)
+		}
+	}
+	stat, err := os.ReadFile("/proc/" + pid + "/stat")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	ticks := 0
+	for _, i := range []int{11, 12} {
+		n, _ := strconv.Atoi(f[i])
+		ticks += n
+	}
+	return rss, time.Duration(ticks) * 10 * time.Millisecond
+}
+
+// targetInventory declares 790 VMs and 73 services in 5 failure domains.
+func targetInventory(deadline int) string {
+	var b strings.Builder
+	b.WriteString("regions: [{name: r0}, {name: r1}]\nfailure-domains:\n")
+	for i := range 5 {
+		fmt.Fprintf(&b, "- {name: d%d, region: r%d}\n", i, i/3)
+	}
+	b.WriteString("classes: [{name: confirm, share: 50}]\nservices:\n")
+	for i := range 73 {
+		fmt.Fprintf(&b, "- {name: s%d, port: 9001, slots: 10, connections: 120}\n", i)
+	}
+	b.WriteString("routes:\n")
+	for i := range 73 {
+		fmt.Fprintf(&b, "- {name: r%d, match: {host: s%d.example, path-prefix: /confirm}, to: [{service: s%d, weight: 1}], class: confirm, repeat: never, deadline: %dms}\n", i, i, i, 1000+deadline*(1-min(i, 1)))
+	}
+	b.WriteString("vms:\n")
+	for i := range 790 {
+		fmt.Fprintf(&b, "- {name: vm-%d, failure-domain: d%d, service: s%d}\n", i, i%5, i%73)
+	}
+	return b.String()
+}
+
+// TestMeasureDaemons runs real daemons of one failure domain of the target and
+// reads their memory and processor time, idle and while the whole starts again.
+func TestMeasureDaemons(t *testing.T) {
+	plainBuild(t)
+	for _, n := range []int{10, 80, 158} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) { measureDaemons(t, n) })
+	}
+}
+
+func measureDaemons(t *testing.T, n int) {
+	me := &mesh{t: t, platform: freeAddr(t), dir: t.TempDir()}
+	me.plat = start(t, "dev-platform", "--listen", me.platform)
+	me.write("m.yaml", targetInventory(0))
+	for i := range n {
+		me.vms = append(me.vms, &vm{
+			name: fmt.Sprint("vm-", 5*i), domain: "d0", service: fmt.Sprint("s", 5*i%73),
+			outlet: freeAddr(t), inlet: freeAddr(t), control: freeAddr(t), admin: freeAddr(t),
+		})
+	}
+	for _, v := range me.vms[:3] {
+		me.seeds += "," + v.control
+	}
+	me.seeds = me.seeds[1:]
+	eventually(t, "the platform accepts version 1", func() bool {
+		_, code := run(t, "apply", "--platform", me.platform, me.dir)
+		return code == 0
+	})
+	var wg sync.WaitGroup
+	launch := func(list []*vm) {
+		for _, v := range list {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				me.startDaemon(v)
+			}()
+		}
+		wg.Wait()
+	}
+	launch(me.vms)
+	held := func() bool {
+		for _, v := range me.vms {
+			st, err := v.status()
+			if err != nil || st.Version == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	eventually(t, "all hold the version", held)
+	pause := time.NewTimer(20 * time.Second)
+	<-pause.C
+	report := func(what string, span time.Duration, before map[*vm]time.Duration) {
+		var mem, cpu [2][]float64
+		for _, v := range me.vms {
+			rss, used := usage(t, v.daemon)
+			k := 0
+			if v.relay(t) {
+				k = 1
+			}
+			mem[k] = append(mem[k], float64(rss)/1024)
+			if before != nil {
+				cpu[k] = append(cpu[k], 100*(used-before[v]).Seconds()/span.Seconds())
+			}
+		}
+		for k, role := range []string{"member", "relay"} {
+			if len(mem[k]) > 0 {
+				t.Logf("%d daemons, %s, %s (%d): resident MB median %.1f most %.1f; processor %% median %.2f most %.2f", n, what, role, len(mem[k]), mid(mem[k]), slices.Max(mem[k]), mid(cpu[k]), top(cpu[k]))
+			}
+		}
+	}
+	before := map[*vm]time.Duration{}
+	for _, v := range me.vms {
+		_, before[v] = usage(t, v.daemon)
+	}
+	span := 20 * time.Second
+	pause.Reset(span)
+	<-pause.C
+	report("idle", span, before)
+	for _, v := range me.vms {
+		_, before[v] = usage(t, v.daemon)
+	}
+	began := time.Now()
+	for i := range 20 {
+		me.write("m.yaml", targetInventory(i+1))
+		if out, code := run(t, "apply", "--platform", me.platform, "--base", fmt.Sprint(i+1), me.dir); code != 0 {
+			t.Fatal(out)
+		}
+	}
+	eventually(t, "all hold version 21", func() bool {
+		for _, v := range me.vms {
+			if st, err := v.status(); err != nil || st.Version != 21 {
+				return false
+			}
+		}
+		return true
+	})
+	report("20 changes", time.Since(began), before)
+	// All but the relays die and come back at once.
+	var again []*vm
+	for _, v := range me.vms {
+		if !v.relay(t) {
+			again = append(again, v)
+			v.daemon.signal(syscall.SIGKILL)
+		}
+	}
+	for _, v := range again {
+		<-v.daemon.done
+	}
+	began = time.Now()
+	launch(again)
+	eventually(t, "all hold the version again", held)
+	t.Logf("%d daemons: %d die and come back at once: all hold the version after %s (with the start of the processes)", n, len(again), time.Since(began).Round(time.Millisecond))
+	report("storm", time.Since(began), nil)
+}
+
+func mid(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+func top(list []float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	return slices.Max(list)
+}
+
+// relay tells whether a VM's daemon is a relay.
+func (v *vm) relay(t *testing.T) bool {
+	res, err := http.Get("http://" + v.admin + "/debug/vars")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	var vars struct {
+		Flamingomast struct {
+			Relay bool `json:"relay"`
+		} `json:"flamingomast"`
+	}
+	if err := json.NewDecoder(res.Body).Decode(&vars); err != nil {
+		t.Fatal(err)
+	}
+	return vars.Flamingomast.Relay
+}
+
+// TestMeasurePath compares, in one run and in turn, a direct call, a call by
+// one bare forwarding hop, and the whole path of outlet and inlet, all in
+// processes of their own but for the caller and the bare hop.
+func TestMeasurePath(t *testing.T) {
+	plainBuild(t)
+	me := newMesh(t)
+	v := me.vms[1]
+	serverAddr := freeAddr(t)
+	v.server = start(t, "dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--listen", serverAddr)
+	me.apply("")
+	me.servedBy(me.vms[0], v.name)
+	hop := bareHop(t, serverAddr)
+	targets := map[string]string{"direct": serverAddr, "one bare hop": hop, "outlet and inlet": me.vms[0].outlet, "outlet and inlet of one VM": v.outlet}
+	names := []string{"direct", "one bare hop", "outlet and inlet", "outlet and inlet of one VM"}
+	lat := map[string][]float64{}
+	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	call := func(addr string) time.Duration {
+		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/visits", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "booking"
+		began := time.Now()
+		res, err := cl.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			t.Fatalf("%s: status %d", addr, res.StatusCode)
+		}
+		return time.Since(began)
+	}
+	for i := range 4 * 6000 {
+		name := names[i%len(names)]
+		d := call(targets[name])
+		if i > 4*500 {
+			lat[name] = append(lat[name], float64(d.Microseconds())/1000)
+		}
+		pause := time.NewTimer(rand.N(400 * time.Microsecond))
+		<-pause.C
+	}
+	for _, name := range names {
+		slices.Sort(lat[name])
+		q := func(p float64) float64 { return lat[name][int(p*float64(len(lat[name])-1))] }
+		t.Logf("%s: median %.3f ms, 99th %.3f ms, added to direct %.3f and %.3f", name, q(.5), q(.99), q(.5)-mid(lat["direct"]), q(.99)-lat["direct"][int(.99*float64(len(lat["direct"])-1))])
+	}
+	// Throughput by processor time: requests for each second of a core.
+	load := func(addr string, pids ...*proc) float64 {
+		var before time.Duration
+		for _, pr := range pids {
+			_, u := usage(t, pr)
+			before += u
+		}
+		var wg sync.WaitGroup
+		const each, workers = 2000, 8
+		for range workers {
+			wg.Go(func() {
+				for range each {
+					call(addr)
+				}
+			})
+		}
+		wg.Wait()
+		var after time.Duration
+		for _, pr := range pids {
+			_, u := usage(t, pr)
+			after += u
+		}
+		return each * workers / (after - before).Seconds()
+	}
+	bare := startBareHop(t, serverAddr)
+	hop = bare.addr
+	eventually(t, "the bare hop answers", func() bool {
+		_, err := http.Get("http://" + hop)
+		return err == nil
+	})
+	outletOnly := load(me.vms[0].outlet, me.vms[0].daemon)
+	bareOnly := load(hop, bare.proc)
+	t.Logf("requests a core-second: outlet daemon %.0f, bare forwarder process on the same transport %.0f, ratio %.2f", outletOnly, bareOnly, outletOnly/bareOnly)
+}
+
+// bareProc is a bare forwarding hop in a process of its own.
+type bareProc struct {
+	*proc
+	addr string
+}
+
+// bareHopTo names the environment variable that makes the test binary a bare
+// forwarding hop: the address to listen on and the one to forward to.
+const bareHopTo = "FLAMINGOMAST_TEST_BARE_HOP"
+
+func init() {
+	listen, to, ok := strings.Cut(os.Getenv(bareHopTo), ">")
+	if !ok {
+		return
+	}
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		panic(err)
+	}
+	panic((&http.Server{Handler: bareHandler(to)}).Serve(ln))
+}
+
+func startBareHop(t *testing.T, to string) bareProc {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bp := bareProc{proc: &proc{t: t, cmd: exec.Command(self), log: &bytes.Buffer{}, done: make(chan struct{})}, addr: freeAddr(t)}
+	bp.cmd.Env = append(os.Environ(), bareHopTo+"="+bp.addr+">"+to)
+	if err := bp.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = bp.cmd.Process.Kill()
+		_ = bp.cmd.Wait()
+	})
+	return bp
+}
+
+// bareHop serves a forwarding hop without any policy, in this process.
+func bareHop(t *testing.T, to string) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hs := &http.Server{Handler: bareHandler(to)}
+	go func() { _ = hs.Serve(ln) }()
+	t.Cleanup(func() { hs.Close() })
+	return ln.Addr().String()
+}
+
+func bareHandler(to string) http.Handler {
+	fw := proxy.New(proxy.Options{})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out := proxy.Outgoing(r.Context(), r, to)
+		out.Body = proxy.Body(nil)
+		at := fw.Do(out)
+		if at.Response == nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer at.Response.Body.Close()
+		proxy.CopyHead(w, at.Response, nil)
+		_ = proxy.Copy(w, at)
+	})
+}
