--- a/cmd/flamingomast/process_test.go
+++ b/cmd/flamingomast/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/node/addrs"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 )
 
@@ -113,12 +113,11 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := addrs.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // run runs a command of the binary to its end.
--- a/internal/conf/pack/delta.go
+++ b/internal/conf/pack/delta.go
@@ -124,7 +124,7 @@
 const window = 128 << 10
 
 var (
-	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+	encoder = must(zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
 		zstd.WithWindowSize(window), zstd.WithSingleSegment(false)))
 	decoder = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
 		zstd.WithDecoderMaxMemory(MaxDecoded)))
--- a/internal/conf/pack/history.go
+++ b/internal/conf/pack/history.go
@@ -2,9 +2,10 @@
 
 import "sync"
 
-// keepBases is how many contents a History keeps as bases of deltas. Contents
+// keepBases is how many contents a History keeps as bases of deltas. Who is
+// farther behind gets the whole, which is not much larger than many deltas. Contents
 // share the bodies of equal resources, so each costs little.
-const keepBases = 32
+const keepBases = 8
 
 // History keeps the newest contents and encodes deltas between them, each once
 // however many peers ask for it.
--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -17,6 +17,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
 )
 
@@ -76,7 +77,7 @@
 
 // cutDomain cuts a failure domain off from all others.
 func (fl *fleet) cutDomain(domain string) {
-	fl.nw.setCut(func(a, b *host) bool { return (a.domain == domain) != (b.domain == domain) })
+	fl.nw.SetCut(func(a, b *memnet.Host) bool { return (a.Domain == domain) != (b.Domain == domain) })
 }
 
 // allKnown waits until the fleet is whole again: all VMs current and known.
@@ -123,7 +124,7 @@
 	scenario(t, func(fl *fleet) {
 		name := "vm-004"
 		old := fl.nodes[name]
-		fl.nw.setCut(func(a, b *host) bool { return a == old.ho || b == old.ho })
+		fl.nw.SetCut(func(a, b *memnet.Host) bool { return a == old.ho || b == old.ho })
 		time.Sleep(15 * time.Second)
 		delete(fl.nodes, name)
 		fresh := fl.startNode(fl.declared(name))
@@ -131,7 +132,7 @@
 			rc := fl.nodes["vm-000"].Board.Members.Get().Get(name)
 			return rc.Nonce == fresh.Board.Self.Get().Nonce && rc.Serving()
 		})
-		fl.nw.setCut(nil)
+		fl.nw.SetCut(nil)
 		fl.waitFor("the old process knows that it was replaced", convergeLimit, func() bool { return old.Board.Replaced.Get() != nil })
 		if fresh.Board.Replaced.Get() != nil {
 			fl.t.Error("the new process took itself for replaced")
@@ -224,7 +225,7 @@
 					}
 				}
 				fl.setPlatformCut()
-				fl.nw.setCut(nil)
+				fl.nw.SetCut(nil)
 				fl.allKnown(v)
 			})
 		})
@@ -342,16 +343,14 @@
 func TestDamagedDelta(t *testing.T) {
 	scenario(t, func(fl *fleet) {
 		damaged := 0
-		fl.nw.mu.Lock()
-		fl.nw.corrupt = func(from, to *host, p []byte) []byte {
+		fl.nw.SetCorrupt(func(_, _ *memnet.Host, p []byte) []byte {
 			// zstd frames begin with this number; what follows is content.
 			if i := bytes.Index(p, []byte{0x28, 0xb5, 0x2f, 0xfd}); i >= 0 && damaged < 10 && i+12 < len(p) {
 				damaged++
 				p[i+8+damaged%4] ^= 0x55
 			}
 			return p
-		}
-		fl.nw.mu.Unlock()
+		})
 		v := fl.apply(changed(fl.ms, 10), 1)
 		fl.allKnown(v)
 		if damaged == 0 {
@@ -372,15 +371,15 @@
 func TestFrozenHosts(t *testing.T) {
 	scenario(t, func(fl *fleet) {
 		frozen := fl.relaysOf("d0")
-		fl.nw.setCut(func(a, b *host) bool {
-			return slices.Contains(frozen, strings.TrimSuffix(a.addr, ":7000")) != slices.Contains(frozen, strings.TrimSuffix(b.addr, ":7000"))
+		fl.nw.SetCut(func(a, b *memnet.Host) bool {
+			return slices.Contains(frozen, strings.TrimSuffix(a.Addr, ":7000")) != slices.Contains(frozen, strings.TrimSuffix(b.Addr, ":7000"))
 		})
 		v := fl.apply(changed(fl.ms, 11), 1)
 		fl.waitFor("all others hold the version", convergeLimit, func() bool {
 			return slices.Equal(fl.behind(v), fl.behind(v)) && len(slices.DeleteFunc(fl.behind(v), func(n string) bool { return slices.Contains(frozen, n) })) == 0
 		})
 		time.Sleep(30 * time.Second)
-		fl.nw.setCut(nil)
+		fl.nw.SetCut(nil)
 		fl.allKnown(v)
 	})
 }
@@ -400,7 +399,7 @@
 		fl.restart(names[1:]...)
 		fl.waitHeld(v, 2*convergeLimit)
 		next := fl.apply(changed(fl.ms, 13), v)
-		fl.nw.setCut(nil)
+		fl.nw.SetCut(nil)
 		fl.setPlatformCut()
 		fl.allKnown(next)
 	})
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
@@ -24,7 +25,7 @@
 // fleet is a platform and daemons' control parts on an in-memory network.
 type fleet struct {
 	t     *testing.T
-	nw    *network
+	nw    *memnet.Network
 	st    *stand.Stand
 	ms    *decl.Mesh
 	nodes map[string]*testNode
@@ -38,7 +39,7 @@
 type testNode struct {
 	*Node
 	vm     decl.VM
-	ho     *host
+	ho     *memnet.Host
 	guard  *guard.Guard
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -90,16 +91,16 @@
 }
 
 func newFleet(t *testing.T, ms *decl.Mesh) *fleet {
-	fl := &fleet{t: t, nw: newNetwork(), st: stand.New(), ms: ms, nodes: map[string]*testNode{}, versions: map[string]*uint64{}}
+	fl := &fleet{t: t, nw: memnet.New(), st: stand.New(), ms: ms, nodes: map[string]*testNode{}, versions: map[string]*uint64{}}
 	regions := map[string]string{}
 	for _, dm := range ms.Domains {
 		regions[dm.Name] = regionOf(ms, dm.Name)
 	}
-	fl.nw.latency = func(a, b *host) time.Duration {
+	fl.nw.Latency = func(a, b *memnet.Host) time.Duration {
 		switch {
-		case a.domain == b.domain:
+		case a.Domain == b.Domain:
 			return withinDomain
-		case regions[a.domain] == regions[b.domain]:
+		case regions[a.Domain] == regions[b.Domain]:
 			return betweenDomains
 		}
 		return betweenRegions
@@ -178,12 +179,12 @@
 // startNode starts a process of a VM at the VM's address.
 func (fl *fleet) startNode(vm decl.VM) *testNode {
 	addr := vm.Name + ":7000"
-	ho, ln := fl.nw.listen(addr, vm.Domain)
+	ho, ln := fl.nw.Listen(addr, vm.Domain)
 	gd := guard.New(fl.store(vm.Domain))
 	tn := &testNode{vm: vm, ho: ho, guard: gd, done: make(chan struct{})}
 	tn.Node = New(Config{
 		VM: vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: fl.seeds(vm), Store: gd.Store(),
-		Dial: func(ctx context.Context, to string) (net.Conn, error) { return fl.nw.dial(ctx, ho, to) },
+		Dial: func(ctx context.Context, to string) (net.Conn, error) { return fl.nw.Dial(ctx, ho, to) },
 	})
 	fl.watchVersion(tn)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -199,7 +200,7 @@
 			}
 		}()
 		tn.Run(ctx)
-		fl.nw.reset(ho)
+		fl.nw.Reset(ho)
 		_ = hs.Close()
 		<-served
 	}()
@@ -245,7 +246,7 @@
 func (fl *fleet) kill(names ...string) {
 	for _, name := range names {
 		tn := fl.nodes[name]
-		fl.nw.reset(tn.ho)
+		fl.nw.Reset(tn.ho)
 		tn.cancel()
 		delete(fl.nodes, name)
 		defer func() { <-tn.done }()
--- a/internal/mesh/ctrl/message_test.go
+++ b/internal/mesh/ctrl/message_test.go
@@ -163,6 +163,32 @@
 	})
 }
 
+// TestNewerPeer: a peer of a newer release sends fields that this one does not
+// know, beside a version that it does. The version is taken all the same.
+func TestNewerPeer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ma := newMachine(t)
+		defer ma.nd.end()
+		ma.nd.take(1, ma.contents[0])
+		pk := ma.version(0, 1)
+		// Field 200, a text.
+		pk.ProtoReflect().SetUnknown([]byte{0xc2, 0x0c, 2, 'h', 'i'})
+		pk.Version.ProtoReflect().SetUnknown([]byte{0xc2, 0x0c, 2, 'h', 'i'})
+		raw, err := proto.Marshal(pk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back wirepb.Packet
+		if err := proto.Unmarshal(raw, &back); err != nil {
+			t.Fatal(err)
+		}
+		ma.deliver(&back)
+		if got := ma.nd.Board.HeldVersion(); got != 2 {
+			t.Fatalf("version %d is held, want 2", got)
+		}
+	})
+}
+
 // TestFloorSettles: a new process is welcomed by a plain member, which keeps
 // nobody's floor, and by a relay that knows what the VM held. Only the relay's
 // word may let it take a version, and none below the floor.
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -16,7 +16,7 @@
 )
 
 // traffic is what a node's connections have carried, both ways.
-func (tn *testNode) traffic() int64 { return tn.ho.in.Load() + tn.ho.out.Load() }
+func (tn *testNode) traffic() int64 { return tn.ho.In.Load() + tn.ho.Out.Load() }
 
 // load is the control traffic of one span of time, in bytes a node.
 type load struct {
@@ -162,7 +162,7 @@
 		time.Sleep(time.Minute)
 		next()
 		time.Sleep(5 * time.Second)
-		fl.nw.setCut(nil)
+		fl.nw.SetCut(nil)
 		fl.setPlatformCut()
 		fl.allKnown(v)
 
--- /dev/null
+++ b/internal/node/addrs/doc.go
@@ -0,0 +1,2 @@
+// Package addrs finds free loopback addresses for demonstrations and tests.
+package addrs
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -33,9 +33,9 @@
 	ExitPlatform = 6 // the platform does not answer, or was set back
 )
 
-// memoryLimit is the soft limit of a daemon's heap, below the 32 MB that the
-// whole process may take.
-const memoryLimit = 24 << 20
+// memoryLimit is the soft limit of what the runtime takes, below the 32 MB that the
+// whole process may take with its program text.
+const memoryLimit = 16 << 20
 
 // app holds what the commands share.
 type app struct {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
 	"github.com/flamingomast/flamingomast/internal/plat/remote"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
@@ -80,7 +81,7 @@
 		Store: dm.guard.Store(), Log: dm.log, Dial: dm.bytes.Dialer(dial), Drain: dm.Drain,
 	})
 	dm.Outlet = outlet.New(outlet.Options{Log: dm.log, Sample: se.AccessSample})
-	dm.Inlet = inlet.New(nil)
+	dm.Inlet = inlet.New(proxy.Options{})
 	dm.Inlet.Unreachable = func(inlet.Target) { dm.lost() }
 	return dm
 }
@@ -252,6 +253,8 @@
 	}
 	_ = sv.control.Close()
 	_ = sv.admin.Close()
+	dm.Inlet.Close()
+	dm.Outlet.Close()
 	dm.log.Info("drained", slog.Duration("took", time.Since(began)))
 }
 
--- a/internal/node/daemon/daemon_test.go
+++ b/internal/node/daemon/daemon_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/node/addrs"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
@@ -34,12 +34,11 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := addrs.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // start runs a daemon of the VM vm-0 on kv.
--- a/internal/node/daemon/routing.go
+++ b/internal/node/daemon/routing.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// setGate gives the inlet its slots and classes.
+// setGate gives the inlet its slots, classes and connections.
 func (dm *Daemon) setGate(sn *snap.Snapshot, an *admin.Announcement) {
 	if sn == nil || an == nil {
 		return
@@ -158,6 +158,7 @@
 		classes = append(classes, limit.Class{Name: cl.Name, Share: cl.Share, Queue: cl.Queue})
 	}
 	dm.Inlet.Gate.Configure(slots, classes)
+	dm.Inlet.SetMaxConns(sv.Connections)
 }
 
 // setTarget tells the inlet which backend server is behind it.
--- a/internal/node/demo/demo.go
+++ b/internal/node/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/node/addrs"
 	"github.com/flamingomast/flamingomast/internal/node/daemon"
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
@@ -100,16 +101,6 @@
 
 func (fl *fleet) event(name string, attrs ...any) { fl.op.Log.Info(name, attrs...) }
 
-// freeAddr returns a loopback address that is free at the moment.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func (fl *fleet) start(ctx context.Context) error {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -134,7 +125,7 @@
 	var err error
 	for _, addr := range []*string{&se.Outlet, &se.Inlet, &se.Control, &se.Admin} {
 		var e error
-		*addr, e = freeAddr()
+		*addr, e = addrs.Free()
 		err = errors.Join(err, e)
 	}
 	return se, err
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -27,18 +27,32 @@
 	Gate  *limit.Gate
 	// Unreachable is called when the backend server takes no connection.
 	Unreachable func(Target)
-	fw          *proxy.Forwarder
+	op          proxy.Options
+	fw          atomic.Pointer[proxy.Forwarder]
 	target      atomic.Pointer[Target]
 }
 
-// New returns an inlet without a target; fw leads to the backend server.
-func New(fw *proxy.Forwarder) *Inlet {
-	if fw == nil {
-		fw = proxy.New(proxy.Options{})
+// New returns an inlet without a target; op says how its backend server is
+// reached.
+func New(op proxy.Options) *Inlet {
+	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, op: op}
+	in.fw.Store(proxy.New(op))
+	return in
+}
+
+// SetMaxConns bounds the connections to the backend server; 0 for no bound.
+// Requests that are running keep the connections that they have.
+func (in *Inlet) SetMaxConns(n int) {
+	if n == in.op.MaxConns {
+		return
 	}
-	return &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, fw: fw}
+	in.op.MaxConns = n
+	in.fw.Swap(proxy.New(in.op)).Close()
 }
 
+// Close ends the kept connections.
+func (in *Inlet) Close() { in.fw.Load().Close() }
+
 // SetTarget replaces the target. Requests that are running stay where they are.
 func (in *Inlet) SetTarget(tg Target) { in.target.Store(&tg) }
 
@@ -108,7 +122,7 @@
 
 // forward sends an admitted request to the backend server and its answer back.
 func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, sr *hist.Series) {
-	at := in.fw.Do(in.outgoing(ctx, r, tg))
+	at := in.fw.Load().Do(in.outgoing(ctx, r, tg))
 	if at.Response == nil {
 		rf := in.failure(ctx, r, at, tg)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
--- a/internal/path/outlet/edge_test.go
+++ b/internal/path/outlet/edge_test.go
@@ -312,6 +312,46 @@
 	}
 }
 
+// TestConnections: a service may have three connections and four slots'
+// requests run at once while its bound changes. Never are there more, and all
+// requests are answered.
+func TestConnections(t *testing.T) {
+	var open, most atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hs := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }),
+		ConnState: func(_ net.Conn, cs http.ConnState) {
+			switch cs {
+			case http.StateNew:
+				most.Store(max(most.Load(), open.Add(1)))
+			case http.StateClosed:
+				open.Add(-1)
+			}
+		},
+	}
+	go func() { _ = hs.Serve(ln) }()
+	defer hs.Close()
+	rg := newRig(t, ln.Addr().String())
+	rg.vms[0].in.SetMaxConns(3)
+	var wg conc.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for range 50 {
+				if an := rg.do(rg.request("GET", "/a", "")); an.status != http.StatusOK {
+					t.Errorf("got %+v", an)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if n := most.Load(); n > 3 {
+		t.Errorf("%d connections at once, bound 3", n)
+	}
+}
+
 // TestNoConfiguration: an outlet that holds no version yet says so at once.
 func TestNoConfiguration(t *testing.T) {
 	rg := newRig(t)
--- a/internal/path/outlet/load_test.go
+++ b/internal/path/outlet/load_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,67 +23,19 @@
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 )
 
-// memNet connects outlets, inlets and backend servers inside a bubble, over
-// net.Pipe, so that load runs in virtual time.
-type memNet struct {
-	mu        sync.Mutex
-	listeners map[string]*pipeListener
-}
-
-type pipeListener struct {
-	addr  string
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-}
-
-func (pl *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case cn := <-pl.conns:
-		return cn, nil
-	case <-pl.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (pl *pipeListener) Close() error {
-	pl.once.Do(func() { close(pl.done) })
-	return nil
-}
-
-func (pl *pipeListener) Addr() net.Addr  { return pl }
-func (pl *pipeListener) Network() string { return "mem" }
-func (pl *pipeListener) String() string  { return pl.addr }
-
-func (mn *memNet) dial(ctx context.Context, addr string) (net.Conn, error) {
-	mn.mu.Lock()
-	pl := mn.listeners[addr]
-	mn.mu.Unlock()
-	if pl == nil {
-		return nil, errors.New("connection refused")
-	}
-	near, far := net.Pipe()
-	select {
-	case pl.conns <- far:
-		return near, nil
-	case <-pl.done:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+// serve serves h at addr in virtual time.
+func (lr *loadRig) serve(addr string, h http.Handler) {
+	_, ln := lr.nw.Listen(addr, "")
+	hs := &http.Server{Handler: h}
+	go func() { _ = hs.Serve(ln) }()
+	lr.stops = append(lr.stops, func() { _ = hs.Close() })
 }
 
-// serve serves h at addr and returns what ends it.
-func (mn *memNet) serve(addr string, h http.Handler) (stop func()) {
-	pl := &pipeListener{addr: addr, conns: make(chan net.Conn), done: make(chan struct{})}
-	mn.mu.Lock()
-	mn.listeners[addr] = pl
-	mn.mu.Unlock()
-	hs := &http.Server{Handler: h}
-	go func() { _ = hs.Serve(pl) }()
-	return func() { _ = hs.Close() }
+func (lr *loadRig) dial(ctx context.Context, addr string) (net.Conn, error) {
+	return lr.nw.Dial(ctx, lr.caller, addr)
 }
 
 // backend is a backend server with as many workers as slots, which takes the
@@ -137,9 +88,10 @@
 
 // loadRig is a mesh with one outlet in virtual time.
 type loadRig struct {
-	t   *testing.T
-	mn  *memNet
-	out *outlet.Outlet
+	t      *testing.T
+	nw     *memnet.Network
+	caller *memnet.Host
+	out    *outlet.Outlet
 	// front is where requests go: out, or a baseline.
 	front  http.Handler
 	rules  string
@@ -147,7 +99,7 @@
 	gates  []*limit.Gate
 	back   []*backend
 	stops  []func()
-	closes []*proxy.Forwarder
+	closes []func()
 }
 
 // loadRules declares vms VMs of the service booking, in turn in the failure
@@ -168,7 +120,9 @@
 const anyDomain = "placements: [{service: booking, order: [any], spill: true}]\n"
 
 func newLoadRig(t *testing.T, vms int, more string) *loadRig {
-	lr := &loadRig{t: t, mn: &memNet{listeners: map[string]*pipeListener{}}, rules: loadRules(vms, more)}
+	lr := &loadRig{t: t, nw: memnet.New(), rules: loadRules(vms, more)}
+	lr.nw.Latency = func(*memnet.Host, *memnet.Host) time.Duration { return 0 }
+	lr.caller, _ = lr.nw.Listen("caller:1", "")
 	lr.out = outlet.New(outlet.Options{Forwarder: lr.forwarder()})
 	lr.front = lr.out
 	for i := range vms {
@@ -179,23 +133,24 @@
 }
 
 func (lr *loadRig) forwarder() *proxy.Forwarder {
-	fw := proxy.New(proxy.Options{Dial: lr.mn.dial})
-	lr.closes = append(lr.closes, fw)
+	fw := proxy.New(proxy.Options{Dial: lr.dial})
+	lr.closes = append(lr.closes, fw.Close)
 	return fw
 }
 
 func (lr *loadRig) addVM(i int) {
 	name := fmt.Sprint("vm-", i)
 	be := &backend{work: uniform(work), workers: make(chan struct{}, slots)}
-	lr.stops = append(lr.stops, lr.mn.serve(name+":1", be))
-	in := inlet.New(lr.forwarder())
+	lr.serve(name+":1", be)
+	in := inlet.New(proxy.Options{Dial: lr.dial})
+	lr.closes = append(lr.closes, in.Close)
 	rec := &member.Record{
 		VM: name, Domain: []string{"a", "b", "c"}[i%3], Incarnation: 1, Sequence: 1, State: member.StateServing,
 		Service: "booking", Slots: slots, Inlet: name + ":2",
 	}
 	in.SetTarget(inlet.Target{VM: name, Process: pick.Process(rec), Service: "booking", Addr: name + ":1"})
 	in.Gate.Configure(slots, []limit.Class{{Name: "confirm", Share: 50, Queue: 8}, {Name: "default", Share: 25, Queue: 4}})
-	lr.stops = append(lr.stops, lr.mn.serve(rec.Inlet, in))
+	lr.serve(rec.Inlet, in)
 	lr.recs, lr.gates, lr.back = append(lr.recs, rec), append(lr.gates, in.Gate), append(lr.back, be)
 }
 
@@ -205,8 +160,8 @@
 }
 
 func (lr *loadRig) close() {
-	for _, fw := range lr.closes {
-		fw.Close()
+	for _, fn := range lr.closes {
+		fn()
 	}
 	for _, stop := range lr.stops {
 		stop()
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -76,6 +76,9 @@
 	ou.routing.Store(rt)
 }
 
+// Close ends the kept connections.
+func (ou *Outlet) Close() { ou.fw.Close() }
+
 // Table returns the table in use, nil for none.
 func (ou *Outlet) Table() *pick.Table {
 	if rt := ou.routing.Load(); rt != nil {
--- a/internal/path/outlet/rig_test.go
+++ b/internal/path/outlet/rig_test.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
 )
 
 // rules is what the tests route by. Requests below /once may not be repeated.
@@ -91,7 +92,7 @@
 }
 
 func (rg *rig) addVM(i int, addr string) {
-	vm := &rigVM{in: inlet.New(nil), addr: addr}
+	vm := &rigVM{in: inlet.New(proxy.Options{}), addr: addr}
 	vm.http = httptest.NewServer(vm.in)
 	rg.t.Cleanup(vm.http.Close)
 	vm.rec = &member.Record{
--- a/internal/mesh/ctrl/network_test.go
+++ b/internal/plat/memnet/memnet.go
@@ -1,4 +1,4 @@
-package ctrl
+package memnet
 
 import (
 	"context"
@@ -11,79 +11,87 @@
 	"time"
 )
 
-// network is an in-memory network with latencies, cuts and byte counts. It
-// stands in for real sockets, which a bubble of testing/synctest does not see
-// as idle.
-type network struct {
-	// latency is the time that bytes take between two hosts.
-	latency func(from, to *host) time.Duration
+// Network is a network in memory. Its functions may be set before it is used.
+type Network struct {
+	// Latency is the time that bytes take between two hosts.
+	Latency func(from, to *Host) time.Duration
 
 	mu      sync.Mutex
-	hosts   map[string]*host
+	hosts   map[string]*Host
 	conns   map[*pipe]bool
-	cut     func(a, b *host) bool
+	cut     func(a, b *Host) bool
+	corrupt func(from, to *Host, p []byte) []byte
 	changed chan struct{}
-	// corrupt, when set, may change the bytes of one write.
-	corrupt func(from, to *host, p []byte) []byte
 }
 
-// host is one end point, named by its address.
-type host struct {
-	addr, domain string
-	in, out      atomic.Int64
-	ln           *memListener
+// Host is one end point, named by its address.
+type Host struct {
+	Addr, Domain string
+	// In and Out count the bytes of all its connections; they go on with the
+	// address when a new process takes it.
+	In, Out atomic.Int64
+	ln      *listener
 }
 
-func newNetwork() *network {
-	return &network{
-		hosts: map[string]*host{}, conns: map[*pipe]bool{}, changed: make(chan struct{}),
-		cut:     func(a, b *host) bool { return false },
-		latency: func(a, b *host) time.Duration { return time.Millisecond },
+// New returns a network without hosts, whose latency is a millisecond.
+func New() *Network {
+	return &Network{
+		hosts: map[string]*Host{}, conns: map[*pipe]bool{}, changed: make(chan struct{}),
+		cut:     func(*Host, *Host) bool { return false },
+		Latency: func(*Host, *Host) time.Duration { return time.Millisecond },
 	}
 }
 
-// setCut replaces which hosts cannot reach each other.
-func (nw *network) setCut(cut func(a, b *host) bool) {
+// SetCut replaces which hosts cannot reach each other; nil cuts none. Bytes on
+// their way wait for the cut to heal, as they do in TCP.
+func (nw *Network) SetCut(cut func(a, b *Host) bool) {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	if cut == nil {
-		cut = func(a, b *host) bool { return false }
+		cut = func(*Host, *Host) bool { return false }
 	}
 	nw.cut = cut
 	close(nw.changed)
 	nw.changed = make(chan struct{})
 }
 
-func (nw *network) state(a, b *host) (cut bool, changed <-chan struct{}) {
+// SetCorrupt lets fn change the bytes of each write; nil changes none.
+func (nw *Network) SetCorrupt(fn func(from, to *Host, p []byte) []byte) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.corrupt = fn
+}
+
+func (nw *Network) state(a, b *Host) (cut bool, changed <-chan struct{}) {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	return nw.cut(a, b), nw.changed
 }
 
-// listen makes a host with a listener; an address may be taken again after its
+// Listen makes a host with a listener. An address may be taken again after its
 // listener was closed.
-func (nw *network) listen(addr, domain string) (*host, net.Listener) {
-	ho := &host{addr: addr, domain: domain}
-	ho.ln = &memListener{addr: memAddr(addr), conns: make(chan net.Conn), done: make(chan struct{})}
+func (nw *Network) Listen(addr, domain string) (*Host, net.Listener) {
+	ho := &Host{Addr: addr, Domain: domain}
+	ho.ln = &listener{addr: addrName(addr), conns: make(chan net.Conn), done: make(chan struct{})}
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	if old := nw.hosts[addr]; old != nil {
 		// The counters go on with the address.
-		ho.in.Store(old.in.Load())
-		ho.out.Store(old.out.Load())
+		ho.In.Store(old.In.Load())
+		ho.Out.Store(old.Out.Load())
 	}
 	nw.hosts[addr] = ho
 	return ho, ho.ln
 }
 
-func (nw *network) host(addr string) *host {
+func (nw *Network) host(addr string) *Host {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	return nw.hosts[addr]
 }
 
-// reset ends all connections of a host, as the death of its process does.
-func (nw *network) reset(ho *host) {
+// Reset ends all connections of a host, as the death of its process does.
+func (nw *Network) Reset(ho *Host) {
 	nw.mu.Lock()
 	var list []*pipe
 	for pi := range nw.conns {
@@ -97,7 +105,8 @@
 	}
 }
 
-func (nw *network) dial(ctx context.Context, from *host, addr string) (net.Conn, error) {
+// Dial opens a connection from a host to an address.
+func (nw *Network) Dial(ctx context.Context, from *Host, addr string) (net.Conn, error) {
 	to := nw.host(addr)
 	if to == nil {
 		return nil, errors.New("connection refused")
@@ -114,8 +123,8 @@
 		}
 	}
 	out, back := nw.newPipe(from, to), nw.newPipe(to, from)
-	local := &memConn{r: back, w: out, local: memAddr(from.addr), remote: memAddr(addr)}
-	far := &memConn{r: out, w: back, local: memAddr(addr), remote: memAddr(from.addr)}
+	local := &conn{r: back, w: out, local: addrName(from.Addr), remote: addrName(addr)}
+	far := &conn{r: out, w: back, local: addrName(addr), remote: addrName(from.Addr)}
 	select {
 	case to.ln.conns <- far:
 		return local, nil
@@ -128,19 +137,19 @@
 	}
 }
 
-type memAddr string
+type addrName string
 
-func (ma memAddr) Network() string { return "mem" }
-func (ma memAddr) String() string  { return string(ma) }
+func (ma addrName) Network() string { return "mem" }
+func (ma addrName) String() string  { return string(ma) }
 
-type memListener struct {
-	addr  memAddr
+type listener struct {
+	addr  addrName
 	conns chan net.Conn
 	done  chan struct{}
 	once  sync.Once
 }
 
-func (ml *memListener) Accept() (net.Conn, error) {
+func (ml *listener) Accept() (net.Conn, error) {
 	select {
 	case cn := <-ml.conns:
 		return cn, nil
@@ -149,17 +158,17 @@
 	}
 }
 
-func (ml *memListener) Close() error {
+func (ml *listener) Close() error {
 	ml.once.Do(func() { close(ml.done) })
 	return nil
 }
 
-func (ml *memListener) Addr() net.Addr { return ml.addr }
+func (ml *listener) Addr() net.Addr { return ml.addr }
 
 // pipe carries bytes one way.
 type pipe struct {
-	nw       *network
-	from, to *host
+	nw       *Network
+	from, to *Host
 
 	mu       sync.Mutex
 	chunks   []chunk
@@ -173,7 +182,7 @@
 	data []byte
 }
 
-func (nw *network) newPipe(from, to *host) *pipe {
+func (nw *Network) newPipe(from, to *Host) *pipe {
 	pi := &pipe{nw: nw, from: from, to: to, changed: make(chan struct{})}
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
@@ -206,7 +215,7 @@
 		return 0, io.ErrClosedPipe
 	}
 	n := len(p)
-	pi.from.out.Add(int64(n))
+	pi.from.Out.Add(int64(n))
 	pi.nw.mu.Lock()
 	corrupt := pi.nw.corrupt
 	pi.nw.mu.Unlock()
@@ -214,7 +223,7 @@
 	if corrupt != nil {
 		data = corrupt(pi.from, pi.to, data)
 	}
-	pi.chunks = append(pi.chunks, chunk{at: time.Now().Add(pi.nw.latency(pi.from, pi.to)), data: data})
+	pi.chunks = append(pi.chunks, chunk{at: time.Now().Add(pi.nw.Latency(pi.from, pi.to)), data: data})
 	pi.wake()
 	return n, nil
 }
@@ -235,7 +244,7 @@
 				pi.chunks = pi.chunks[1:]
 			}
 			pi.mu.Unlock()
-			pi.to.in.Add(int64(n))
+			pi.to.In.Add(int64(n))
 			return n, nil
 		case !cut && len(pi.chunks) > 0:
 			wait = pi.chunks[0].at.Sub(now)
@@ -258,16 +267,16 @@
 	}
 }
 
-type memConn struct {
+type conn struct {
 	r, w          *pipe
-	local, remote memAddr
+	local, remote addrName
 }
 
-func (mc *memConn) Read(p []byte) (int, error)  { return mc.r.read(p) }
-func (mc *memConn) Write(p []byte) (int, error) { return mc.w.write(p) }
+func (mc *conn) Read(p []byte) (int, error)  { return mc.r.read(p) }
+func (mc *conn) Write(p []byte) (int, error) { return mc.w.write(p) }
 
 // Close ends both ways. The other side reads what was sent before.
-func (mc *memConn) Close() error {
+func (mc *conn) Close() error {
 	mc.w.close()
 	mc.r.mu.Lock()
 	mc.r.chunks = nil
@@ -280,12 +289,12 @@
 	return nil
 }
 
-func (mc *memConn) LocalAddr() net.Addr  { return mc.local }
-func (mc *memConn) RemoteAddr() net.Addr { return mc.remote }
+func (mc *conn) LocalAddr() net.Addr  { return mc.local }
+func (mc *conn) RemoteAddr() net.Addr { return mc.remote }
 
-func (mc *memConn) SetDeadline(t time.Time) error { return mc.SetReadDeadline(t) }
+func (mc *conn) SetDeadline(t time.Time) error { return mc.SetReadDeadline(t) }
 
-func (mc *memConn) SetReadDeadline(t time.Time) error {
+func (mc *conn) SetReadDeadline(t time.Time) error {
 	mc.r.mu.Lock()
 	defer mc.r.mu.Unlock()
 	mc.r.deadline = t
@@ -293,4 +302,4 @@
 	return nil
 }
 
-func (mc *memConn) SetWriteDeadline(time.Time) error { return nil }
+func (mc *conn) SetWriteDeadline(time.Time) error { return nil }
