--- a/cmd/flamingomast/measure_test.go
+++ b/cmd/flamingomast/measure_test.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -246,85 +244,37 @@
 
 // TestMeasurePath compares, in one run and in turn, a direct call, a call by
 // one bare forwarding hop, and the whole path of outlet and inlet, all in
-// processes of their own but for the caller and the bare hop.
+// processes of their own.
 func TestMeasurePath(t *testing.T) {
 	plainBuild(t)
 	me := newMesh(t)
 	v := me.vms[1]
-	serverAddr := freeAddr(t)
-	v.server = start(t, "dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--listen", serverAddr)
+	server := freeAddr(t)
+	v.server = start(t, "dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--listen", server)
 	me.apply("")
 	me.servedBy(me.vms[0], v.name)
-	hop := bareHop(t, serverAddr)
-	targets := map[string]string{"direct": serverAddr, "one bare hop": hop, "outlet and inlet": me.vms[0].outlet, "outlet and inlet of one VM": v.outlet}
-	names := []string{"direct", "one bare hop", "outlet and inlet", "outlet and inlet of one VM"}
-	lat := map[string][]float64{}
-	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
-	call := func(addr string) time.Duration {
-		req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/visits", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Host = "booking"
-		began := time.Now()
-		res, err := cl.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, _ = io.Copy(io.Discard, res.Body)
-		res.Body.Close()
-		if res.StatusCode != http.StatusOK {
-			t.Fatalf("%s: status %d", addr, res.StatusCode)
-		}
-		return time.Since(began)
-	}
-	for i := range 4 * 6000 {
-		name := names[i%len(names)]
-		d := call(targets[name])
-		if i > 4*500 {
-			lat[name] = append(lat[name], float64(d.Microseconds())/1000)
-		}
-		pause := time.NewTimer(rand.N(400 * time.Microsecond))
-		<-pause.C
-	}
-	for _, name := range names {
-		slices.Sort(lat[name])
-		q := func(p float64) float64 { return lat[name][int(p*float64(len(lat[name])-1))] }
-		t.Logf("%s: median %.3f ms, 99th %.3f ms, added to direct %.3f and %.3f", name, q(.5), q(.99), q(.5)-mid(lat["direct"]), q(.99)-lat["direct"][int(.99*float64(len(lat["direct"])-1))])
-	}
-	// Throughput by processor time: requests for each second of a core.
-	load := func(addr string, pids ...*proc) float64 {
-		var before time.Duration
-		for _, pr := range pids {
-			_, u := usage(t, pr)
-			before += u
-		}
-		var wg sync.WaitGroup
-		const each, workers = 2000, 8
-		for range workers {
-			wg.Go(func() {
-				for range each {
-					call(addr)
-				}
-			})
-		}
-		wg.Wait()
-		var after time.Duration
-		for _, pr := range pids {
-			_, u := usage(t, pr)
-			after += u
-		}
-		return each * workers / (after - before).Seconds()
-	}
-	bare := startBareHop(t, serverAddr)
-	hop = bare.addr
+	hop := startBareHop(t, server)
 	eventually(t, "the bare hop answers", func() bool {
-		_, err := http.Get("http://" + hop)
+		_, err := http.Get("http://" + hop.addr)
 		return err == nil
 	})
-	outletOnly := load(me.vms[0].outlet, me.vms[0].daemon)
-	bareOnly := load(hop, bare.proc)
-	t.Logf("requests a core-second: outlet daemon %.0f, bare forwarder process on the same transport %.0f, ratio %.2f", outletOnly, bareOnly, outletOnly/bareOnly)
+	load := func(args ...string) {
+		out, code := run(t, append([]string{"dev-load"}, args...)...)
+		if t.Log(out); code != 0 {
+			t.Fatal("dev-load failed")
+		}
+	}
+	load("direct="+server, "bare-hop="+hop.addr, "outlet-and-inlet="+me.vms[0].outlet, "of-one-vm="+v.outlet)
+	// Throughput by processor time: requests for each second of a core.
+	perCore := func(addr string, pr *proc) float64 {
+		const requests = 16_000
+		_, before := usage(t, pr)
+		load("--workers", "8", "--pause", "0", "--requests", fmt.Sprint(requests), "x="+addr)
+		_, after := usage(t, pr)
+		return requests / (after - before).Seconds()
+	}
+	outlet, bare := perCore(me.vms[0].outlet, me.vms[0].daemon), perCore(hop.addr, hop.proc)
+	t.Logf("requests a core-second: outlet daemon %.0f, bare forwarder on the same transport %.0f, ratio %.2f", outlet, bare, outlet/bare)
 }
 
 // bareProc is a bare forwarding hop in a process of its own.
@@ -367,18 +317,6 @@
 	return bp
 }
 
-// bareHop serves a forwarding hop without any policy, in this process.
-func bareHop(t *testing.T, to string) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	hs := &http.Server{Handler: bareHandler(to)}
-	go func() { _ = hs.Serve(ln) }()
-	t.Cleanup(func() { hs.Close() })
-	return ln.Addr().String()
-}
-
 func bareHandler(to string) http.Handler {
 	fw := proxy.New(proxy.Options{})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/conf/accept/submit.go
+++ b/internal/conf/accept/submit.go
@@ -24,6 +24,9 @@
 	Content *pack.Content
 	Author  string
 	Commit  string
+	// Whole makes Content replace all that is in force at Base, and conflict
+	// with any version that was accepted since.
+	Whole bool
 	// Floor is the highest version that the fleet is known to hold.
 	Floor uint64
 	// Resume lets the next version follow Floor when the platform has lost
@@ -196,6 +199,9 @@
 	if sm.sub.Base == last.Version {
 		return sm.sub.Content, old, nil
 	}
+	if sm.sub.Whole {
+		return nil, nil, &ConflictError{Keys: []pack.Key{{Kind: "version", Name: fmt.Sprint(last.Version)}}, Base: sm.sub.Base, Theirs: last}
+	}
 	en, err := Find(ctx, sm.kv, hd, sm.sub.Base)
 	if err != nil {
 		return nil, nil, err
--- a/internal/node/cmds/declare.go
+++ b/internal/node/cmds/declare.go
@@ -89,28 +89,6 @@
 	}
 }
 
-// change is one line of a plan.
-type change struct {
-	Change   string `json:"change"`
-	Resource string `json:"resource"`
-}
-
-func changes(old, next *pack.Content) []change {
-	var list []change
-	dt := pack.Diff(old, next)
-	for _, rs := range dt.Set {
-		kind := "add"
-		if old != nil && old.Get(rs.Key) != nil {
-			kind = "change"
-		}
-		list = append(list, change{Change: kind, Resource: rs.Key.String()})
-	}
-	for _, ky := range dt.Removed {
-		list = append(list, change{Change: "remove", Resource: ky.String()})
-	}
-	return list
-}
-
 func (ap *app) planCmd() *ffcli.Command {
 	fs := ap.flags("plan")
 	ap.platformFlag(fs)
@@ -140,6 +118,9 @@
 			}
 			for _, ch := range list {
 				fmt.Fprintf(ap.out, "%-6s %s\n", ch.Change, ch.Resource)
+				for _, fd := range ch.Fields {
+					fmt.Fprintf(ap.out, "         %s: %s -> %s\n", fd.Name, fd.Old, fd.New)
+				}
 			}
 			fmt.Fprintf(ap.out, "%d changes from version %d; apply with --base %d\n", len(list), hd.Last.Version, hd.Last.Version)
 			return nil
@@ -204,6 +185,20 @@
 	sub := accept.Submission{
 		ID: op.submission, Content: co, Author: op.author, Commit: op.commit, Resume: op.resume,
 	}
+	tctx, cancel := context.WithTimeout(ctx, op.give)
+	defer cancel()
+	if sub.Base, err = resolveBase(tctx, kv, op.base); err != nil {
+		return err
+	}
+	return ap.submit(ctx, tctx, kv, sub, op.wait)
+}
+
+// submit makes a submission within tctx, says what became of it and waits for
+// it to be in force.
+func (ap *app) submit(ctx, tctx context.Context, kv store.Store, sub accept.Submission, wait time.Duration) error {
+	if wait > 0 && ap.daemon == "" {
+		return usageError("--wait and --resume need --daemon, to ask what the fleet holds")
+	}
 	if ap.daemon != "" {
 		st, err := ap.fetchStatus(ctx)
 		if err != nil {
@@ -211,11 +206,6 @@
 		}
 		sub.Floor = st.Latest
 	}
-	tctx, cancel := context.WithTimeout(ctx, op.give)
-	defer cancel()
-	if sub.Base, err = resolveBase(tctx, kv, op.base); err != nil {
-		return err
-	}
 	began := time.Now()
 	res, err := accept.Submit(tctx, kv, sub)
 	if err != nil {
@@ -224,8 +214,8 @@
 	if !ap.json {
 		fmt.Fprintf(ap.out, "%s: version %d, digest %.12s\n", res.Status, res.Entry.Version, res.Entry.Digest)
 	}
-	if op.wait > 0 {
-		if err := ap.waitInForce(ctx, res.Entry.Version, op.wait); err != nil {
+	if wait > 0 {
+		if err := ap.waitInForce(ctx, res.Entry.Version, wait); err != nil {
 			return err
 		}
 	}
@@ -349,12 +339,9 @@
 		Name: "show", ShortUsage: "flamingomast show --platform ADDR VERSION", FlagSet: fs, Options: envOption(),
 		ShortHelp: "Print the declarations of a version in their canonical form.",
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) != 1 {
-				return usageError("name one version")
-			}
-			version, err := strconv.ParseUint(args[0], 10, 64)
+			version, err := versionArg(args)
 			if err != nil {
-				return usageError(fmt.Sprintf("%q is not a version; see flamingomast history", args[0]))
+				return err
 			}
 			kv, err := ap.store()
 			if err != nil {
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -81,3 +82,33 @@
 		},
 	}
 }
+
+func (ap *app) devLoadCmd() *ffcli.Command {
+	fs := ap.flags("dev-load")
+	op := demo.LoadOptions{}
+	fs.StringVar(&op.Host, "host", "booking", "host of each request")
+	fs.StringVar(&op.Path, "path", "/", "path of each request")
+	fs.IntVar(&op.Requests, "requests", 5000, "how many requests each target gets")
+	fs.IntVar(&op.Workers, "workers", 1, "how many requests are under way at once")
+	fs.DurationVar(&op.Pause, "pause", 400*time.Microsecond, "most time between two requests of a worker")
+	return &ffcli.Command{
+		Name: "dev-load", ShortUsage: "flamingomast dev-load [flags] NAME=ADDR...", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Send requests to addresses in turn, and compare their latencies with the first one's.",
+		Exec: func(ctx context.Context, args []string) error {
+			for _, arg := range args {
+				name, addr, ok := strings.Cut(arg, "=")
+				if !ok {
+					return usageError(fmt.Sprintf("%q is not NAME=ADDR", arg))
+				}
+				op.Targets = append(op.Targets, demo.LoadTarget{Name: name, Addr: addr})
+			}
+			results, err := demo.Load(ctx, op)
+			for _, lr := range results {
+				if err := ap.printJSON(lr); err != nil {
+					return err
+				}
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/node/cmds/revert.go
@@ -0,0 +1,90 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/flamingomast/flamingomast/internal/conf/accept"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+func (ap *app) revertCmd() *ffcli.Command {
+	var op applyOptions
+	fs := ap.flags("revert")
+	ap.platformFlag(fs)
+	ap.daemonFlag(fs)
+	ap.jsonFlag(fs)
+	fs.StringVar(&op.author, "author", os.Getenv("USER"), "who reverts")
+	fs.StringVar(&op.submission, "submission", "", "id of the submission; give the same one to repeat it (drawn if empty)")
+	fs.DurationVar(&op.wait, "wait", 0, "wait until the version is in force everywhere (needs --daemon)")
+	fs.DurationVar(&op.give, "timeout", 30*time.Second, "how long to try while the platform does not answer")
+	return &ffcli.Command{
+		Name: "revert", ShortUsage: "flamingomast revert --platform ADDR VERSION", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Make what an earlier version said the version in force again, under a new number.",
+		LongHelp:  "Versions never go back: the fleet gets a new, higher one with the old content. It replaces\nwhatever is in force now; if that changes meanwhile, nothing is applied.",
+		Exec: func(ctx context.Context, args []string) error {
+			version, err := versionArg(args)
+			if err != nil {
+				return err
+			}
+			return ap.revert(ctx, version, op)
+		},
+	}
+}
+
+// versionArg reads the one argument of a command that takes a version.
+func versionArg(args []string) (uint64, error) {
+	if len(args) != 1 {
+		return 0, usageError("name one version")
+	}
+	version, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return 0, usageError(fmt.Sprintf("%q is not a version; see flamingomast history", args[0]))
+	}
+	return version, nil
+}
+
+func (ap *app) revert(ctx context.Context, version uint64, op applyOptions) error {
+	kv, err := ap.store()
+	if err != nil {
+		return err
+	}
+	if op.submission == "" {
+		op.submission = strings.ToLower(rand.Text())
+	}
+	tctx, cancel := context.WithTimeout(ctx, op.give)
+	defer cancel()
+	sub, err := revertTo(tctx, kv, version)
+	if err != nil {
+		return err
+	}
+	sub.ID, sub.Author = op.submission, op.author
+	return ap.submit(ctx, tctx, kv, sub, op.wait)
+}
+
+// revertTo returns a submission with the content of a version, made from the
+// one that is in force now.
+func revertTo(ctx context.Context, kv store.Store, version uint64) (accept.Submission, error) {
+	hd, err := loadHeadPatiently(ctx, kv)
+	if err != nil {
+		return accept.Submission{}, fmt.Errorf("not accepted: %w", err)
+	}
+	en, err := accept.Find(ctx, kv, hd, version)
+	if err != nil {
+		return accept.Submission{}, err
+	}
+	co, err := accept.Content(ctx, kv, en)
+	if err != nil {
+		return accept.Submission{}, err
+	}
+	return accept.Submission{
+		Base: hd.Last.Version, Content: co, Commit: en.Commit, Whole: true,
+	}, nil
+}
