ctrl: a young process outbids its forerunner, an old one gives way

Cause: a process took a higher incarnation for its forerunner's only until its first welcome. When a whole failure domain restarted with clocks behind, the first welcome came from a peer that knew nothing, and the forerunner's record then made the new process end. Ruled out: trusting the clock (it is the fault). Change: for 20 s, and three times at most, a process goes above what it finds. Also: one wrapper for all calls of the platform's interface, for guard and tests.

--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -117,6 +117,37 @@
 	return fl.ms.VMs[i]
 }
 
+// TestHerdWithClocksBehind: a whole failure domain restarts with clocks that
+// are a minute behind, so that each new process has a lower incarnation than
+// the one before, and its first peers know nothing of that. None may take its
+// forerunner for a newer process and end.
+func TestHerdWithClocksBehind(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		names := fl.domain("d1")
+		fl.kill(names...)
+		fl.restart(names...)
+		for _, name := range names {
+			fl.nodes[name].Announce(func(rc *member.Record) { rc.Incarnation -= 60_000 })
+		}
+		fl.waitFor("all know the new processes", convergeLimit, func() bool {
+			for _, tn := range fl.nodes {
+				for _, name := range names {
+					rc := tn.Board.Members.Get().Get(name)
+					if rc == nil || rc.Nonce != fl.nodes[name].Board.Self.Get().Nonce || !rc.Serving() {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		for _, name := range names {
+			if by := fl.nodes[name].Board.Replaced.Get(); by != nil {
+				fl.t.Errorf("%s took itself for replaced by %+v", name, by)
+			}
+		}
+	})
+}
+
 // TestTwinStepsDown: a VM's daemon is cut off, a new process of the VM is
 // started elsewhere, and the cut heals. Two processes would then serve under
 // one name; the old one must learn that it was replaced.
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -112,55 +112,17 @@
 
 // store returns the platform as a failure domain sees it.
 func (fl *fleet) store(domain string) store.Store {
-	kv := fl.st.Store()
-	cut := func() error {
+	return store.Wrap(fl.st.Store(), func(_ context.Context, op, key string, call func() error) error {
+		cut := &store.Error{Kind: store.Unavailable, Op: op, Key: key}
 		if (*fl.noPlatform.Load())[domain] {
-			return &store.Error{Kind: store.Unavailable, Op: "cut"}
+			return cut
 		}
-		return nil
-	}
-	return store.Store{
-		Get: func(ctx context.Context, key string) (store.Entry, error) {
-			if err := cut(); err != nil {
-				return store.Entry{}, err
-			}
-			return kv.Get(ctx, key)
-		},
-		Swap: func(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
-			if err := cut(); err != nil {
-				return false, store.Entry{}, err
-			}
-			return kv.Swap(ctx, ch)
-		},
-		Watch: func(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
-			if err := cut(); err != nil {
-				return store.Entry{}, err
-			}
-			ent, err := kv.Watch(ctx, key, after, wait)
-			if cerr := cut(); cerr != nil {
-				return store.Entry{}, cerr
-			}
-			return ent, err
-		},
-		Grant: func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-			if err := cut(); err != nil {
-				return 0, err
-			}
-			return kv.Grant(ctx, ttl)
-		},
-		Renew: func(ctx context.Context, id store.LeaseID) error {
-			if err := cut(); err != nil {
-				return err
-			}
-			return kv.Renew(ctx, id)
-		},
-		Revoke: func(ctx context.Context, id store.LeaseID) error {
-			if err := cut(); err != nil {
-				return err
-			}
-			return kv.Revoke(ctx, id)
-		},
-	}
+		err := call()
+		if (*fl.noPlatform.Load())[domain] {
+			return cut
+		}
+		return err
+	})
 }
 
 // seeds are the first three VMs of each failure domain: the own ones first.
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -62,13 +62,14 @@
 	reached   map[string]time.Time
 	expiry    *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
-	through   map[string]time.Time
-	contacted bool
-	sumDirty  bool
-	linker    *linker
-	wg        conc.WaitGroup
-	closed    bool
-
+	through  map[string]time.Time
+	bumped   int
+	sumDirty bool
+	linker   *linker
+	wg       conc.WaitGroup
+	closed   bool
+
+	started time.Time
 	// life ends with Run.
 	life context.Context
 	end  context.CancelFunc
@@ -106,6 +107,7 @@
 		reached:   map[string]time.Time{},
 		expiry:    expire.New(),
 		through:   map[string]time.Time{},
+		started:   time.Now(),
 	}
 	if nd.log == nil {
 		nd.log = slog.New(slog.DiscardHandler)
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -195,26 +195,36 @@
 // Only relays keep what members hold, so only their word settles the floor.
 func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
-	nd.mu.Lock()
-	first := !nd.contacted
-	nd.contacted = true
-	nd.mu.Unlock()
-	former := wc.Incarnation > 0 && wc.Nonce != self.Nonce
-	switch {
-	case former && first && wc.Incarnation >= self.Incarnation:
-		// The clock gave no higher incarnation than the process before had.
-		nd.Announce(func(rc *member.Record) { rc.Incarnation = wc.Incarnation + 1 })
-	case former && wc.Incarnation > self.Incarnation:
-		nd.replaced(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
+	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
+		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
 	nd.Board.RaiseFloor(wc.Floor, pr.Relay)
 }
 
-// replaced notes that another process runs under this VM's name. Only one of
-// the two may serve, and the other one is newer.
-func (nd *Node) replaced(by *member.Record) {
-	nd.log.Error("replaced", slog.Uint64("incarnation", by.Incarnation))
-	nd.Board.Replaced.Set(by)
+// The bounds of what a new process takes for its forerunner's.
+const (
+	youth    = 20 * time.Second
+	maxBumps = 3
+)
+
+// takeOther answers a record of another process under this VM's name with a
+// higher incarnation. For a new process that is what its forerunner left
+// behind, started by a clock that was ahead: it goes above it. For one that has
+// run for a time, or that was outbid again and again, the other one is newer,
+// and only one of the two may serve.
+func (nd *Node) takeOther(rc *member.Record) {
+	nd.mu.Lock()
+	young := time.Since(nd.started) < youth && nd.bumped < maxBumps
+	if young {
+		nd.bumped++
+	}
+	nd.mu.Unlock()
+	if young {
+		nd.Announce(func(me *member.Record) { me.Incarnation = rc.Incarnation + 1 })
+		return
+	}
+	nd.log.Error("replaced", slog.Uint64("incarnation", rc.Incarnation))
+	nd.Board.Replaced.Set(rc)
 }
 
 // takeRecords merges records of a peer and passes on what is new.
@@ -250,14 +260,7 @@
 			nd.Announce(func(me *member.Record) { me.Sequence = rc.Sequence })
 		}
 	case rc.Compare(self) > 0:
-		nd.mu.Lock()
-		first := !nd.contacted
-		nd.mu.Unlock()
-		if first {
-			nd.Announce(func(me *member.Record) { me.Incarnation = rc.Incarnation + 1 })
-			return
-		}
-		nd.replaced(rc)
+		nd.takeOther(rc)
 	}
 }
 
--- a/internal/plat/guard/guard.go
+++ b/internal/plat/guard/guard.go
@@ -47,61 +47,33 @@
 
 // Store returns the guarded functions.
 func (gd *Guard) Store() store.Store {
-	return store.Store{
-		Get: func(ctx context.Context, key string) (store.Entry, error) {
-			return through(ctx, gd, "get", key, func() (store.Entry, error) { return gd.kv.Get(ctx, key) })
-		},
-		Swap: func(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
-			type answer struct {
-				ok  bool
-				cur store.Entry
-			}
-			an, err := through(ctx, gd, "swap", ch.Key, func() (an answer, err error) {
-				an.ok, an.cur, err = gd.kv.Swap(ctx, ch)
-				return an, err
-			})
-			return an.ok, an.cur, err
-		},
-		Watch: func(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
-			// A half-open breaker lets one call through at a time. A watch that
-			// waits would hold back all others, so it only looks then.
-			if gd.brk.State() != gobreaker.StateClosed {
-				wait = 0
-			}
-			return through(ctx, gd, "watch", key, func() (store.Entry, error) { return gd.kv.Watch(ctx, key, after, wait) })
-		},
-		Grant: func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-			return through(ctx, gd, "grant", "", func() (store.LeaseID, error) { return gd.kv.Grant(ctx, ttl) })
-		},
-		Renew: func(ctx context.Context, id store.LeaseID) error {
-			_, err := through(ctx, gd, "renew", "", func() (any, error) { return nil, gd.kv.Renew(ctx, id) })
-			return err
-		},
-		Revoke: func(ctx context.Context, id store.LeaseID) error {
-			_, err := through(ctx, gd, "revoke", "", func() (any, error) { return nil, gd.kv.Revoke(ctx, id) })
-			return err
-		},
+	kv := store.Wrap(gd.kv, gd.through)
+	watch := kv.Watch
+	kv.Watch = func(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
+		// A half-open breaker lets one call through at a time. A watch that
+		// waits would hold back all others, so it only looks then.
+		if gd.brk.State() != gobreaker.StateClosed {
+			wait = 0
+		}
+		return watch(ctx, key, after, wait)
 	}
+	return kv
 }
 
-// through waits for the rate limit and calls fn unless the breaker is open.
-func through[T any](ctx context.Context, gd *Guard, op, key string, fn func() (T, error)) (T, error) {
-	var zero T
+// through waits for the rate limit and makes the call unless the breaker is
+// open.
+func (gd *Guard) through(ctx context.Context, op, key string, call func() error) error {
 	if err := gd.lim.Wait(ctx); err != nil {
 		gd.Held.Add(1)
-		return zero, &store.Error{Kind: store.Unavailable, Op: op, Key: key, Err: err}
+		return &store.Error{Kind: store.Unavailable, Op: op, Key: key, Err: err}
 	}
-	v, err := gd.brk.Execute(func() (any, error) {
+	_, err := gd.brk.Execute(func() (any, error) {
 		gd.Calls.Add(1)
-		return fn()
+		return nil, call()
 	})
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
 		gd.Held.Add(1)
-		return zero, &store.Error{Kind: store.Unavailable, Op: op, Key: key, Err: err}
+		return &store.Error{Kind: store.Unavailable, Op: op, Key: key, Err: err}
 	}
-	if err != nil {
-		return zero, err
-	}
-	res, _ := v.(T)
-	return res, nil
+	return err
 }
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -112,3 +112,47 @@
 	var er *Error
 	return errors.As(err, &er) && er.Kind == kd
 }
+
+// Around is called in place of each call of a wrapped store. It may make the
+// call, more than once or not at all, and returns its error.
+type Around func(ctx context.Context, op, key string, call func() error) error
+
+// Wrap returns kv with fn around each of its calls.
+func Wrap(kv Store, fn Around) Store {
+	return Store{
+		Get: func(ctx context.Context, key string) (ent Entry, err error) {
+			err = fn(ctx, "get", key, func() (err error) {
+				ent, err = kv.Get(ctx, key)
+				return err
+			})
+			return ent, err
+		},
+		Swap: func(ctx context.Context, ch Change) (ok bool, ent Entry, err error) {
+			err = fn(ctx, "swap", ch.Key, func() (err error) {
+				ok, ent, err = kv.Swap(ctx, ch)
+				return err
+			})
+			return ok && err == nil, ent, err
+		},
+		Watch: func(ctx context.Context, key string, after Revision, wait time.Duration) (ent Entry, err error) {
+			err = fn(ctx, "watch", key, func() (err error) {
+				ent, err = kv.Watch(ctx, key, after, wait)
+				return err
+			})
+			return ent, err
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
+			err = fn(ctx, "grant", "", func() (err error) {
+				id, err = kv.Grant(ctx, ttl)
+				return err
+			})
+			return id, err
+		},
+		Renew: func(ctx context.Context, id LeaseID) error {
+			return fn(ctx, "renew", "", func() error { return kv.Renew(ctx, id) })
+		},
+		Revoke: func(ctx context.Context, id LeaseID) error {
+			return fn(ctx, "revoke", "", func() error { return kv.Revoke(ctx, id) })
+		},
+	}
+}
