outlet: bound the requests under way and the bodies kept

Cause: nothing bounded how many requests callers could have under way; with 64 KB of each body kept for another attempt, a thousand slow callers were 64 MB, twice what the daemon may have. Change: 512 requests at once, 4 MB of bodies; above that a request is refused at once as not run, or its body is streamed. dev-server can be told to fail. Seen to fail with the bound taken out: edge_test.go:338: the condition did not come

--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/flamingomast/flamingomast/internal/node/demo"
+	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
 )
 
@@ -68,6 +69,7 @@
 	fs.StringVar(&sr.Listen, "listen", "127.0.0.1:0", "address to serve, IP:PORT")
 	fs.StringVar(&sr.Admin, "daemon", "", "admin address of the VM's daemon, IP:PORT")
 	fs.DurationVar(&sr.Work, "work", 0, "mean time that a request takes")
+	fault := fs.String("fault", "", "fail in this way in place of answering: "+faultNames())
 	return &ffcli.Command{
 		Name: "dev-server", ShortUsage: "flamingomast dev-server --vm VM --service SERVICE --daemon ADDR", FlagSet: fs, Options: envOption(),
 		ShortHelp: "Run a small backend server that announces itself, for tests.",
@@ -75,6 +77,13 @@
 			if sr.VM == "" || sr.Service == "" || sr.Admin == "" {
 				return usageError("set --vm, --service and --daemon")
 			}
+			if *fault != "" {
+				fa, ok := faulty.Find(*fault)
+				if !ok {
+					return usageError(fmt.Sprintf("no fault %q; known are %s", *fault, faultNames()))
+				}
+				sr.Fault = fa.Behave
+			}
 			if err := sr.Run(ctx); err != nil {
 				return fmt.Errorf("backend server: %w", err)
 			}
@@ -83,6 +92,15 @@
 	}
 }
 
+// faultNames lists the faults that a backend server can be told to have.
+func faultNames() string {
+	var names []string
+	for _, fa := range faulty.Faults {
+		names = append(names, fa.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
 func (ap *app) devLoadCmd() *ffcli.Command {
 	fs := ap.flags("dev-load")
 	op := demo.LoadOptions{}
--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 )
 
 // IDHeader names a request, so that a server counts how often it ran.
@@ -56,6 +57,8 @@
 	// Work is the mean time that a request takes.
 	Work   time.Duration
 	Ledger *Ledger
+	// Fault, when set, is how it fails in place of answering.
+	Fault faulty.Behave
 }
 
 // ServeHTTP answers one request.
@@ -90,7 +93,11 @@
 	}
 	hs := &http.Server{Handler: sr, ReadHeaderTimeout: 10 * time.Second}
 	served := make(chan error, 1)
-	go func() { served <- hs.Serve(ln) }()
+	if sr.Fault != nil {
+		defer faulty.Serve(ln, sr.Fault).Close()
+	} else {
+		go func() { served <- hs.Serve(ln) }()
+	}
 	wait := time.Duration(0)
 	for {
 		select {
--- a/internal/path/outlet/edge_test.go
+++ b/internal/path/outlet/edge_test.go
@@ -313,6 +313,38 @@
 	}
 }
 
+// TestManyCallers: hundreds of callers send a body and stop before its end. The
+// outlet takes a bounded number of them, refuses the others at once as not run,
+// and serves again when they are gone.
+func TestManyCallers(t *testing.T) {
+	rg := newRig(t, newRaw(t, faulty.Well).Addr)
+	addr := strings.TrimPrefix(rg.front.URL, "http://")
+	var refused atomic.Int64
+	var conns []net.Conn
+	for range 600 {
+		cn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer cn.Close()
+		conns = append(conns, cn)
+		_, _ = io.WriteString(cn, "POST /long HTTP/1.1\r\nHost: booking\r\nContent-Length: 60000\r\n\r\nx")
+		go func() {
+			if res, err := http.ReadResponse(bufio.NewReader(cn), nil); err == nil && res.Header.Get("Flamingomast-Reason") == "outlet-full" {
+				refused.Add(1)
+			}
+		}()
+	}
+	eventually(t, func() bool { return refused.Load() == 600-512 })
+	if an := rg.do(rg.request("GET", "/a", "")); an.outcome != "not-run" || an.reason != "outlet-full" || an.retry != "1" {
+		t.Errorf("one more caller got %+v", an)
+	}
+	for _, cn := range conns {
+		cn.Close()
+	}
+	eventually(t, func() bool { return rg.do(rg.request("POST", "/a", "body")).status == http.StatusOK })
+}
+
 // TestConnections: a service may have three connections and four slots'
 // requests run at once while its bound changes. Never are there more, and all
 // requests are answered.
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -31,6 +31,8 @@
 	token   string
 	sample  atomic.Uint64 // bits of the share of requests that are logged
 	routing atomic.Pointer[routing]
+	// requests and bodies bound what callers can make the outlet hold.
+	requests, bodies bound
 }
 
 // routing is a table with the state that belongs to its services.
@@ -53,6 +55,7 @@
 func New(op Options) *Outlet {
 	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token}
 	ou.SetSample(op.Sample)
+	ou.requests.most, ou.bodies.most = maxRequests, maxBodies
 	if ou.fw == nil {
 		ou.fw = proxy.New(proxy.Options{})
 	}
@@ -122,6 +125,11 @@
 		ou.refuse(w, r, rf)
 		return
 	}
+	if !ou.requests.take(1) {
+		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonOutletFull, RetryAfter: time.Second})
+		return
+	}
+	defer ou.requests.give(1)
 	rt := ou.routing.Load()
 	if rt == nil {
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoConfig, RetryAfter: time.Second})
@@ -214,7 +222,8 @@
 
 func (rq *request) serve() {
 	rq.bu.Request()
-	if rf := rq.src.fill(rq.w, rq.r); rf != nil {
+	defer rq.src.release(&rq.ou.bodies)
+	if rf := rq.src.fill(rq.w, rq.r, &rq.ou.bodies); rf != nil {
 		rq.end(rf)
 		return
 	}
--- a/internal/path/outlet/rig_test.go
+++ b/internal/path/outlet/rig_test.go
@@ -32,6 +32,7 @@
 routes:
 - {name: once, match: {host: booking, path-prefix: /once}, to: [{service: booking, weight: 1}], repeat: never, deadline: 2s}
 - {name: short, match: {host: booking, path-prefix: /short}, to: [{service: booking, weight: 1}], deadline: 200ms}
+- {name: long, match: {host: booking, path-prefix: /long}, to: [{service: booking, weight: 1}], deadline: 5m}
 - {name: always, match: {host: booking, path-prefix: /always}, to: [{service: booking, weight: 1}], repeat: always, deadline: 2s}
 `
 
--- a/internal/path/outlet/source.go
+++ b/internal/path/outlet/source.go
@@ -42,12 +42,12 @@
 	return n, err
 }
 
-// fill reads a small body.
-func (so *source) fill(w http.ResponseWriter, r *http.Request) *result.Refusal {
+// fill reads a small body, as long as bodies has room for it.
+func (so *source) fill(w http.ResponseWriter, r *http.Request, bodies *bound) *result.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if r.ContentLength < 0 || r.ContentLength > maxBuffered {
+	if r.ContentLength < 0 || r.ContentLength > maxBuffered || !bodies.take(r.ContentLength) {
 		so.stream = &stream{r: http.MaxBytesReader(w, r.Body, proxy.MaxBody)}
 		return nil
 	}
@@ -60,6 +60,9 @@
 	return nil
 }
 
+// release gives back what the body took.
+func (so *source) release(bodies *bound) { bodies.give(int64(len(so.buffered))) }
+
 // attach gives the body to an attempt.
 func (so *source) attach(out, r *http.Request) {
 	switch {
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -50,6 +50,7 @@
 	ReasonNoServer    Reason = "no-backend-server"
 	ReasonWrongTarget Reason = "wrong-target"
 	ReasonFull        Reason = "slots-full"
+	ReasonOutletFull  Reason = "outlet-full"
 	ReasonDraining    Reason = "draining"
 	ReasonTooLate     Reason = "deadline-too-near"
 	ReasonDeadline    Reason = "deadline-passed"
