ctrl: become a relay after a second only; leave out dead relays of others too

Cause: when 155 daemons of a failure domain came back at once, 54 of them took themselves for relays: each knew few members yet and was among the first three. All of them watched the platform and said Hello anew. Relays of other failure domains that could not be reached stayed in the choice, as own ones did before. Change: a daemon must have been chosen for 1 s; one choice for all failure domains, without those that cannot be reached; old failures are forgotten.

--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -124,14 +124,14 @@
 // looked up first; the platform's head names the failure domains, also one
 // that was set back.
 func (nd *Node) settleAlone(ctx context.Context) {
-	if time.Since(nd.linker.started) <= bootTime {
+	if time.Since(nd.started) <= bootTime {
 		return
 	}
 	others, err := nd.searchOthers(ctx)
 	if err != nil {
 		return
 	}
-	if len(others) == 0 || time.Since(nd.linker.started) > othersTime {
+	if len(others) == 0 || time.Since(nd.started) > othersTime {
 		nd.Board.RaiseFloor(0, true)
 	}
 }
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -32,6 +32,10 @@
 	// grace is how long a choice must have changed before a working link or
 	// the role of a relay is given up.
 	grace = 3 * time.Second
+	// promoteAfter is how long a daemon must have been chosen before it becomes
+	// a relay. One that has just started knows few members and is nearly always
+	// among the first three of them.
+	promoteAfter = time.Second
 	// bootTime is how long a daemon without links looks for others before it
 	// takes itself for the first of its failure domain.
 	bootTime = 1500 * time.Millisecond
@@ -39,13 +43,15 @@
 
 // linker keeps the links that this daemon opens.
 type linker struct {
-	nd       *Node
-	open     map[string]*outLink
-	backoff  map[string]*backoff
-	started  time.Time
-	unchosen time.Time
-	ended    chan *outLink
-	dirs     directory
+	nd      *Node
+	open    map[string]*outLink
+	backoff map[string]*backoff
+	// chosenNow is whether this daemon is among the relays by its own choice,
+	// chosenAt since when.
+	chosenNow bool
+	chosenAt  time.Time
+	ended     chan *outLink
+	dirs      directory
 	// chosen is the choice of relays among the members chosenOf.
 	chosen   []*member.Record
 	chosenOf *member.View
@@ -74,7 +80,6 @@
 }
 
 func (lk *linker) run(ctx context.Context) {
-	lk.started = time.Now()
 	for {
 		wait := idleTick
 		if lk.look(ctx) {
@@ -119,9 +124,10 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	now := time.Now()
+	lk.forget(now)
 	lk.setRole()
 	want := lk.wanted()
-	now := time.Now()
 	for _, addr := range want {
 		if lk.open[addr] != nil {
 			continue
@@ -144,8 +150,16 @@
 			waiting = true
 		}
 	}
-	chosen := lk.unchosen.IsZero()
-	return waiting || !lk.settled() || chosen != lk.nd.isRelay()
+	return waiting || !lk.settled() || lk.chosenNow != lk.nd.isRelay()
+}
+
+// forget drops the failures that no longer count.
+func (lk *linker) forget(now time.Time) {
+	for addr, bo := range lk.backoff {
+		if now.Sub(bo.until) > failingFor {
+			delete(lk.backoff, addr)
+		}
+	}
 }
 
 func (lk *linker) ready(addr string) bool {
@@ -159,20 +173,25 @@
 	return bo != nil && bo.failed && time.Since(bo.until) < failingFor
 }
 
-// ownRelays returns the relays of the own failure domain as far as this daemon
-// can reach them. Only relays mark members as gone: when all relays of a
-// failure domain die together nobody does, and the others would wait for them
-// for ever. So each daemon leaves out those that it cannot reach itself.
-func (lk *linker) ownRelays() []*member.Record {
-	vw := lk.nd.Board.Members.Get()
-	live := vw.Live(lk.nd.cf.Domain)
+// relaysOf returns the relays of a failure domain as far as this daemon can
+// reach them. Only relays mark members as gone: when all relays of a failure
+// domain die together nobody does, and the others would wait for them for ever.
+// So each daemon leaves out those that it cannot reach itself.
+func (lk *linker) relaysOf(domain string) []*member.Record {
+	live := lk.nd.Board.Members.Get().Live(domain)
 	failing := func(rc *member.Record) bool { return lk.failing(rc.Control) }
 	if slices.ContainsFunc(live, failing) {
-		return relay.Choose(slices.DeleteFunc(slices.Clone(live), failing), relay.Count)
+		live = slices.DeleteFunc(slices.Clone(live), failing)
 	}
-	// Without failures the choice depends on the members alone.
-	if lk.chosenOf != vw {
-		lk.chosenOf, lk.chosen = vw, relay.Choose(live, relay.Count)
+	return relay.Choose(live, relay.Count)
+}
+
+// ownRelays returns the relays of the own failure domain. While no link fails
+// the choice depends on the members alone, and is kept.
+func (lk *linker) ownRelays() []*member.Record {
+	vw := lk.nd.Board.Members.Get()
+	if lk.chosenOf != vw || len(lk.backoff) > 0 {
+		lk.chosenOf, lk.chosen = vw, lk.relaysOf(lk.nd.cf.Domain)
 	}
 	return lk.chosen
 }
@@ -186,12 +205,14 @@
 		chosen = false
 	}
 	now := time.Now()
+	if chosen != lk.chosenNow || lk.chosenAt.IsZero() {
+		lk.chosenNow, lk.chosenAt = chosen, now
+	}
+	after := grace
 	if chosen {
-		lk.unchosen = time.Time{}
-	} else if lk.unchosen.IsZero() {
-		lk.unchosen = now
+		after = promoteAfter
 	}
-	if chosen == nd.isRelay() || !chosen && now.Sub(lk.unchosen) < grace {
+	if chosen == nd.isRelay() || now.Sub(lk.chosenAt) < after {
 		return
 	}
 	nd.Board.Links.Update(func(cur *board.Links) *board.Links {
@@ -215,7 +236,7 @@
 	lk.nd.mu.Lock()
 	linked := len(lk.nd.peers) > 0
 	lk.nd.mu.Unlock()
-	return linked || time.Since(lk.started) > bootTime
+	return linked || time.Since(lk.nd.started) > bootTime
 }
 
 // wanted returns the addresses that links should be open to.
@@ -279,7 +300,7 @@
 		return
 	}
 	for _, dm := range nd.otherDomains() {
-		theirs := relay.Choose(nd.Board.Members.Get().Live(dm), relay.Count)
+		theirs := lk.relaysOf(dm)
 		if dm < nd.cf.Domain {
 			// They open the link; after a cut that may take them a while, and
 			// a relay without any goes ahead.
@@ -307,11 +328,11 @@
 }
 
 // strangers adds addresses that the directory gave and whose daemons are not
-// members yet, or whose failure domain has no link.
+// known as members yet.
 func (lk *linker) strangers(add func(string)) {
 	known := lk.nd.Board.Members.Get()
 	for _, addr := range lk.dirs.addresses() {
-		if !known.Controls[addr] || lk.open[addr] != nil && lk.alone() {
+		if !known.Controls[addr] {
 			add(addr)
 		}
 	}
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -35,7 +35,7 @@
 
 // memoryLimit is the soft limit of what the runtime takes, below the 32 MB that the
 // whole process may take with its program text.
-const memoryLimit = 16 << 20
+const memoryLimit = 22 << 20
 
 // app holds what the commands share.
 type app struct {
