--- a/internal/mesh/ctrl/message_test.go
+++ b/internal/mesh/ctrl/message_test.go
@@ -20,7 +20,6 @@
 	nd       *Node
 	pr       *link.Peer
 	contents []*pack.Content // by version, from 1
-	pool     []*wirepb.Packet
 	held     uint64
 	records  map[string]member.Record
 }
