--- a/internal/conf/accept/head.go
+++ b/internal/conf/accept/head.go
@@ -158,16 +158,13 @@
 }
 
 func apply(base *pack.Content, body []byte, en Entry) (*pack.Content, error) {
-	dt, err := pack.Unmarshal(body)
+	want, err := pack.ParseDigest(en.Digest)
 	if err != nil {
 		return nil, err
 	}
-	co, err := pack.Apply(base, dt)
+	co, err := pack.Advance(base, body, want)
 	if err != nil {
-		return nil, err
-	}
-	if co.Digest.String() != en.Digest {
-		return nil, fmt.Errorf("accept: version %d has content %s, its record says %s", en.Version, co.Digest, en.Digest)
+		return nil, fmt.Errorf("accept: version %d: %w", en.Version, err)
 	}
 	return co, nil
 }
--- a/internal/conf/pack/delta.go
+++ b/internal/conf/pack/delta.go
@@ -96,6 +96,24 @@
 	return next, nil
 }
 
+// Advance returns the content want that an encoded delta leads to from base. A
+// damaged delta, one for another base, or one that leads elsewhere is an error,
+// and base stays as it is.
+func Advance(base *Content, body []byte, want Digest) (*Content, error) {
+	dt, err := Unmarshal(body)
+	if err != nil {
+		return nil, err
+	}
+	co, err := Apply(base, dt)
+	if err != nil {
+		return nil, err
+	}
+	if co.Digest != want {
+		return nil, &MismatchError{Want: want, Got: co.Digest}
+	}
+	return co, nil
+}
+
 // merge returns the resources of old with those of dt set and removed.
 func merge(old []Resource, dt *Delta) []Resource {
 	changed := make(map[Key]bool, len(dt.Set)+len(dt.Removed))
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -312,7 +312,7 @@
 		return
 	}
 	if cur != nil && len(vn.Body) > 0 {
-		if co, err := decode(cur.Content, vn.Body, dg); err == nil {
+		if co, err := pack.Advance(cur.Content, vn.Body, dg); err == nil {
 			nd.take(vn.Number, co)
 			return
 		}
@@ -320,23 +320,6 @@
 	nd.background(func() { nd.fetch(pr, vn.Number) })
 }
 
-// decode applies an encoded delta. A damaged one, or one for another base,
-// fails the comparison of digests and leaves base as it is.
-func decode(base *pack.Content, body []byte, want pack.Digest) (*pack.Content, error) {
-	dt, err := pack.Unmarshal(body)
-	if err != nil {
-		return nil, err
-	}
-	co, err := pack.Apply(base, dt)
-	if err != nil {
-		return nil, err
-	}
-	if co.Digest != want {
-		return nil, &pack.MismatchError{Want: want, Got: co.Digest}
-	}
-	return co, nil
-}
-
 // take puts a configuration on the board and offers it to all peers.
 func (nd *Node) take(version uint64, co *pack.Content) {
 	if !nd.Board.Offer(&board.Config{Version: version, Content: co}) {
@@ -404,7 +387,7 @@
 	if len(ms.Digest) != len(pack.Digest{}) {
 		return 0, &pack.MismatchError{}
 	}
-	co, err := decode(base, ms.Body, pack.Digest(ms.Digest))
+	co, err := pack.Advance(base, ms.Body, pack.Digest(ms.Digest))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/cmds/declare.go
+++ b/internal/node/cmds/declare.go
@@ -144,6 +144,22 @@
 	resume                           bool
 }
 
+// flags declares what apply and revert have in common.
+func (op *applyOptions) flags(fs *flag.FlagSet) {
+	fs.StringVar(&op.author, "author", os.Getenv("USER"), "who makes the version")
+	fs.StringVar(&op.submission, "submission", "", "id of the submission; give the same one to repeat it (drawn if empty)")
+	fs.DurationVar(&op.wait, "wait", 0, "wait until the version is in force everywhere, and name the VMs that lack it after this time (needs --daemon)")
+	fs.DurationVar(&op.give, "timeout", 30*time.Second, "how long to try while the platform does not answer")
+}
+
+// id returns the submission's id, a drawn one if none was given.
+func (op *applyOptions) id() string {
+	if op.submission == "" {
+		op.submission = strings.ToLower(rand.Text())
+	}
+	return op.submission
+}
+
 func (ap *app) applyCmd() *ffcli.Command {
 	var op applyOptions
 	fs := ap.flags("apply")
@@ -151,11 +167,8 @@
 	ap.daemonFlag(fs)
 	ap.jsonFlag(fs)
 	fs.StringVar(&op.base, "base", "", "version that the declarations were made from: its number, or the commit it was applied with")
-	fs.StringVar(&op.author, "author", os.Getenv("USER"), "who applies")
+	op.flags(fs)
 	fs.StringVar(&op.commit, "commit", "", "commit of the declarations in version control")
-	fs.StringVar(&op.submission, "submission", "", "id of the submission; give the same one to repeat it (drawn if empty)")
-	fs.DurationVar(&op.wait, "wait", 0, "wait until the version is in force everywhere, and name the VMs that lack it after this time (needs --daemon)")
-	fs.DurationVar(&op.give, "timeout", 30*time.Second, "how long to try while the platform does not answer")
 	fs.BoolVar(&op.resume, "resume", false, "go on above the highest version that the fleet holds after the platform was set back (needs --daemon)")
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "flamingomast apply --platform ADDR [--base VERSION] [--daemon ADDR [--wait DURATION]] DIR",
@@ -179,11 +192,8 @@
 	if (op.wait > 0 || op.resume) && ap.daemon == "" {
 		return usageError("--wait and --resume need --daemon, to ask what the fleet holds")
 	}
-	if op.submission == "" {
-		op.submission = strings.ToLower(rand.Text())
-	}
 	sub := accept.Submission{
-		ID: op.submission, Content: co, Author: op.author, Commit: op.commit, Resume: op.resume,
+		ID: op.id(), Content: co, Author: op.author, Commit: op.commit, Resume: op.resume,
 	}
 	tctx, cancel := context.WithTimeout(ctx, op.give)
 	defer cancel()
--- a/internal/node/cmds/revert.go
+++ b/internal/node/cmds/revert.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"fmt"
-	"os"
 	"strconv"
-	"strings"
-	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -21,10 +17,7 @@
 	ap.platformFlag(fs)
 	ap.daemonFlag(fs)
 	ap.jsonFlag(fs)
-	fs.StringVar(&op.author, "author", os.Getenv("USER"), "who reverts")
-	fs.StringVar(&op.submission, "submission", "", "id of the submission; give the same one to repeat it (drawn if empty)")
-	fs.DurationVar(&op.wait, "wait", 0, "wait until the version is in force everywhere (needs --daemon)")
-	fs.DurationVar(&op.give, "timeout", 30*time.Second, "how long to try while the platform does not answer")
+	op.flags(fs)
 	return &ffcli.Command{
 		Name: "revert", ShortUsage: "flamingomast revert --platform ADDR VERSION", FlagSet: fs, Options: envOption(),
 		ShortHelp: "Make what an earlier version said the version in force again, under a new number.",
@@ -56,16 +49,13 @@
 	if err != nil {
 		return err
 	}
-	if op.submission == "" {
-		op.submission = strings.ToLower(rand.Text())
-	}
 	tctx, cancel := context.WithTimeout(ctx, op.give)
 	defer cancel()
 	sub, err := revertTo(tctx, kv, version)
 	if err != nil {
 		return err
 	}
-	sub.ID, sub.Author = op.submission, op.author
+	sub.ID, sub.Author = op.id(), op.author
 	return ap.submit(ctx, tctx, kv, sub, op.wait)
 }
 
