ctrl: prove that a version which one release refuses reaches the others

Cause: the promise was proved with one release that refuses everywhere. Change: the compile step is a seam; half of the fleet knows a kind that the other half does not.

--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -13,6 +13,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
 )
@@ -255,6 +256,44 @@
 	})
 }
 
+// TestTwoReleases: a rolling replacement is half done; every other VM runs a
+// release that knows a kind of resource which the other release does not. The
+// older ones refuse the version and keep theirs, relays among them pass it on
+// all the same, and every newer one holds it.
+func TestTwoReleases(t *testing.T) {
+	scenario(t, func(fl *fleet) {
+		newer := func(name string) bool {
+			return strings.HasSuffix(name, "1") || strings.HasSuffix(name, "4") || strings.HasSuffix(name, "7")
+		}
+		for name, tn := range fl.nodes {
+			if newer(name) {
+				tn.cf.Compile = func(v uint64, co *pack.Content, domain string) (*snap.Snapshot, error) {
+					known := slices.DeleteFunc(slices.Clone(co.Resources), func(rs pack.Resource) bool { return rs.Key.Kind == "mirror" })
+					return snap.Compile(v, pack.New(known), domain)
+				}
+			}
+		}
+		co, err := pack.Encode(fl.ms)
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		odd := pack.New(append(slices.Clone(co.Resources), pack.Resource{Key: pack.Key{Kind: "mirror", Name: "x"}, Body: []byte(`{}`)}))
+		if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), accept.Submission{ID: "odd", Base: 1, Content: odd}); err != nil {
+			fl.t.Fatal(err)
+		}
+		time.Sleep(convergeLimit)
+		for name, tn := range fl.nodes {
+			want := uint64(1)
+			if newer(name) {
+				want = 2
+			}
+			if got := tn.Board.HeldVersion(); got != want {
+				fl.t.Errorf("%s holds version %d, want %d", name, got, want)
+			}
+		}
+	})
+}
+
 // TestDamagedDelta: a relay's delta is damaged on its way, in each of its
 // bytes' values. It must not be applied, and the version must come by another
 // transfer.
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/expire"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
@@ -37,6 +38,8 @@
 	Log   *slog.Logger
 	// Dial opens a connection; nil stands for TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Compile makes the snapshot of a version; nil stands for snap.Compile.
+	Compile func(version uint64, co *pack.Content, domain string) (*snap.Snapshot, error)
 	// Drain orders the inlet to take no new work and returns how many requests
 	// are running.
 	Drain func() int
@@ -112,6 +115,9 @@
 	if nd.log == nil {
 		nd.log = slog.New(slog.DiscardHandler)
 	}
+	if nd.cf.Compile == nil {
+		nd.cf.Compile = snap.Compile
+	}
 	if nd.cf.Drain == nil {
 		nd.cf.Drain = func() int { return 0 }
 	}
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -8,7 +8,6 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
-	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
@@ -130,7 +129,7 @@
 // same, since another release may know it.
 func (nd *Node) compile(cfg *board.Config) {
 	start := time.Now()
-	sn, err := snap.Compile(cfg.Version, cfg.Content, nd.cf.Domain)
+	sn, err := nd.cf.Compile(cfg.Version, cfg.Content, nd.cf.Domain)
 	if err != nil {
 		nd.Board.Refused.Set(&board.Refusal{Version: cfg.Version, Reason: err.Error()})
 		nd.log.Error("version-refused", slog.Uint64("version", cfg.Version), slog.Any("error", err))
