--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -299,18 +300,17 @@
 // transfer.
 func TestDamagedDelta(t *testing.T) {
 	scenario(t, func(fl *fleet) {
-		damaged := 0
+		var damaged atomic.Int64
 		fl.nw.SetCorrupt(func(_, _ *memnet.Host, p []byte) []byte {
 			// zstd frames begin with this number; what follows is content.
-			if i := bytes.Index(p, []byte{0x28, 0xb5, 0x2f, 0xfd}); i >= 0 && damaged < 10 && i+12 < len(p) {
-				damaged++
-				p[i+8+damaged%4] ^= 0x55
+			if i := bytes.Index(p, []byte{0x28, 0xb5, 0x2f, 0xfd}); i >= 0 && i+12 < len(p) && damaged.Load() < 10 {
+				p[i+8+int(damaged.Add(1)%4)] ^= 0x55
 			}
 			return p
 		})
 		v := fl.apply(changed(fl.ms, 10), 1)
 		fl.allKnown(v)
-		if damaged == 0 {
+		if damaged.Load() == 0 {
 			fl.t.Error("nothing was damaged")
 		}
 		want := fl.nodes["vm-000"].Board.Held.Get().Digest
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -183,7 +183,7 @@
 	if slices.ContainsFunc(live, failing) {
 		live = slices.DeleteFunc(slices.Clone(live), failing)
 	}
-	return relay.Choose(live, relay.Count)
+	return relay.Choose(live)
 }
 
 // ownRelays returns the relays of the own failure domain. While no link fails
