--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -107,7 +107,9 @@
 			defer cancel()
 			return dial(ctx, addr)
 		},
-		IdleConnTimeout: 30 * time.Second,
+		// A daemon that has moved on to its relay leaves an idle connection with
+		// whoever it asked first; a herd that starts leaves hundreds with a seed.
+		IdleConnTimeout: 5 * time.Second,
 	}
 	return &http.Client{Transport: &tokenTransport{token: cf.Token, next: tr}}
 }
