--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -11,13 +11,10 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
+	"github.com/flamingomast/flamingomast/internal/mesh/relay"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
-// slots is how many relays of a failure domain are registered. That may be
-// fewer than there are: the directory only has to lead to one.
-const slots = 3
-
 // The times of the directory.
 const (
 	leaseTTL    = 15 * time.Second
@@ -64,7 +61,7 @@
 // slot that is free or holds own, or -1.
 func (nd *Node) readSlots(ctx context.Context, domain, own string) (addrs []string, free int, err error) {
 	free = -1
-	for slot := range slots {
+	for slot := range relay.Count {
 		ent, err := nd.cf.Store.Get(ctx, slotKey(domain, slot))
 		if err != nil {
 			return nil, -1, err
--- a/internal/mesh/relay/relay.go
+++ b/internal/mesh/relay/relay.go
@@ -9,26 +9,15 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 )
 
-// The bounds of how many relays a failure domain has.
-const (
-	// fewest is two that can die at once and one that remains.
-	fewest = 3
-	// perRelay is how many members a relay may have before there is one relay
-	// more; each member's link takes some 150 KB of a relay's memory.
-	perRelay = 40
-	// most bounds the relays, which all call the platform.
-	most = 8
-)
-
-// Count returns how many relays a failure domain of so many live members has.
-func Count(members int) int {
-	return min(max(fewest, (members+perRelay-1)/perRelay), most)
-}
+// Count is how many relays a failure domain has: two that can die at once and
+// one that remains. It does not grow with the members, so that the platform's
+// load does not either.
+const Count = 3
 
 // Choose returns the relays among the live records of one failure domain, the
 // first choice first. A silent member is chosen only when too few others live.
 func Choose(live []*member.Record) []*member.Record {
-	return rank(live, "relay", Count(len(live)))
+	return rank(live, "relay", Count)
 }
 
 // Order returns relays in the order in which the member vm should use them:
