conf/sample: one maker of declarations of any size, and dev-mesh

Cause: five tests each made large declarations in a way of their own, so their figures were not of the same mesh; an operator had nothing to try sizes with. Change: one package makes them; dev-mesh prints them.

--- /dev/null
+++ b/internal/conf/sample/doc.go
@@ -0,0 +1,3 @@
+// Package sample makes declarations of any size, for tests, measurements and
+// trials.
+package sample
--- /dev/null
+++ b/internal/conf/sample/sample.go
@@ -0,0 +1,68 @@
+package sample
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+)
+
+// What each service of a sample has, as in the brief, and its port; services
+// have ports of their own, from this one on.
+const (
+	slots     = 10
+	conns     = 120
+	firstPort = 9000
+)
+
+// The classes of a sample and their shares.
+const (
+	lookup, lookupShare   = "lookup", 40
+	confirm, confirmShare = "confirm", 50
+)
+
+// oneRegion is how many failure domains fit into one region; a sample with more
+// has two regions.
+const oneRegion = 3
+
+// Mesh declares vms VMs in so many failure domains (d0, d1, …), each running one
+// of so many services (service-0, service-1, …) in turn. Each service has a
+// route for what may not be repeated and a placement.
+func Mesh(vms, domains, services int) *decl.Mesh {
+	ms := &decl.Mesh{Regions: []decl.Region{{Name: "r0"}}}
+	if domains > oneRegion {
+		ms.Regions = append(ms.Regions, decl.Region{Name: "r1"})
+	}
+	for i := range domains {
+		region := ms.Regions[i*len(ms.Regions)/domains].Name
+		ms.Domains = append(ms.Domains, decl.Domain{Name: fmt.Sprintf("d%d", i), Region: region})
+	}
+	ms.Classes = []decl.Class{{Name: lookup, Share: lookupShare}, {Name: confirm, Share: confirmShare}}
+	for i := range services {
+		addService(ms, fmt.Sprintf("service-%d", i), firstPort+i)
+	}
+	for i := range vms {
+		ms.VMs = append(ms.VMs, decl.VM{
+			Name: fmt.Sprintf("vm-%03d", i), Domain: ms.Domains[i%domains].Name, Service: ms.Services[i%services].Name,
+		})
+	}
+	return ms
+}
+
+func addService(ms *decl.Mesh, name string, port int) {
+	ms.Services = append(ms.Services, decl.Service{Name: name, Port: port, Slots: slots, Connections: conns, Class: lookup})
+	ms.Routes = append(ms.Routes, decl.Route{
+		Name: name + "-confirm", Match: decl.Match{Host: name + ".example", PathPrefix: "/confirm", Methods: []string{"POST"}},
+		To: []decl.Target{{Service: name, Weight: 1}}, Class: confirm, Repeat: decl.RepeatNever,
+	})
+	ms.Placements = append(ms.Placements, decl.Placement{Service: name, Order: []string{decl.OrderOwn, decl.OrderRegion}, Spill: true})
+}
+
+// Change returns ms with one rule changed, another one for each n.
+func Change(ms *decl.Mesh, n int) *decl.Mesh {
+	next := *ms
+	next.Routes = slices.Clone(ms.Routes)
+	next.Routes[n%len(next.Routes)].Deadline = decl.Duration(time.Duration(n+1) * time.Millisecond)
+	return &next
+}
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -11,6 +11,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/conf/sample"
 	"github.com/flamingomast/flamingomast/internal/node/demo"
 	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
@@ -92,6 +94,34 @@
 	}
 }
 
+// mostSample bounds each number of a sample; beyond it the declarations would
+// not fit into a file.
+const mostSample = 10_000
+
+func (ap *app) devMeshCmd() *ffcli.Command {
+	fs := ap.flags("dev-mesh")
+	vms := fs.Int("vms", 9, "how many VMs")
+	domains := fs.Int("failure-domains", 3, "how many failure domains")
+	services := fs.Int("services", 2, "how many services")
+	return &ffcli.Command{
+		Name: "dev-mesh", ShortUsage: "flamingomast dev-mesh [--vms N] [--failure-domains N] [--services N]", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Print declarations of any size, for trials.",
+		Exec: func(_ context.Context, _ []string) error {
+			for name, n := range map[string]int{"vms": *vms, "failure-domains": *domains, "services": *services} {
+				if n < 1 || n > mostSample {
+					return usageError(fmt.Sprintf("--%s is %d; set it from 1 to %d", name, n, mostSample))
+				}
+			}
+			text, err := decl.Print(sample.Mesh(*vms, *domains, *services))
+			if err != nil {
+				return err
+			}
+			_, err = ap.out.Write(text)
+			return err
+		},
+	}
+}
+
 // faultNames lists the faults that a backend server can be told to have.
 func faultNames() string {
 	var names []string
