--- a/internal/conf/pack/pack_test.go
+++ b/internal/conf/pack/pack_test.go
@@ -146,8 +146,8 @@
 	}
 	whole, delta := len(Marshal(Diff(nil, a))), len(Marshal(Diff(a, b)))
 	t.Logf("whole %d B, one rule %d B", whole, delta)
-	if whole > 13_000 || delta > 280 {
-		t.Errorf("whole %d B, bound 13000; one rule %d B, bound 280", whole, delta)
+	if whole > 5_200 || delta > 290 {
+		t.Errorf("whole %d B, bound 5200; one rule %d B, bound 290", whole, delta)
 	}
 }
 
