ctrl, link: say what each field is for and what guards it

Cause: read as a newcomer, the fields of Node and Peer did not tell, and one comment was wrong: a peer's Relay changes with a later Hello. Logs of libraries were plain lines; they are JSON lines now.

--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -52,21 +52,29 @@
 	log   *slog.Logger
 	http  *http.Client
 
-	history   pack.History
+	history pack.History
+	// wholes and transfers bound the whole contents that are served; fetching
+	// is held by the one fetch that runs.
 	wholes    *rate.Limiter
 	transfers chan struct{}
 	fetching  chan struct{}
-	kick      chan struct{}
-
-	mu        sync.Mutex
-	peers     map[*link.Peer]bool
+	// kick lets the linker look again.
+	kick chan struct{}
+
+	// mu guards what follows, and the Record and Relay of each peer.
+	mu    sync.Mutex
+	peers map[*link.Peer]bool
+	// holds has what the VMs of the own failure domain hold, summaries what
+	// the other failure domains do, reached when a link to each was last known.
 	holds     map[string]hold
 	summaries map[string]*wirepb.Summary
 	reached   map[string]time.Time
 	expiry    *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
-	through  map[string]time.Time
-	bumped   int
+	through map[string]time.Time
+	// bumped counts how often the incarnation was raised above a forerunner's.
+	bumped int
+	// sumDirty says that the own failure domain's summary is to be sent.
 	sumDirty bool
 	linker   *linker
 	wg       conc.WaitGroup
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -38,11 +38,12 @@
 
 // Peer is a daemon at the other end of a link.
 type Peer struct {
-	// Record, Relay and Ready are set by the peer's Hello and not changed
-	// afterwards. Outgoing tells which side opened the link.
-	Record   *member.Record
-	Relay    bool
-	Ready    bool
+	// Record and Relay are what the peer's last Hello said, Ready that there was
+	// one. The owner of the peer guards them.
+	Record *member.Record
+	Relay  bool
+	Ready  bool
+	// Outgoing tells that this side opened the link.
 	Outgoing bool
 	// Addr is where the peer was reached, for an outgoing link.
 	Addr string
@@ -51,12 +52,14 @@
 	stream Stream
 	wake   chan struct{}
 
-	mu        sync.Mutex
-	version   uint64
-	digest    pack.Digest
-	dirty     bool
-	now       bool
-	offerNext bool
+	mu sync.Mutex
+	// version and digest are the newest that the peer is known to have.
+	version uint64
+	digest  pack.Digest
+	// dirty says that something waits to be sent, now that it must not wait
+	// for more, offerNext that the newest version is to be offered.
+	dirty, now, offerNext bool
+	// What waits: the next packet and the newest of each kind.
 	next      *wirepb.Packet
 	records   map[string]*member.Record
 	held      map[string]*wirepb.Held
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -150,6 +150,8 @@
 			}
 			debug.SetMemoryLimit(memoryLimit)
 			log := slog.New(slog.NewJSONHandler(ap.err, &slog.HandlerOptions{Level: se.LogLevel}))
+			// What libraries log by themselves becomes JSON lines too.
+			slog.SetDefault(log)
 			return daemon.New(se, daemon.Options{Log: log}).Run(ctx)
 		},
 	}
