ctrl: a daemon that ends says nothing of the platform

Cause: the first ten minutes of the README ended with a warning that the platform did not answer, of a watch that the daemon's own end had cut off.

--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -39,6 +39,9 @@
 			continue
 		}
 		rev, err := nd.watchOnce(ctx, seen)
+		if ctx.Err() != nil {
+			return
+		}
 		nd.notePlatform(err)
 		if err != nil {
 			seen = 0
