--- a/cmd/flamingomast/process_test.go
+++ b/cmd/flamingomast/process_test.go
@@ -339,7 +339,7 @@
 func TestDrainCutsOffNothing(t *testing.T) {
 	me := newMesh(t)
 	v := me.vms[1]
-	v.server = start(t, "dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--work", "1s")
+	v.server = start(t, "dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--work", "3s")
 	me.apply("")
 	me.servedBy(me.vms[0], v.name)
 
--- a/internal/path/outlet/faults_test.go
+++ b/internal/path/outlet/faults_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -216,9 +217,10 @@
 // is told at its deadline, not later, that it may have run, and the slot is
 // free again.
 func TestFrozenServer(t *testing.T) {
-	done := make(chan struct{})
+	done, given := make(chan struct{}), make(chan string, 1)
 	rs := newRaw(t, func(_ net.Conn, _ int, req *http.Request) bool {
 		faulty.ReadBody(req)
+		given <- req.Header.Get("Flamingomast-Timeout-Ms")
 		<-done
 		return false
 	})
@@ -228,8 +230,8 @@
 	if an.status != http.StatusGatewayTimeout || an.outcome != "may-have-run" || an.reason != "deadline-passed" {
 		t.Errorf("got %+v", an)
 	}
-	if rs.Seen() != 1 {
-		t.Errorf("the server saw it %d times", rs.Seen())
+	if ms, err := strconv.Atoi(<-given); rs.Seen() != 1 || err != nil || ms > 200 {
+		t.Errorf("the server saw it %d times, with %d ms left of 200", rs.Seen(), ms)
 	}
 	eventually(t, func() bool { return rg.vms[0].in.Gate.Load().Running == 0 })
 }
