--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -18,6 +18,8 @@
 	maxQueue    = 10_000
 	maxDeadline = 10 * time.Minute
 	maxWeight   = 1_000_000
+	maxPriority = 100
+	maxAttempts = 100
 )
 
 var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
@@ -107,8 +109,12 @@
 func (ck *checker) checkServices() {
 	for _, sv := range ck.ms.Services {
 		of := fmt.Sprintf("service %q", sv.Name)
-		ck.within(sv.Pos, of, "port", sv.Port, 1, 65535)
-		ck.within(sv.Pos, of, "slots", sv.Slots, 1, maxSlots)
+		if sv.Announced {
+			ck.announced(&sv, of)
+		} else {
+			ck.within(sv.Pos, of, "port", sv.Port, 1, 65535)
+			ck.within(sv.Pos, of, "slots", sv.Slots, 1, maxSlots)
+		}
 		ck.within(sv.Pos, of, "connections", sv.Connections, 0, maxConns)
 		if sv.Connections > 0 && sv.Connections < sv.Slots {
 			ck.add(sv.Pos, "give it as many connections as slots or more", "%s has %d connections for %d slots", of, sv.Connections, sv.Slots)
@@ -120,6 +126,14 @@
 	}
 }
 
+// announced reports what an announced service declares besides what its
+// backend servers say themselves: of two sources one would be wrong.
+func (ck *checker) announced(sv *Service, of string) {
+	if sv.Port != 0 || sv.Slots != 0 {
+		ck.add(sv.Pos, "leave out port and slots, or announced", "%s is announced and has port %d and slots %d", of, sv.Port, sv.Slots)
+	}
+}
+
 func (ck *checker) checkVMs() {
 	for _, vm := range ck.ms.VMs {
 		of := fmt.Sprintf("VM %q", vm.Name)
@@ -150,6 +164,8 @@
 			ck.ref(rt.Pos, "class", rt.Class, ck.classes, of)
 		}
 		ck.deadline(rt.Pos, of, rt.Deadline)
+		ck.within(rt.Pos, of, "priority", rt.Priority, 0, maxPriority)
+		ck.within(rt.Pos, of, "attempts", rt.Attempts, 0, maxAttempts)
 		if rt.Repeat != "" && !slices.Contains([]Repeat{RepeatSafe, RepeatNever, RepeatAlways}, rt.Repeat) {
 			ck.add(rt.Pos, "set it to safe, never or always", "%s has repeat %q", of, rt.Repeat)
 		}
@@ -236,6 +252,9 @@
 	if prefix == "" {
 		prefix = "/"
 	}
+	if !mt.Literal && prefix != "/" {
+		prefix = strings.TrimSuffix(prefix, "/")
+	}
 	base := fmt.Sprintf("%s %s %s ", mt.Host, prefix, strings.Join(hs, ","))
 	if len(mt.Methods) == 0 {
 		return []string{base}
--- a/internal/conf/decl/decl.go
+++ b/internal/conf/decl/decl.go
@@ -36,6 +36,10 @@
 // Service is what callers ask for and backend servers serve.
 type Service struct {
 	Name string `json:"name"`
+	// Announced says that no inventory lists its backend servers: each names
+	// its own address and slots when it announces itself, wherever it runs.
+	// Port and Slots are left out then.
+	Announced bool `json:"announced,omitempty"`
 	// Port is where its backend servers listen on their VM.
 	Port int `json:"port"`
 	// Slots is how many requests one backend server runs at once.
@@ -90,8 +94,15 @@
 	To    []Target `json:"to"`
 	Class string   `json:"class,omitempty"`
 	// Deadline bounds a request with all its attempts.
-	Deadline Duration   `json:"deadline,omitempty"`
-	Repeat   Repeat     `json:"repeat,omitempty"`
+	Deadline Duration `json:"deadline,omitempty"`
+	// Objective is the time within which an answer has its full worth.
+	Objective Duration `json:"objective,omitempty"`
+	// Priority ranks requests that wait for a slot: 0 goes first.
+	Priority int    `json:"priority,omitempty"`
+	Repeat   Repeat `json:"repeat,omitempty"`
+	// Attempts is the most backend servers that a request is sent to; 0 stands
+	// for the daemon's own bound.
+	Attempts int        `json:"attempts,omitempty"`
 	Pos      strict.Pos `json:"-"`
 }
 
@@ -99,11 +110,15 @@
 // longest path prefix wins, then the one with more headers, then the one that
 // names methods, then the first by name.
 type Match struct {
-	Host       string            `json:"host"`
-	PathPrefix string            `json:"path-prefix,omitempty"`
-	Methods    []string          `json:"methods,omitempty"`
-	Headers    map[string]string `json:"headers,omitempty"`
-	Pos        strict.Pos        `json:"-"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"path-prefix,omitempty"`
+	// Literal compares the prefix byte by byte: /visits/ does not take /visits.
+	// Otherwise a prefix takes whole segments, with or without a slash at its
+	// end.
+	Literal bool              `json:"literal,omitempty"`
+	Methods []string          `json:"methods,omitempty"`
+	Headers map[string]string `json:"headers,omitempty"`
+	Pos     strict.Pos        `json:"-"`
 }
 
 // Target is a service that gets a share of a route's requests.
--- a/internal/conf/snap/match.go
+++ b/internal/conf/snap/match.go
@@ -30,7 +30,7 @@
 }
 
 func (rt *Route) takes(method, path string, hdr http.Header) bool {
-	if !underPrefix(path, rt.prefix) {
+	if rt.literal && !strings.HasPrefix(path, rt.prefix) || !rt.literal && !underPrefix(path, rt.prefix) {
 		return false
 	}
 	if len(rt.methods) > 0 && !slices.Contains(rt.methods, method) {
--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -61,8 +61,17 @@
 	Targets  []Target
 	Class    *Class
 	Deadline time.Duration
+	// Objective is the time within which an answer has its full worth, 0 where
+	// none is declared.
+	Objective time.Duration
+	// Priority ranks requests that wait: 0 goes first.
+	Priority int
 	Repeat   decl.Repeat
+	// Attempts is the most backend servers that a request is sent to, 0 for
+	// the daemon's own bound.
+	Attempts int
 	prefix   string
+	literal  bool
 	methods  []string
 	headers  []header
 }
@@ -225,10 +234,17 @@
 func (sn *Snapshot) compileRoutes(ms *decl.Mesh, classes map[string]*Class) {
 	for _, drt := range ms.Routes {
 		rt := &Route{
-			Name:    drt.Name,
-			Repeat:  drt.Repeat,
-			prefix:  strings.TrimSuffix(drt.Match.PathPrefix, "/"),
-			methods: drt.Match.Methods,
+			Name:      drt.Name,
+			Repeat:    drt.Repeat,
+			Objective: time.Duration(drt.Objective),
+			Priority:  drt.Priority,
+			Attempts:  drt.Attempts,
+			prefix:    drt.Match.PathPrefix,
+			literal:   drt.Match.Literal,
+			methods:   drt.Match.Methods,
+		}
+		if !rt.literal {
+			rt.prefix = strings.TrimSuffix(rt.prefix, "/")
 		}
 		if rt.Repeat == "" {
 			rt.Repeat = decl.RepeatSafe
--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -23,6 +23,9 @@
 	Members Cell[member.View]
 	// Self is the daemon's own record.
 	Self Cell[member.Record]
+	// Forerunner is what peers keep of the VM's former process, empty where they
+	// know of none; nil until a peer has answered.
+	Forerunner Cell[member.Record]
 	// Links says whom the daemon is connected to, and whether it is a relay.
 	Links Cell[Links]
 	// Cut holds the failure domains that the relay has no link to.
--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
-	"github.com/flamingomast/flamingomast/internal/conf/accept"
-	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/mesh/relay"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
@@ -20,28 +18,32 @@
 	leaseTTL    = 15 * time.Second
 	renewEvery  = 5 * time.Second
 	searchEvery = 2 * time.Second
+	// spread is the time over which the first look-ups of a herd that starts at
+	// once are spread, so that the later ones find the keys of the earlier ones
+	// and need none of their own.
+	spread = 300 * time.Millisecond
+	// hasty is how often a daemon without any link looks during its first
+	// seconds.
+	hasty = 500 * time.Millisecond
 	// othersTime is how long a daemon that is alone in its failure domain waits
 	// for the word of others that are registered; keys of dead ones lapse
 	// within leaseTTL.
 	othersTime = leaseTTL + 5*time.Second
 )
 
-// directory is what the platform's keys say of where relays are. It serves
+// directory is what the platform's keys say of where daemons are. It serves
 // daemons that start and failure domains that have lost each other; a key that
-// outlives its relay, or one written by a relay that was paused past its lease,
-// costs a failed connection and nothing else.
+// outlives its daemon, or one written by a daemon that was paused past its
+// lease, costs a failed connection and nothing else.
 type directory struct {
 	mu    sync.Mutex
 	found map[string][]string
 }
 
-func (dr *directory) set(domain string, addrs []string) {
+func (dr *directory) set(found map[string][]string) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if dr.found == nil {
-		dr.found = map[string][]string{}
-	}
-	dr.found[domain] = addrs
+	dr.found = found
 }
 
 func (dr *directory) addresses() []string {
@@ -55,49 +57,39 @@
 	return list
 }
 
-func slotKey(domain string, slot int) string { return fmt.Sprintf("relays/%s/%d", domain, slot) }
+// directoryPrefix begins the keys of the directory: relays/DOMAIN/VM.
+const directoryPrefix = "relays/"
 
-// readSlots reads the addresses of a failure domain's relays, and the first
-// slot that is free or holds own, or -1.
-func (nd *Node) readSlots(ctx context.Context, domain, own string) (addrs []string, free int, err error) {
-	free = -1
-	for slot := range relay.Count {
-		ent, err := nd.cf.Store.Get(ctx, slotKey(domain, slot))
-		if err != nil {
-			return nil, -1, err
-		}
-		addr := string(ent.Value)
-		switch {
-		case ent.Revision == 0 && free < 0:
-			free = slot
-		case addr == own:
-			free = slot
-		case ent.Revision != 0:
-			addrs = append(addrs, addr)
+func directoryKey(domain, vm string) string { return directoryPrefix + domain + "/" + vm }
+
+// search reads the whole directory in one call and notes the addresses of
+// others.
+func (nd *Node) search(ctx context.Context) (map[string][]string, error) {
+	items, err := nd.cf.Store.List(ctx, directoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	found := map[string][]string{}
+	for _, it := range items {
+		domain, _, ok := strings.Cut(strings.TrimPrefix(it.Key, directoryPrefix), "/")
+		if addr := string(it.Value); ok && addr != nd.cf.Control {
+			found[domain] = append(found[domain], addr)
 		}
 	}
-	return addrs, free, nil
+	nd.linker.dirs.set(found)
+	nd.poke()
+	return found, nil
 }
 
-// runDirectory registers a relay, and looks up relays while links are missing.
+// runDirectory registers a relay, and looks up others while links are missing.
 func (nd *Node) runDirectory(ctx context.Context) {
 	reg := &registration{nd: nd}
 	defer reg.end()
+	if pause(ctx, rand.N(spread)) != nil {
+		return
+	}
 	for {
-		wait := searchEvery
-		switch {
-		case nd.isRelay():
-			reg.keep(ctx)
-			nd.searchMissing(ctx)
-			if len(nd.missing()) == 0 {
-				wait = renewEvery
-			}
-		case nd.linker.alone():
-			reg.end()
-			nd.search(ctx, nd.cf.Domain)
-		default:
-			reg.end()
-		}
+		wait := nd.directoryRound(ctx, reg)
 		// The waits are drawn anew each time, so that a herd that starts at
 		// once spreads over the interval.
 		if pause(ctx, wait/2+rand.N(wait/2)) != nil {
@@ -106,63 +98,57 @@
 	}
 }
 
-func (nd *Node) search(ctx context.Context, domain string) {
-	addrs, _, err := nd.readSlots(ctx, domain, nd.cf.Control)
+// directoryRound does what is due once and returns the wait until the next.
+func (nd *Node) directoryRound(ctx context.Context, reg *registration) time.Duration {
+	alone := nd.linker.alone()
+	if !alone && !nd.isRelay() {
+		// One that has just started may be about to become a relay.
+		if time.Since(nd.started) > bootTime+promoteAfter+searchEvery {
+			reg.end()
+		}
+		return searchEvery
+	}
+	kept := reg.renew(ctx)
+	if kept && !alone && len(nd.missing()) == 0 {
+		return renewEvery
+	}
+	found, err := nd.search(ctx)
 	if err != nil {
-		return
+		return nd.hurry(searchEvery, alone)
 	}
-	nd.linker.dirs.set(domain, addrs)
-	nd.poke()
-	if domain == nd.cf.Domain && len(addrs) == 0 && nd.linker.alone() {
-		nd.settleAlone(ctx)
+	// A daemon that is alone registers where few are registered, so that the
+	// first ones of a failure domain find each other before any is a relay.
+	if !kept && (nd.isRelay() || len(found[nd.cf.Domain]) < relay.Count) {
+		if err := reg.register(ctx); err != nil {
+			nd.log.Warn("directory-failed", slog.Any("error", err))
+		}
+	}
+	if len(found[nd.cf.Domain]) == 0 && nd.linker.alone() {
+		nd.settleAlone(found)
+	}
+	return nd.hurry(searchEvery, alone)
+}
+
+// hurry shortens the wait of a daemon that has just started and is alone.
+func (nd *Node) hurry(wait time.Duration, alone bool) time.Duration {
+	if alone && time.Since(nd.started) < 2*bootTime {
+		return hasty
 	}
+	return wait
 }
 
-// settleAlone settles the floor when nobody is there to tell it: no relay of
+// settleAlone settles the floor when nobody is there to tell it: no daemon of
 // the own failure domain is registered and no seed answers. Relays of other
-// failure domains may still know what was held here, so their addresses are
-// looked up first; the platform's head names the failure domains, also one
-// that was set back.
-func (nd *Node) settleAlone(ctx context.Context) {
+// failure domains may still know what was held here, so they are waited for.
+func (nd *Node) settleAlone(found map[string][]string) {
 	if time.Since(nd.started) <= bootTime {
 		return
 	}
-	others, err := nd.searchOthers(ctx)
-	if err != nil {
-		return
-	}
-	if len(others) == 0 || time.Since(nd.started) > othersTime {
+	if len(found) == 0 || time.Since(nd.started) > othersTime {
 		nd.Board.RaiseFloor(0, true)
 	}
 }
 
-// searchOthers looks up the relays of the failure domains that the platform's
-// newest version declares.
-func (nd *Node) searchOthers(ctx context.Context) ([]string, error) {
-	hd, _, err := accept.Load(ctx, nd.cf.Store)
-	if err != nil || hd.Last.Version == 0 {
-		return nil, err
-	}
-	co, err := accept.Content(ctx, nd.cf.Store, hd.Last)
-	if err != nil {
-		return nil, err
-	}
-	var all []string
-	for _, rs := range co.Resources {
-		if rs.Key.Kind != pack.KindDomain || rs.Key.Name == nd.cf.Domain {
-			continue
-		}
-		addrs, _, err := nd.readSlots(ctx, rs.Key.Name, nd.cf.Control)
-		if err != nil {
-			return nil, err
-		}
-		nd.linker.dirs.set(rs.Key.Name, addrs)
-		all = append(all, addrs...)
-	}
-	nd.poke()
-	return all, nil
-}
-
 // missing returns the failure domains that no link leads to.
 func (nd *Node) missing() []string {
 	var list []string
@@ -174,81 +160,58 @@
 	return list
 }
 
-func (nd *Node) searchMissing(ctx context.Context) {
-	for _, dm := range nd.missing() {
-		nd.search(ctx, dm)
-	}
-}
-
-// registration keeps a relay's key in the directory.
+// registration keeps a daemon's key in the directory.
 type registration struct {
 	nd    *Node
 	lease store.LeaseID
-	slot  int
-	done  bool
 }
 
-// keep renews the lease, or takes a slot under a new one. That the lease may
+// renew renews the lease and tells whether there is one. That the lease may
 // have ended while this process was paused does no harm: the key is only a
-// hint, and Gone leads to a new registration.
-func (rg *registration) keep(ctx context.Context) {
-	nd := rg.nd
-	if rg.done {
-		err := nd.cf.Store.Renew(ctx, rg.lease)
-		if err == nil {
-			if nd.linker.alone() {
-				nd.search(ctx, nd.cf.Domain)
-			}
-			return
-		}
-		if !store.Is(err, store.Gone) {
-			return
-		}
-		rg.done = false
-	}
-	addrs, free, err := nd.readSlots(ctx, nd.cf.Domain, nd.cf.Control)
-	if err != nil {
-		return
-	}
-	nd.linker.dirs.set(nd.cf.Domain, addrs)
-	nd.poke()
-	if len(addrs) == 0 && nd.linker.alone() {
-		nd.settleAlone(ctx)
-	}
-	if free < 0 {
-		return
-	}
-	if err := rg.register(ctx, free); err != nil {
-		nd.log.Warn("directory-failed", slog.Any("error", err))
-	}
+// hint, and Gone leads to a new registration. A platform that does not answer
+// is asked again with the next round.
+func (rg *registration) renew(ctx context.Context) bool {
+	if rg.lease == 0 {
+		return false
+	}
+	err := rg.nd.cf.Store.Renew(ctx, rg.lease)
+	if store.Is(err, store.Gone) {
+		rg.nd.log.Warn("directory-lease-lapsed")
+		rg.lease = 0
+	}
+	return rg.lease != 0
 }
 
-func (rg *registration) register(ctx context.Context, slot int) error {
+// register writes the key under a new lease, whatever it holds: only this VM's
+// processes write it.
+func (rg *registration) register(ctx context.Context) error {
 	kv := rg.nd.cf.Store
 	id, err := kv.Grant(ctx, leaseTTL)
 	if err != nil {
 		return err
 	}
-	key := slotKey(rg.nd.cf.Domain, slot)
-	ent, err := kv.Get(ctx, key)
-	if err != nil {
-		return err
+	ch := store.Change{Key: directoryKey(rg.nd.cf.Domain, rg.nd.cf.VM), Value: []byte(rg.nd.cf.Control), Lease: id}
+	ok, cur, err := kv.Swap(ctx, ch)
+	if err == nil && !ok {
+		ch.Revision = cur.Revision
+		ok, _, err = kv.Swap(ctx, ch)
 	}
-	ok, _, err := kv.Swap(ctx, store.Change{Key: key, Revision: ent.Revision, Value: []byte(rg.nd.cf.Control), Lease: id})
 	if err != nil || !ok {
 		return err
 	}
-	rg.lease, rg.slot, rg.done = id, slot, true
+	rg.lease = id
 	return nil
 }
 
-// end gives the slot back when the daemon is no longer a relay or ends.
+// end takes the key out when the daemon is no longer a relay or ends.
 func (rg *registration) end() {
-	if !rg.done {
+	if rg.lease == 0 {
 		return
 	}
-	rg.done = false
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_ = rg.nd.cf.Store.Revoke(ctx, rg.lease)
+	if err := rg.nd.cf.Store.Revoke(ctx, rg.lease); err != nil {
+		rg.nd.log.Info("directory-lease-left", slog.Any("error", err))
+	}
+	rg.lease = 0
 }
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/time/rate"
 
+	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
@@ -35,7 +36,10 @@
 	// Token is a secret that all daemons of the mesh share; empty for none.
 	Token string
 	Store store.Store
-	Log   *slog.Logger
+	// Source says where the operators' versions are in the store; the zero
+	// value stands for the head that accept writes.
+	Source Source
+	Log    *slog.Logger
 	// Dial opens a connection; nil stands for TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Compile makes the snapshot of a version; nil stands for snap.Compile.
@@ -45,6 +49,41 @@
 	Drain func() int
 }
 
+// Source says where the newest version of the operators is kept.
+type Source struct {
+	// Key is the store's key that changes with each version.
+	Key string
+	// Read makes a version of the key's value; known is the newest one known,
+	// nil for none. The content is nil when the version is not newer.
+	Read func(ctx context.Context, kv store.Store, known *board.Config, value []byte) (uint64, *pack.Content, error)
+	// Newest says that a read shows every version that was ever accepted: the
+	// store is never set back. Such a read settles the floor of a new process.
+	Newest bool
+	// Wait is how long one watch waits. It is also the time after which a watch
+	// whose connection went silent is noticed.
+	Wait time.Duration
+}
+
+// headSource reads the head that accept writes, and the content beside it.
+func headSource() Source {
+	read := func(ctx context.Context, kv store.Store, known *board.Config, value []byte) (uint64, *pack.Content, error) {
+		hd, err := accept.ParseHead(value)
+		if err != nil || hd.Last.Version == 0 {
+			return 0, nil, err
+		}
+		var base *pack.Content
+		if known != nil {
+			if hd.Last.Version <= known.Version {
+				return hd.Last.Version, nil, nil
+			}
+			base = known.Content
+		}
+		co, err := accept.Step(ctx, kv, base, hd.Last)
+		return hd.Last.Version, co, err
+	}
+	return Source{Key: accept.HeadKey, Read: read, Wait: watchWait}
+}
+
 // Node is the control part of one daemon.
 type Node struct {
 	Board *board.Board
@@ -123,6 +162,9 @@
 	if nd.log == nil {
 		nd.log = slog.New(slog.DiscardHandler)
 	}
+	if nd.cf.Source.Read == nil {
+		nd.cf.Source = headSource()
+	}
 	if nd.cf.Compile == nil {
 		nd.cf.Compile = snap.Compile
 	}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -113,6 +113,7 @@
 		wc := &wirepb.Welcome{Floor: floor}
 		if known != nil {
 			wc.Incarnation, wc.Nonce = known.Incarnation, known.Nonce
+			wc.Record = known.ToWire()
 		}
 		if !pr.Outgoing {
 			nd.sayHello(pr)
@@ -191,12 +192,31 @@
 // Only relays keep what members hold, so only their word settles the floor.
 func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
+	nd.learnForerunner(wc.Record)
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
 		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
 	nd.Board.RaiseFloor(wc.Floor, pr.Relay)
 }
 
+// learnForerunner puts on the board what a peer keeps of the VM's former
+// process, the newest of what several say. A peer that knows none says so too.
+func (nd *Node) learnForerunner(pb *wirepb.Record) {
+	rc := &member.Record{}
+	if pb != nil {
+		rc = member.FromWire(pb)
+	}
+	if rc.SameProcess(nd.Board.Self.Get()) {
+		rc = &member.Record{}
+	}
+	nd.Board.Forerunner.Update(func(cur *member.Record) *member.Record {
+		if cur != nil && rc.Compare(cur) <= 0 {
+			return cur
+		}
+		return rc
+	})
+}
+
 // The bounds of what a new process takes for its forerunner's.
 const (
 	youth    = 20 * time.Second
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
 
-	"github.com/flamingomast/flamingomast/internal/conf/accept"
-	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
@@ -16,21 +15,34 @@
 
 // The times of the watcher.
 const (
-	// watchWait is how long one watch waits; each counts as a call.
+	// watchWait is how long one watch of the own head waits; each counts as a
+	// call.
 	watchWait = 25 * time.Second
-	// watchRetry bounds the wait after a failed call.
-	watchRetry = time.Second
-	roleCheck  = 500 * time.Millisecond
+	// firstRetry and mostRetry bound the wait after failed calls, which doubles
+	// from the one to the other. The first is short since a watch that was cut
+	// off costs a read at once; the most keeps a daemon that the platform turns
+	// away at two calls a second.
+	firstRetry = 50 * time.Millisecond
+	mostRetry  = 500 * time.Millisecond
+	roleCheck  = 250 * time.Millisecond
+	// standIn is how long a watch of a daemon that is no relay waits: it follows
+	// the platform only until it hears a relay again.
+	standIn = 2 * time.Second
+	// deaf is how long a daemon may hear no relay before it follows the platform
+	// itself: a beat and a half, so that a version accepted while all its relays
+	// are frozen is still in force within two seconds.
+	deaf = link.Beat + link.Beat/2
 )
 
-// runWatcher follows the platform's head while the daemon is a relay. Plain
-// members never call the platform for configurations, so its load depends on
-// the number of failure domains and not on that of VMs.
+// runWatcher follows the platform while the daemon is a relay or hears none.
+// Plain members do not call the platform for configurations, so its load depends
+// on the number of failure domains and not on that of VMs.
 func (nd *Node) runWatcher(ctx context.Context) {
 	var seen store.Revision
+	failed := 0
 	for ctx.Err() == nil {
 		links, changed := nd.Board.Links.Watch()
-		if !links.Relay {
+		if !links.Relay && nd.hearsRelay() {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -45,38 +57,58 @@
 		nd.notePlatform(err)
 		if err != nil {
 			seen = 0
-			_ = pause(ctx, rand.N(watchRetry))
+			bound := min(firstRetry<<min(failed, 10), mostRetry)
+			failed++
+			if pause(ctx, bound/2+rand.N(bound/2)) != nil {
+				return
+			}
 			continue
 		}
-		seen = rev
+		seen, failed = rev, 0
 	}
 }
 
-// watchOnce waits for another head and takes its version.
+// hearsRelay tells whether a relay sent something lately.
+func (nd *Node) hearsRelay() bool {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for pr := range nd.peers {
+		if pr.Relay && time.Since(pr.Heard()) < deaf {
+			return true
+		}
+	}
+	return false
+}
+
+// watchOnce waits for another value of the source's key and takes its version.
 func (nd *Node) watchOnce(ctx context.Context, seen store.Revision) (store.Revision, error) {
-	ent, err := nd.cf.Store.Watch(ctx, accept.HeadKey, seen, watchWait)
+	src := &nd.cf.Source
+	wait := src.Wait
+	if !nd.isRelay() {
+		wait = min(wait, standIn)
+	}
+	ent, err := nd.cf.Store.Watch(ctx, src.Key, seen, wait)
 	if err != nil || ent.Revision == seen {
 		return seen, err
 	}
-	hd, err := accept.ParseHead(ent.Value)
-	if err != nil {
+	version, co, err := src.Read(ctx, nd.cf.Store, nd.Board.Latest.Get(), ent.Value)
+	var se *store.Error
+	switch {
+	case errors.As(err, &se):
 		return 0, err
-	}
-	nd.notePlatformVersion(hd.Last.Version)
-	cfg := nd.Board.Latest.Get()
-	if hd.Last.Version == 0 || cfg != nil && hd.Last.Version <= cfg.Version {
+	case err != nil:
+		// Reading it again would show the same; the version held stays.
+		nd.log.Error("version-unreadable", slog.Uint64("version", version), slog.Any("error", err))
+		nd.Board.Refused.Set(&board.Refusal{Version: version, Reason: err.Error()})
 		return ent.Revision, nil
 	}
-	var base *pack.Content
-	if cfg != nil {
-		base = cfg.Content
+	nd.notePlatformVersion(version)
+	if co != nil {
+		nd.take(version, co)
 	}
-	co, err := accept.Step(ctx, nd.cf.Store, base, hd.Last)
-	if err != nil {
-		nd.log.Error("version-unreadable", slog.Uint64("version", hd.Last.Version), slog.Any("error", err))
-		return 0, err
+	if src.Newest {
+		nd.Board.RaiseFloor(version, true)
 	}
-	nd.take(hd.Last.Version, co)
 	return ent.Revision, nil
 }
 
@@ -154,11 +186,19 @@
 }
 
 // withoutUndeclared drops the records of VMs that have gone and are no longer
-// declared, so that what is kept is bounded by the inventory.
+// declared, so that what is kept is bounded by the inventory. Where no inventory
+// lists the VMs, the number of the dead is bounded by that of the living.
 func (nd *Node) withoutUndeclared(vw *member.View) *member.View {
 	sn := nd.Board.Held.Get()
+	if len(sn.VMs) == 0 {
+		return vw.WithoutOldest(keepDead)
+	}
 	return vw.Without(func(vm string) bool {
 		_, declared := sn.VMs[vm]
 		return !declared
 	})
 }
+
+// keepDead is how many records of VMs that have gone are kept beyond as many as
+// there are live ones: a day's replacements at the size of the target.
+const keepDead = 256
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -20,7 +21,10 @@
 	Beat = time.Second
 	// Silence is how long a peer may send nothing before the link is ended. A
 	// frozen process keeps its connection open; only its silence shows it.
-	Silence = 4 * time.Second
+	//
+	// It is below the three seconds after which a daemon whose connections went
+	// silent without a reset must follow new versions again.
+	Silence = 2500 * time.Millisecond
 	// gather is how long news waits for more of it before a packet is sent.
 	gather = 20 * time.Millisecond
 )
@@ -48,6 +52,7 @@
 	// Addr is where the peer was reached, for an outgoing link.
 	Addr string
 
+	heard  atomic.Int64 // Unix time in nanoseconds of the last packet
 	offer  func(pr *Peer, base pack.Digest) *wirepb.Version
 	stream Stream
 	wake   chan struct{}
@@ -91,12 +96,16 @@
 			break
 		}
 		silent.Reset(Silence)
+		pr.heard.Store(time.Now().UnixNano())
 		handle(pr, pk)
 	}
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
+// Heard returns when the last packet came, the Unix epoch for none.
+func (pr *Peer) Heard() time.Time { return time.Unix(0, pr.heard.Load()) }
+
 func (pr *Peer) sendAll(ctx context.Context) error {
 	beat := time.NewTimer(Beat)
 	defer beat.Stop()
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -30,6 +30,13 @@
 	Inlet, Control string
 	// Since is when the backend server began to serve.
 	Since time.Time
+	// Lifetime names the start of the backend server, Announced the number of
+	// its newest announcement that was taken.
+	Lifetime  string
+	Announced uint64
+	// ColdUntil is until when it is slow after its start, by the wall clock of
+	// the VM.
+	ColdUntil time.Time
 }
 
 // Mark is what a relay adds to a record.
@@ -112,11 +119,14 @@
 	pb := &wirepb.Record{
 		Vm: rc.VM, Domain: rc.Domain, Incarnation: rc.Incarnation, Sequence: rc.Sequence, Nonce: rc.Nonce,
 		Mark: wirepb.Mark(rc.Mark), State: wirepb.State(rc.State), Service: rc.Service, Slots: uint32(rc.Slots),
-		Inlet: rc.Inlet, Control: rc.Control,
+		Inlet: rc.Inlet, Control: rc.Control, Lifetime: rc.Lifetime, Announced: rc.Announced,
 	}
 	if !rc.Since.IsZero() {
 		pb.SinceMs = uint64(rc.Since.UnixMilli())
 	}
+	if !rc.ColdUntil.IsZero() {
+		pb.ColdUntilMs = uint64(rc.ColdUntil.UnixMilli())
+	}
 	return pb
 }
 
@@ -125,7 +135,10 @@
 	rc := &Record{
 		VM: pb.GetVm(), Domain: pb.GetDomain(), Incarnation: pb.GetIncarnation(), Sequence: pb.GetSequence(), Nonce: pb.GetNonce(),
 		Mark: Mark(pb.GetMark()), State: State(pb.GetState()), Service: pb.GetService(), Slots: int(pb.GetSlots()),
-		Inlet: pb.GetInlet(), Control: pb.GetControl(),
+		Inlet: pb.GetInlet(), Control: pb.GetControl(), Lifetime: pb.GetLifetime(), Announced: pb.GetAnnounced(),
+	}
+	if ms := pb.GetColdUntilMs(); ms > 0 {
+		rc.ColdUntil = time.UnixMilli(int64(ms))
 	}
 	if ms := pb.GetSinceMs(); ms > 0 {
 		rc.Since = time.UnixMilli(int64(ms))
@@ -221,6 +234,27 @@
 	return next
 }
 
+// WithoutOldest returns the view without the oldest of the records that are not
+// live, where there are more than spare beyond the number of live ones.
+func (vw *View) WithoutOldest(spare int) *View {
+	var dead []*Record
+	for rc := range vw.All {
+		if !rc.Live() {
+			dead = append(dead, rc)
+		}
+	}
+	over := len(dead) - (vw.Len() - len(dead)) - spare
+	if over <= 0 {
+		return vw
+	}
+	slices.SortFunc(dead, func(a, b *Record) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	drop := make(map[string]bool, over)
+	for _, rc := range dead[:over] {
+		drop[rc.VM] = true
+	}
+	return vw.Without(func(vm string) bool { return drop[vm] })
+}
+
 func (vw *View) sumUp() {
 	vw.Domains = map[string][]*Record{}
 	vw.Hashes = map[string]uint64{}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -20,6 +20,8 @@
 	// Addr is the backend server's address (host:port), empty while there is
 	// none.
 	Addr string
+	// Lifetime names the start of the backend server, where it tells.
+	Lifetime string
 }
 
 // Inlet serves outlets.
@@ -29,7 +31,9 @@
 	// Unreachable is called when the backend server takes no connection.
 	Unreachable func(Target)
 	// Token is what outlets must show; empty for none. It is set before use.
-	Token  string
+	Token string
+	// Names are the headers of backend servers. They are set before use.
+	Names  result.Names
 	op     proxy.Options
 	fw     atomic.Pointer[proxy.Forwarder]
 	target atomic.Pointer[Target]
@@ -112,7 +116,7 @@
 	if r.ContentLength > maxUnread && r.Header.Get("Expect") == "" {
 		w.Header().Set("Connection", "close")
 	}
-	rf.Write(w)
+	rf.Write(w, true)
 }
 
 // maxUnread is the size up to which net/http reads the rest of a body itself
@@ -139,7 +143,13 @@
 		return
 	}
 	defer at.Response.Body.Close()
-	if rf := shed(at.Response); rf != nil {
+	if rf := in.foreign(r, at.Response); rf != nil {
+		at.Discard()
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
+		return
+	}
+	if rf := in.shed(at.Response); rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
 		return
@@ -170,22 +180,53 @@
 
 // shed reads the agreed way in which a backend server says that it has not
 // begun to run a request.
-func shed(res *http.Response) *result.Refusal {
+func (in *Inlet) shed(res *http.Response) *result.Refusal {
 	refusing := res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests
-	if !refusing || res.Header.Get(result.NotRunHeader) == "" {
+	switch {
+	case in.Names.Instance != "" && res.StatusCode == http.StatusMisdirectedRequest:
+		return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonWrongTarget}
+	case !refusing || res.Header.Get(in.Names.Or().NotRun) == "":
 		return nil
 	}
-	rf := &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed, RetryAfter: time.Second}
-	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil && s > 0 {
-		rf.RetryAfter = time.Duration(s) * time.Second
+	after := result.ParseSeconds(res.Header.Get("Retry-After"))
+	if after == 0 {
+		after = shedPause
 	}
-	return rf
+	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed, RetryAfter: after}
+}
+
+// shedPause is when a caller should come back to a backend server that refused
+// a request and did not say when.
+const shedPause = time.Second
+
+// foreign tells whether an answer is that of another request, or none of the
+// backend server at all. A server that sends a second answer late puts it where
+// the next one is due: without the id that it repeats, one caller would get
+// another's answer. A refusal may lack the id; a success may not.
+func (in *Inlet) foreign(r *http.Request, res *http.Response) *result.Refusal {
+	nm := &in.Names
+	good := res.StatusCode < http.StatusMultipleChoices
+	bad := false
+	if nm.Request != "" {
+		got := res.Header.Get(nm.Request)
+		bad = got != r.Header.Get(nm.Request) && (good || got != "")
+	}
+	if nm.Stamp != "" && good && res.Header.Get(nm.Stamp) == "" {
+		bad = true
+	}
+	if !bad {
+		return nil
+	}
+	return &result.Refusal{Outcome: result.MayHaveRun, Reason: result.ReasonForeign}
 }
 
 // outgoing makes the request for the backend server. Of this system's headers
 // it bears only what is left of the time.
 func (in *Inlet) outgoing(ctx context.Context, r *http.Request, tg *Target) *http.Request {
-	out := proxy.Outgoing(ctx, r, tg.Addr)
+	out := proxy.Outgoing(ctx, r, tg.Addr, in.Names.Or().Timeout)
+	if in.Names.Instance != "" && tg.Lifetime != "" {
+		out.Header.Set(in.Names.Instance, tg.Lifetime)
+	}
 	out.ContentLength = r.ContentLength
 	switch {
 	case r.ContentLength == 0:
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -1,6 +1,7 @@
 package outlet
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -29,6 +30,8 @@
 	fw      *proxy.Forwarder
 	log     *slog.Logger
 	token   string
+	names   result.Names
+	service string
 	sample  atomic.Uint64 // bits of the share of requests that are logged
 	routing atomic.Pointer[routing]
 	// requests and bodies bound what callers can make the outlet hold.
@@ -49,11 +52,16 @@
 	Sample float64
 	// Token is what inlets ask for; empty for none.
 	Token string
+	// Names are the headers of callers.
+	Names result.Names
+	// Service is the service that runs on this VM, which backend servers are
+	// told as the one that calls.
+	Service string
 }
 
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token}
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service}
 	ou.SetSample(op.Sample)
 	ou.requests.most, ou.bodies.most = maxRequests, maxBodies
 	if ou.fw == nil {
@@ -121,7 +129,7 @@
 // ServeHTTP serves one request.
 func (ou *Outlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	if rf := checkEdge(r); rf != nil {
+	if rf := ou.checkEdge(r); rf != nil {
 		ou.refuse(w, r, rf)
 		return
 	}
@@ -141,7 +149,7 @@
 		return
 	}
 	limit := route.Deadline
-	if given, ok := timeout(r.Header); ok {
+	if given, ok := ou.timeout(r.Header); ok {
 		limit = min(limit, given)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
@@ -175,11 +183,11 @@
 		// another one.
 		w.Header().Set("Connection", "close")
 	}
-	rf.Write(w)
+	rf.Write(w, ou.names.Fractions)
 }
 
 // checkEdge refuses what is not carried, before anything of it is sent on.
-func checkEdge(r *http.Request) *result.Refusal {
+func (ou *Outlet) checkEdge(r *http.Request) *result.Refusal {
 	bad := func(re result.Reason, format string, args ...any) *result.Refusal {
 		return &result.Refusal{Outcome: result.NotRun, Reason: re, Detail: fmt.Sprintf(format, args...)}
 	}
@@ -189,8 +197,8 @@
 	if name := proxy.Forged(r.Header); name != "" {
 		return bad(result.ReasonBadRequest, "the header %s is not taken from callers", name)
 	}
-	if _, ok := timeout(r.Header); !ok && r.Header.Get(result.TimeoutMs) != "" {
-		return bad(result.ReasonBadRequest, "%s must be a whole number of milliseconds above 0", result.TimeoutMs)
+	if _, ok := ou.timeout(r.Header); !ok && r.Header.Get(ou.names.Timeout) != "" {
+		return bad(result.ReasonBadRequest, "%s must be a whole number of milliseconds above 0", ou.names.Timeout)
 	}
 	if !strings.HasPrefix(r.URL.Path, "/") || dotted(r.URL.Path) {
 		return bad(result.ReasonBadRequest, "the path must begin with a slash and have no \".\" or \"..\" segment")
@@ -215,8 +223,9 @@
 	return false
 }
 
-func timeout(hdr http.Header) (time.Duration, bool) {
-	ms, err := strconv.ParseInt(hdr.Get(result.TimeoutMs), 10, 32)
+// timeout returns how long the caller waits, if it says so.
+func (ou *Outlet) timeout(hdr http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(hdr.Get(ou.names.Timeout), 10, 32)
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
@@ -303,7 +312,7 @@
 	if rq.src.streamed() {
 		rq.w.Header().Set("Connection", "close")
 	}
-	rf.Write(rq.w)
+	rf.Write(rq.w, rq.ou.names.Fractions)
 }
 
 func (rq *request) count(oc result.Outcome, re result.Reason) {
@@ -351,6 +360,10 @@
 		vd = pick.Bad
 	}
 	took := time.Since(began)
+	if rf := rq.readSmall(at); rf != nil {
+		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
+		return rf
+	}
 	proxy.CopyHead(rq.w, at.Response, nil)
 	err := proxy.Copy(rq.w, at)
 	var ce *proxy.CopyError
@@ -365,6 +378,30 @@
 	return nil
 }
 
+// maxHeldAnswer is the size up to which an answer is read whole before its head
+// is sent on, in bytes: most answers are a few kilobytes.
+const maxHeldAnswer = 32 << 10
+
+// readSmall reads a small answer whole. A backend server that breaks off in the
+// middle would otherwise have cost the caller its connection, where a request
+// that may be repeated can be sent again as long as nothing was passed on.
+func (rq *request) readSmall(at *proxy.Attempt) *result.Refusal {
+	res := at.Response
+	if res.ContentLength <= 0 || res.ContentLength > maxHeldAnswer {
+		return nil
+	}
+	body := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, body); err != nil {
+		at.Discard()
+		return rq.failure(at, result.MayHaveRun, result.ReasonBroken)
+	}
+	if err := res.Body.Close(); err != nil {
+		rq.ou.log.Debug("answer-close", slog.Any("error", err))
+	}
+	res.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // verdictOf tells what a refusal says of the server.
 func verdictOf(rf *result.Refusal) pick.Verdict {
 	if staleConn(rf) {
@@ -407,7 +444,17 @@
 
 // outgoing makes the request for a server's inlet.
 func (rq *request) outgoing(ep *pick.Endpoint) *http.Request {
-	out := proxy.Outgoing(rq.ctx, rq.r, ep.Inlet)
+	out := proxy.Outgoing(rq.ctx, rq.r, ep.Inlet, result.TimeoutMs)
+	nm := &rq.ou.names
+	if nm.Timeout != result.TimeoutMs {
+		out.Header.Del(nm.Timeout)
+	}
+	if nm.Instance != "" {
+		out.Header.Del(nm.Instance)
+	}
+	if nm.Caller != "" {
+		out.Header.Set(nm.Caller, rq.ou.service)
+	}
 	out.Header[result.VMHeader] = []string{ep.VM}
 	out.Header[result.ProcessHeader] = []string{ep.Process}
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -153,13 +153,26 @@
 	return result.MayHaveRun, result.ReasonBroken
 }
 
+// Discard ends the connection of an attempt whose answer is not to be used, so
+// that what is left of it cannot be taken for another one.
+func (at *Attempt) Discard() {
+	if cn, _ := at.connection(); cn != nil {
+		cn.poison()
+	}
+	if at.Response != nil {
+		// The connection is ended either way; there is nothing left to do about
+		// an error.
+		_ = at.Response.Body.Close()
+	}
+}
+
 // MaxBody is the most bytes that the body of a request may have.
 const MaxBody = 64 << 20
 
 // Outgoing makes the request for the next hop at addr out of the one that came
 // in: same method, host and target, headers cleaned, no body yet. The next hop
-// is told what is left of the time until the deadline of ctx.
-func Outgoing(ctx context.Context, r *http.Request, addr string) *http.Request {
+// is told, in the header timeout, what is left until the deadline of ctx.
+func Outgoing(ctx context.Context, r *http.Request, addr, timeout string) *http.Request {
 	hdr := Clone(r.Header)
 	Clean(hdr)
 	if _, ok := hdr["User-Agent"]; !ok {
@@ -167,7 +180,7 @@
 		hdr["User-Agent"] = nil
 	}
 	if at, ok := ctx.Deadline(); ok {
-		hdr[result.TimeoutMs] = []string{strconv.FormatInt(max(1, time.Until(at).Milliseconds()), 10)}
+		hdr[timeout] = []string{strconv.FormatInt(max(1, time.Until(at).Milliseconds()), 10)}
 	}
 	u := *r.URL
 	u.Scheme, u.Host = "http", addr
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -62,6 +62,7 @@
 	ReasonToken       Reason = "token-missing-or-wrong"
 	ReasonUpgrade     Reason = "upgrade-not-carried"
 	ReasonCallerGone  Reason = "caller-gone"
+	ReasonForeign     Reason = "foreign-answer"
 )
 
 // The headers of this system. All begin with Prefix, and none but TimeoutMs is
@@ -91,6 +92,42 @@
 	LoadHeader = Prefix + "Load"
 )
 
+// Names are the headers in which callers and backend servers speak to this
+// system. An empty one stands for this system's own name, where it has one, or
+// for a matter that is not spoken of.
+type Names struct {
+	// Timeout is how many milliseconds the sender of a request waits.
+	Timeout string
+	// Request is the id that a caller gives each request and that a backend
+	// server repeats on its answer. With it, an answer to another request is
+	// told from the one that is due.
+	Request string
+	// Caller is set to the service of the VM on which the request began.
+	Caller string
+	// Instance is set to the lifetime of the backend server that is meant; any
+	// other one answers 421 and does not run the request.
+	Instance string
+	// Stamp is on every answer that a backend server makes, so that bytes which
+	// are no answer of it are told from one.
+	Stamp string
+	// NotRun on a backend server's refusal says that it has not begun to run
+	// the request.
+	NotRun string
+	// Fractions lets Retry-After bear fractions of a second.
+	Fractions bool
+}
+
+// Or returns the names with this system's own for those that are empty.
+func (nm Names) Or() Names {
+	if nm.Timeout == "" {
+		nm.Timeout = TimeoutMs
+	}
+	if nm.NotRun == "" {
+		nm.NotRun = NotRunHeader
+	}
+	return nm
+}
+
 // IsControl tells whether a canonical header name belongs to this system.
 func IsControl(name string) bool { return strings.HasPrefix(name, Prefix) }
 
@@ -119,24 +156,28 @@
 		return http.StatusMisdirectedRequest
 	case ReasonToken:
 		return http.StatusForbidden
-	case ReasonDeadline, ReasonTooLate:
-		return http.StatusGatewayTimeout
 	}
-	if oc == MayHaveRun {
+	switch {
+	case re == ReasonDeadline && oc != NotRun:
+		return http.StatusGatewayTimeout
+	case oc == MayHaveRun:
 		return http.StatusBadGateway
 	}
+	// Also for a deadline that passed or was too near before the request ran:
+	// 503 promises that it has not, so that the caller may send it again.
 	return http.StatusServiceUnavailable
 }
 
 // Write sends the refusal to a caller as status, headers and a small JSON body.
-func (rf *Refusal) Write(w http.ResponseWriter) {
+// With fractions, Retry-After is given to the millisecond.
+func (rf *Refusal) Write(w http.ResponseWriter, fractions bool) {
 	hdr := w.Header()
 	hdr.Set(OutcomeHeader, rf.Outcome.String())
 	hdr.Set(ReasonHeader, string(rf.Reason))
 	hdr.Set("Content-Type", "application/json")
 	hdr.Set("Cache-Control", "no-store")
 	if rf.RetryAfter > 0 {
-		hdr.Set("Retry-After", Seconds(rf.RetryAfter))
+		hdr.Set("Retry-After", Seconds(rf.RetryAfter, fractions))
 	}
 	status := rf.Status
 	if status == 0 {
@@ -153,8 +194,12 @@
 	_, _ = w.Write(body)
 }
 
-// Seconds returns a duration in whole seconds, at least 1, for Retry-After.
-func Seconds(d time.Duration) string {
+// Seconds returns a duration for Retry-After: in whole seconds, at least 1, or
+// with fractions to the millisecond.
+func Seconds(d time.Duration, fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(max(0.001, d.Seconds()), 'f', 3, 64)
+	}
 	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
 }
 
@@ -169,12 +214,23 @@
 	if oc == NotRun.String() {
 		rf.Outcome = NotRun
 	}
-	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
-		rf.RetryAfter = time.Duration(s) * time.Second
-	}
+	rf.RetryAfter = ParseSeconds(res.Header.Get("Retry-After"))
 	return rf
 }
 
+// ParseSeconds reads a Retry-After in seconds, with or without fractions; 0
+// for none that can be read.
+func ParseSeconds(s string) time.Duration {
+	sec, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(sec > 0) || sec > maxRetryAfter.Seconds() {
+		return 0
+	}
+	return time.Duration(sec * float64(time.Second))
+}
+
+// maxRetryAfter is the longest Retry-After that is believed.
+const maxRetryAfter = time.Hour
+
 // Load is what an inlet says of its backend server.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/plat/kvpb/kv.connect.go
+++ b/internal/plat/kvpb/kv.connect.go
@@ -34,6 +34,8 @@
 const (
 	// KeyValueGetProcedure is the fully-qualified name of the KeyValue's Get RPC.
 	KeyValueGetProcedure = "/flamingomast.kv.v1.KeyValue/Get"
+	// KeyValueListProcedure is the fully-qualified name of the KeyValue's List RPC.
+	KeyValueListProcedure = "/flamingomast.kv.v1.KeyValue/List"
 	// KeyValueSwapProcedure is the fully-qualified name of the KeyValue's Swap RPC.
 	KeyValueSwapProcedure = "/flamingomast.kv.v1.KeyValue/Swap"
 	// KeyValueWatchProcedure is the fully-qualified name of the KeyValue's Watch RPC.
@@ -49,6 +51,7 @@
 // KeyValueClient is a client for the flamingomast.kv.v1.KeyValue service.
 type KeyValueClient interface {
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
+	List(context.Context, *connect.Request[ListRequest]) (*connect.Response[ListResponse], error)
 	Swap(context.Context, *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error)
 	Watch(context.Context, *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error)
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error)
@@ -73,6 +76,12 @@
 			connect.WithSchema(keyValueMethods.ByName("Get")),
 			connect.WithClientOptions(opts...),
 		),
+		list: connect.NewClient[ListRequest, ListResponse](
+			httpClient,
+			baseURL+KeyValueListProcedure,
+			connect.WithSchema(keyValueMethods.ByName("List")),
+			connect.WithClientOptions(opts...),
+		),
 		swap: connect.NewClient[SwapRequest, SwapResponse](
 			httpClient,
 			baseURL+KeyValueSwapProcedure,
@@ -109,6 +118,7 @@
 // keyValueClient implements KeyValueClient.
 type keyValueClient struct {
 	get    *connect.Client[GetRequest, GetResponse]
+	list   *connect.Client[ListRequest, ListResponse]
 	swap   *connect.Client[SwapRequest, SwapResponse]
 	watch  *connect.Client[WatchRequest, WatchResponse]
 	grant  *connect.Client[GrantRequest, GrantResponse]
@@ -121,6 +131,11 @@
 	return c.get.CallUnary(ctx, req)
 }
 
+// List calls flamingomast.kv.v1.KeyValue.List.
+func (c *keyValueClient) List(ctx context.Context, req *connect.Request[ListRequest]) (*connect.Response[ListResponse], error) {
+	return c.list.CallUnary(ctx, req)
+}
+
 // Swap calls flamingomast.kv.v1.KeyValue.Swap.
 func (c *keyValueClient) Swap(ctx context.Context, req *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error) {
 	return c.swap.CallUnary(ctx, req)
@@ -149,6 +164,7 @@
 // KeyValueHandler is an implementation of the flamingomast.kv.v1.KeyValue service.
 type KeyValueHandler interface {
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
+	List(context.Context, *connect.Request[ListRequest]) (*connect.Response[ListResponse], error)
 	Swap(context.Context, *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error)
 	Watch(context.Context, *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error)
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error)
@@ -169,6 +185,12 @@
 		connect.WithSchema(keyValueMethods.ByName("Get")),
 		connect.WithHandlerOptions(opts...),
 	)
+	keyValueListHandler := connect.NewUnaryHandler(
+		KeyValueListProcedure,
+		svc.List,
+		connect.WithSchema(keyValueMethods.ByName("List")),
+		connect.WithHandlerOptions(opts...),
+	)
 	keyValueSwapHandler := connect.NewUnaryHandler(
 		KeyValueSwapProcedure,
 		svc.Swap,
@@ -203,6 +225,8 @@
 		switch r.URL.Path {
 		case KeyValueGetProcedure:
 			keyValueGetHandler.ServeHTTP(w, r)
+		case KeyValueListProcedure:
+			keyValueListHandler.ServeHTTP(w, r)
 		case KeyValueSwapProcedure:
 			keyValueSwapHandler.ServeHTTP(w, r)
 		case KeyValueWatchProcedure:
@@ -226,6 +250,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.Get is not implemented"))
 }
 
+func (UnimplementedKeyValueHandler) List(context.Context, *connect.Request[ListRequest]) (*connect.Response[ListResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.List is not implemented"))
+}
+
 func (UnimplementedKeyValueHandler) Swap(context.Context, *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.Swap is not implemented"))
 }
--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -33,7 +33,7 @@
 
 // Store returns the functions of the platform's interface.
 func (cl *Client) Store() store.Store {
-	return store.Store{Get: cl.get, Swap: cl.swap, Watch: cl.watch, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke}
+	return store.Store{Get: cl.get, List: cl.list, Swap: cl.swap, Watch: cl.watch, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke}
 }
 
 // fault maps an error to a *store.Error. A write whose answer did not come is
@@ -77,6 +77,18 @@
 	return entryOf(res.Entry), nil
 }
 
+func (cl *Client) list(ctx context.Context, prefix string) ([]store.Item, error) {
+	res, err := call(ctx, "list", prefix, false, CallTimeout, &kvpb.ListRequest{Prefix: prefix}, cl.kv.List)
+	if err != nil {
+		return nil, err
+	}
+	var items []store.Item
+	for _, it := range res.Items {
+		items = append(items, store.Item{Key: it.Key, Entry: entryOf(it.Entry)})
+	}
+	return items, nil
+}
+
 func (cl *Client) swap(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
 	req := &kvpb.SwapRequest{Key: ch.Key, Revision: int64(ch.Revision), Value: ch.Value, Remove: ch.Remove, Lease: int64(ch.Lease)}
 	res, err := call(ctx, "swap", ch.Key, true, CallTimeout, req, cl.kv.Swap)
--- a/internal/plat/remote/contract_test.go
+++ b/internal/plat/remote/contract_test.go
@@ -61,6 +61,23 @@
 			t.Errorf("Watch: %+v", ent)
 		}
 	}},
+	{"list returns what begins with the prefix", func(t *testing.T, kv store.Store, _ *stand.Stand) {
+		for _, key := range []string{"b/2", "a", "b/1", "c", "b"} {
+			wantSwap(t, kv, store.Change{Key: key, Value: []byte(key)}, true)
+		}
+		items, err := kv.List(t.Context(), "b/")
+		if err != nil || len(items) != 2 || items[0].Key != "b/1" || string(items[1].Value) != "b/2" || items[1].Revision == 0 {
+			t.Errorf("List: %+v, %v", items, err)
+		}
+	}},
+	{"list ends with its context", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		st.SetFaults(stand.Faults{Delay: time.Minute})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if _, err := kv.List(ctx, "b/"); err == nil {
+			t.Error("List with an ended context gave no error")
+		}
+	}},
 	{"watch ends after its wait", func(t *testing.T, kv store.Store, _ *stand.Stand) {
 		if ent, err := kv.Watch(t.Context(), "a", 0, time.Millisecond); err != nil || ent.Revision != 0 {
 			t.Errorf("Watch: %+v, %v", ent, err)
--- a/internal/plat/remote/handler.go
+++ b/internal/plat/remote/handler.go
@@ -60,6 +60,19 @@
 	return connect.NewResponse(&kvpb.GetResponse{Entry: entryPB(ent)}), nil
 }
 
+// List serves store.Store.List.
+func (sr *server) List(ctx context.Context, req *connect.Request[kvpb.ListRequest]) (*connect.Response[kvpb.ListResponse], error) {
+	items, err := sr.kv.List(ctx, req.Msg.Prefix)
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	res := &kvpb.ListResponse{}
+	for _, it := range items {
+		res.Items = append(res.Items, &kvpb.Item{Key: it.Key, Entry: entryPB(it.Entry)})
+	}
+	return connect.NewResponse(res), nil
+}
+
 // Swap serves store.Store.Swap.
 func (sr *server) Swap(ctx context.Context, req *connect.Request[kvpb.SwapRequest]) (*connect.Response[kvpb.SwapResponse], error) {
 	ms := req.Msg
--- a/internal/plat/stand/stand.go
+++ b/internal/plat/stand/stand.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,7 +116,7 @@
 
 // Store returns the functions that clients call.
 func (st *Stand) Store() store.Store {
-	return store.Store{Get: st.get, Swap: st.swap, Watch: st.watch, Grant: st.grant, Renew: st.renew, Revoke: st.revoke}
+	return store.Store{Get: st.get, List: st.list, Swap: st.swap, Watch: st.watch, Grant: st.grant, Renew: st.renew, Revoke: st.revoke}
 }
 
 // admit waits as the faults say and refuses a call that may not have effect.
@@ -148,6 +150,21 @@
 	return st.entries[key].Entry, nil
 }
 
+func (st *Stand) list(ctx context.Context, prefix string) ([]store.Item, error) {
+	if err := st.admit(ctx, "list", prefix, &st.Calls.Reads, st.reads); err != nil {
+		return nil, err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var items []store.Item
+	for _, key := range slices.Sorted(maps.Keys(st.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, store.Item{Key: key, Entry: st.entries[key].Entry})
+		}
+	}
+	return items, nil
+}
+
 func (st *Stand) swap(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
 	if len(ch.Value) > store.MaxValue {
 		return false, store.Entry{}, &store.Error{Kind: store.TooLarge, Op: "swap", Key: ch.Key}
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -22,6 +22,12 @@
 	Revision Revision
 }
 
+// Item is an entry with its key.
+type Item struct {
+	Key string
+	Entry
+}
+
 // Change is a compare-and-swap: it takes effect only while the key is still at
 // Revision.
 type Change struct {
@@ -39,6 +45,9 @@
 type Store struct {
 	// Get returns the entry of a key, with revision 0 when there is none.
 	Get func(ctx context.Context, key string) (Entry, error)
+	// List returns the entries of all keys that begin with prefix, sorted by
+	// key. It is meant for a few: the result is one page.
+	List func(ctx context.Context, prefix string) ([]Item, error)
 	// Swap applies a change. When the key is at another revision it returns
 	// false with the current entry.
 	Swap func(ctx context.Context, ch Change) (bool, Entry, error)
@@ -127,6 +136,13 @@
 			})
 			return ent, err
 		},
+		List: func(ctx context.Context, prefix string) (items []Item, err error) {
+			err = fn(ctx, "list", prefix, func() (err error) {
+				items, err = kv.List(ctx, prefix)
+				return err
+			})
+			return items, err
+		},
 		Swap: func(ctx context.Context, ch Change) (ok bool, ent Entry, err error) {
 			err = fn(ctx, "swap", ch.Key, func() (err error) {
 				ok, ent, err = kv.Swap(ctx, ch)
