platform: a thin whole path on the users' platform

The daemon tracks lifetimes of its backend server (node/server), writes a drain down before it acknowledges it, and waits at its start for what its forerunner acknowledged.

--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -23,7 +23,25 @@
 	// Slots overrides the declared slots when above 0.
 	Slots int `json:"slots,omitempty"`
 	TTLMs int `json:"ttl-ms,omitempty"`
-}
+	// Lifetime names this start of the server. With it, Number rises with each
+	// announcement, so that one that comes late is known as such.
+	Lifetime string `json:"lifetime,omitempty"`
+	Number   uint64 `json:"number,omitempty"`
+	// State is StateServing, which the empty string stands for, or
+	// StateDraining: it takes no new requests and will leave.
+	State string `json:"state,omitempty"`
+	// ColdMs is how much longer the server is slow after its start.
+	ColdMs int `json:"cold-ms,omitempty"`
+}
+
+// The states of an announcement.
+const (
+	StateServing  = "serving"
+	StateDraining = "draining"
+)
+
+// Draining tells whether the server takes no new requests.
+func (an *Announcement) Draining() bool { return an.State == StateDraining }
 
 // The bounds of an announcement's time.
 const (
@@ -40,9 +58,13 @@
 	return time.Duration(an.TTLMs) * time.Millisecond
 }
 
-// check returns what is wrong with the announcement.
-func (an *Announcement) check() error {
+// Check returns what is wrong with the announcement.
+func (an *Announcement) Check() error {
 	switch {
+	case an.State != "" && an.State != StateServing && an.State != StateDraining:
+		return fmt.Errorf("state is %q; set it to %s or %s, or leave it out", an.State, StateServing, StateDraining)
+	case an.ColdMs < 0:
+		return fmt.Errorf("cold-ms is %d; leave it out or set it above 0", an.ColdMs)
 	case an.Service == "":
 		return fmt.Errorf("service is not set; name the service of the inventory that this server serves")
 	case an.Slots < 0:
@@ -61,8 +83,10 @@
 // Handlers are what the pages call.
 type Handlers struct {
 	// Announce and Withdraw take a backend server in and out.
-	Announce func(Announcement) error
-	Withdraw func()
+	Announce func(context.Context, Announcement) error
+	// Withdraw takes out the server of a lifetime, which is empty where the
+	// server names none.
+	Withdraw func(ctx context.Context, lifetime string)
 	// Ready returns why the daemon is not ready, nil when it is.
 	Ready func() error
 	// Status returns what is known of the fleet.
@@ -99,21 +123,21 @@
 	dec.DisallowUnknownFields()
 	err := dec.Decode(&an)
 	if err == nil {
-		err = an.check()
+		err = an.Check()
 	}
 	if err != nil {
 		fail(w, http.StatusBadRequest, err)
 		return
 	}
-	if err := hs.Announce(an); err != nil {
+	if err := hs.Announce(r.Context(), an); err != nil {
 		fail(w, http.StatusConflict, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (hs *Handlers) withdraw(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	hs.Withdraw()
+func (hs *Handlers) withdraw(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	hs.Withdraw(r.Context(), r.URL.Query().Get("lifetime"))
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -42,19 +44,23 @@
 	out, err io.Writer
 	// platform and daemons are set by flags of the operators' commands.
 	platform, daemon string
+	adapters         Adapters
 	json             bool
 }
 
+// Adapters are the platforms that a daemon can be joined to, by name.
+type Adapters map[string]daemon.Adapter
+
 // Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer, ads Adapters) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return Run(ctx, args, out, errOut)
+	return Run(ctx, args, out, errOut, ads)
 }
 
 // Run runs the command line until it is done or ctx ends.
-func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
-	ap := &app{out: out, err: errOut}
+func Run(ctx context.Context, args []string, out, errOut io.Writer, ads Adapters) int {
+	ap := &app{out: out, err: errOut, adapters: ads}
 	root := ap.root()
 	if err := root.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -148,11 +154,15 @@
 			if err != nil {
 				return err
 			}
+			ad, ok := ap.adapters[se.Adapter]
+			if !ok && se.Adapter != "" {
+				return usageError(fmt.Sprintf("no adapter %q; %s", se.Adapter, strict.Suggest(se.Adapter, slices.Sorted(maps.Keys(ap.adapters)))))
+			}
 			debug.SetMemoryLimit(memoryLimit)
-			log := slog.New(slog.NewJSONHandler(ap.err, &slog.HandlerOptions{Level: se.LogLevel}))
+			log := slog.New(slog.NewJSONHandler(ap.out, &slog.HandlerOptions{Level: se.LogLevel}))
 			// What libraries log by themselves becomes JSON lines too.
 			slog.SetDefault(log)
-			return daemon.New(se, daemon.Options{Log: log}).Run(ctx)
+			return daemon.New(se, daemon.Options{Log: log, Adapter: ad}).Run(ctx)
 		},
 	}
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -22,6 +23,8 @@
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
 	"github.com/flamingomast/flamingomast/internal/plat/remote"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
@@ -29,14 +32,18 @@
 	"github.com/flamingomast/flamingomast/internal/stat/usage"
 )
 
-// The times of a shutdown.
+// The times of a shutdown, from its start; each is cut down to a part of the
+// drain timeout where that is short.
 const (
-	// linger is how long a draining daemon goes on refusing new requests after
-	// the news has gone out. An outlet that has not heard it yet gets a clear
-	// refusal and not a connection that closes under its request.
-	linger = 2 * time.Second
-	// closeTime bounds the ending of what is then left.
-	closeTime = 2 * time.Second
+	// handover is how long the inlet still takes requests. The news that this
+	// daemon leaves reaches the outlets in some tens of milliseconds; until then
+	// a refusal would only cost them a second send.
+	handover = 500 * time.Millisecond
+	// linger is how long the outlet still takes requests of callers. They ask
+	// once a second whether the daemon is ready and leave after two misses.
+	linger = 2500 * time.Millisecond
+	// reserve is what is kept of the drain timeout for the end itself.
+	reserve = 400 * time.Millisecond
 )
 
 // Daemon is one daemon.
@@ -52,45 +59,78 @@
 	drain sync.Once
 	// drained is closed when an order to drain has come.
 	drained chan struct{}
-	local   local
+	// closing is set once the inlet takes no more requests for good.
+	closing atomic.Bool
+	// store is the platform's, behind the guard.
+	store store.Store
+	local local
+	ad    Adapter
+}
+
+// Adapter joins a daemon to a platform that has names, formats and calls of its
+// own; the zero value stands for the project's own.
+type Adapter struct {
+	// Store returns the key-value service at an address.
+	Store func(addr string) store.Store
+	// Source returns where versions are read, for the failure domains given with
+	// their regions.
+	Source func(domains map[string]string) ctrl.Source
+	// Names are the headers of callers and backend servers.
+	Names result.Names
+	// Pages serves the settings' addresses for readiness and announcements.
+	Pages func(admin.Handlers) http.Handler
 }
 
 // Options replaces parts of a daemon; the zero value stands for the real ones.
 type Options struct {
-	Log   *slog.Logger
-	Store *store.Store
+	Log     *slog.Logger
+	Store   *store.Store
+	Adapter Adapter
 }
 
 // New returns a daemon for checked settings.
 func New(se setup.Settings, op Options) *Daemon {
-	dm := &Daemon{se: se, log: op.Log, drained: make(chan struct{})}
+	dm := &Daemon{se: se, log: op.Log, drained: make(chan struct{}), ad: op.Adapter}
 	if dm.log == nil {
 		dm.log = slog.New(slog.DiscardHandler)
 	}
 	dm.log = dm.log.With(slog.String("vm", se.VM))
 	kv := op.Store
 	if kv == nil {
-		st := remote.New(se.Platform).Store()
+		st := dm.openStore()
 		kv = &st
 	}
 	dm.guard = guard.New(*kv)
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	dm.store = dm.guard.Store()
+	var src ctrl.Source
+	if dm.ad.Source != nil {
+		src = dm.ad.Source(se.Domains)
 	}
 	dm.Node = ctrl.New(ctrl.Config{
-		VM: se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token,
-		Store: dm.guard.Store(), Log: dm.log, Dial: dm.bytes.Dialer(dial), Drain: dm.Drain,
+		Source: src,
+		VM:     se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token,
+		Store: dm.store, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
+	})
+	dm.Outlet = outlet.New(outlet.Options{
+		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service,
 	})
-	dm.Outlet = outlet.New(outlet.Options{Log: dm.log, Sample: se.AccessSample, Token: se.Token})
 	dm.Inlet = inlet.New(proxy.Options{})
+	dm.Inlet.Names = dm.ad.Names
 	dm.Inlet.Token = se.Token
 	dm.Inlet.Unreachable = func(inlet.Target) { dm.lost() }
 	return dm
 }
 
-// listeners are the four sockets of a daemon.
+func (dm *Daemon) openStore() store.Store {
+	if dm.ad.Store != nil {
+		return dm.ad.Store(dm.se.Platform)
+	}
+	return remote.New(dm.se.Platform).Store()
+}
+
+// listeners are the sockets of a daemon; ready and announce are nil unless set.
 type listeners struct {
-	outlet, inlet, control, admin net.Listener
+	outlet, inlet, control, admin, ready, announce net.Listener
 }
 
 func (dm *Daemon) listen() (*listeners, error) {
@@ -102,7 +142,11 @@
 	}{
 		{"outlet", dm.se.Outlet, &ls.outlet}, {"inlet", dm.se.Inlet, &ls.inlet},
 		{"control", dm.se.Control, &ls.control}, {"admin", dm.se.Admin, &ls.admin},
+		{"ready", dm.se.Ready, &ls.ready}, {"announce", dm.se.Announce, &ls.announce},
 	} {
+		if it.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", it.addr)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("%s: %w; free the address or set --%s to another", it.name, err, it.name))
@@ -125,7 +169,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg conc.WaitGroup
-	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal} {
+	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runRecall} {
 		wg.Go(func() { fn(life) })
 	}
 	servers := dm.servers()
@@ -135,7 +179,11 @@
 	}{
 		{servers.outlet, ls.outlet}, {servers.inlet, ls.inlet},
 		{servers.control, dm.bytes.Listener(ls.control)}, {servers.admin, ls.admin},
+		{servers.pages, ls.ready}, {servers.pages, ls.announce},
 	} {
+		if sv.ln == nil {
+			continue
+		}
 		wg.Go(func() {
 			if err := sv.hs.Serve(sv.ln); !errors.Is(err, http.ErrServerClosed) {
 				dm.log.Error("listener-failed", slog.Any("error", err))
@@ -171,7 +219,7 @@
 }
 
 type servers struct {
-	outlet, inlet, control, admin *http.Server
+	outlet, inlet, control, admin, pages *http.Server
 }
 
 // The limits of what callers may send.
@@ -191,18 +239,23 @@
 			ErrorLog: slog.NewLogLogger(dm.log.Handler(), slog.LevelDebug),
 		}
 	}
+	hs := dm.handlers()
 	sv := &servers{
-		outlet: plain(dm.Outlet), inlet: plain(dm.closing(dm.Inlet)),
-		control: dm.Node.NewServer(), admin: plain(admin.New(dm.handlers())),
+		outlet: plain(dm.Outlet), inlet: plain(dm.leaving(dm.Inlet)),
+		control: dm.Node.NewServer(), admin: plain(admin.New(hs)),
+	}
+	sv.pages = sv.admin
+	if dm.ad.Pages != nil {
+		sv.pages = plain(dm.ad.Pages(hs))
 	}
 	sv.outlet.Protocols = &both
 	sv.control.ErrorLog = sv.outlet.ErrorLog
 	return sv
 }
 
-// closing tells outlets to drop their connections once the daemon drains, so
+// leaving tells outlets to drop their connections once the daemon drains, so
 // that none of them is in use when the listener goes.
-func (dm *Daemon) closing(next http.Handler) http.Handler {
+func (dm *Daemon) leaving(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-dm.drained:
@@ -213,53 +266,85 @@
 	})
 }
 
-// Drain refuses new requests for the backend server, here at once and, by the
-// news, everywhere soon. It returns how many requests are running.
-func (dm *Daemon) Drain() int {
+// leave says everywhere that this daemon ends; it is not ready from now on.
+func (dm *Daemon) leave() {
 	dm.drain.Do(func() {
 		dm.log.Info("drain")
 		close(dm.drained)
 	})
-	running, _ := dm.Inlet.Gate.Drain()
 	dm.local.poke()
+}
+
+// Drain refuses new requests for the backend server, here at once and, by the
+// news, everywhere soon. It returns how many requests are running.
+func (dm *Daemon) Drain() int {
+	dm.leave()
+	dm.closing.Store(true)
+	running, _ := dm.Inlet.Gate.Drain()
 	return running
 }
 
-// shutDown ends the daemon without cutting off a request: no new ones come in,
-// the news goes out, running ones end, and only then do connections close. A
+// shutDown ends the daemon without cutting off a request: the news goes out,
+// callers leave, running requests end, and only then do connections close. A
 // process that was replaced takes its leave without delay.
 func (dm *Daemon) shutDown(sv *servers, replaced bool) {
 	began := time.Now()
+	total := max(dm.se.DrainTimeout-reserve, dm.se.DrainTimeout/2)
+	ctx, cancel := context.WithTimeout(context.Background(), total)
+	defer cancel()
+	dm.leave()
+	if !replaced {
+		sleep(ctx, min(handover, total/8))
+	}
 	dm.Drain()
+	if !replaced {
+		sleep(ctx, min(linger, total/2)-time.Since(began))
+	}
 	sv.outlet.SetKeepAlivesEnabled(false)
 	_, idle := dm.Inlet.Gate.Drain()
-	limit := time.After(dm.se.DrainTimeout)
 	select {
 	case <-idle:
-	case <-limit:
+	case <-ctx.Done():
 		dm.log.Error("drain-timeout", slog.Int("running", dm.Inlet.Gate.Load().Running))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dm.se.DrainTimeout+closeTime)
-	defer cancel()
-	if !replaced {
-		time.Sleep(max(0, linger-time.Since(began)))
-	}
+	var wg conc.WaitGroup
 	for _, hs := range []*http.Server{sv.outlet, sv.inlet} {
-		if err := hs.Shutdown(ctx); err != nil {
-			dm.log.Error("cut-off", slog.Any("error", err))
-			_ = hs.Close()
-		}
+		wg.Go(func() { dm.endServer(ctx, hs) })
 	}
+	wg.Wait()
 	if !replaced {
-		dm.Node.Leave(ctx)
+		dm.Node.Leave(context.Background())
+	}
+	for _, hs := range []*http.Server{sv.control, sv.admin, sv.pages} {
+		if err := hs.Close(); err != nil {
+			dm.log.Info("listener-close", slog.Any("error", err))
+		}
 	}
-	_ = sv.control.Close()
-	_ = sv.admin.Close()
 	dm.Inlet.Close()
 	dm.Outlet.Close()
 	dm.log.Info("drained", slog.Duration("took", time.Since(began)))
 }
 
+// endServer ends a server once its requests have ended, or with ctx.
+func (dm *Daemon) endServer(ctx context.Context, hs *http.Server) {
+	err := hs.Shutdown(ctx)
+	if err == nil {
+		return
+	}
+	dm.log.Error("cut-off", slog.Any("error", err))
+	if err := hs.Close(); err != nil {
+		dm.log.Info("listener-close", slog.Any("error", err))
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (dm *Daemon) handlers() admin.Handlers {
 	return admin.Handlers{
 		Announce: dm.announce, Withdraw: dm.withdraw, Ready: dm.ready, Status: dm.Status, Drain: dm.drainVM,
--- /dev/null
+++ b/internal/node/daemon/local.go
@@ -0,0 +1,340 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/node/server"
+	"github.com/flamingomast/flamingomast/internal/path/inlet"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// The times of what outlives the process.
+const (
+	// recallTime bounds the wait of a new process for what its forerunner
+	// acknowledged: peers are linked within a second, and who has nobody to ask
+	// must not keep its backend server idle.
+	recallTime = 4 * time.Second
+	// recallPeers is how long it waits for a peer once the store has answered.
+	recallPeers = 1500 * time.Millisecond
+	// leavingTTL is how long the store keeps that a lifetime leaves. A server
+	// ends within some tens of seconds after it said so.
+	leavingTTL = time.Minute
+	// recordTime bounds the wait of an acknowledgement for the store. A server
+	// takes an answer only within a second.
+	recordTime = 400 * time.Millisecond
+)
+
+// local is what is known of the VM's own backend server.
+type local struct {
+	mu sync.Mutex
+	tr server.Tracker
+	// recalled is set once it is known what a former process acknowledged;
+	// until then requests are refused.
+	recalled bool
+	kick     chan struct{}
+}
+
+// poke lets runLocal look again.
+func (lo *local) poke() {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if lo.kick != nil {
+		close(lo.kick)
+		lo.kick = nil
+	}
+}
+
+// watch returns the state of the server and a channel that is closed at the
+// next change.
+func (lo *local) watch(now time.Time) (server.Status, <-chan struct{}) {
+	lo.mu.Lock()
+	defer lo.mu.Unlock()
+	if lo.kick == nil {
+		lo.kick = make(chan struct{})
+	}
+	if !lo.recalled {
+		return server.Status{}, lo.kick
+	}
+	return lo.tr.Status(now), lo.kick
+}
+
+// update changes the tracker and lets runLocal look again.
+func (lo *local) update(fn func(*server.Tracker)) {
+	lo.mu.Lock()
+	fn(&lo.tr)
+	lo.mu.Unlock()
+	lo.poke()
+}
+
+// announce takes an announcement of the backend server. A server of another
+// service than the inventory has for this VM would get no requests. The answer
+// acknowledges it, so a drain is in force and written down when it returns.
+func (dm *Daemon) announce(ctx context.Context, an admin.Announcement) error {
+	if sn := dm.Node.Board.Held.Get(); sn != nil && len(sn.VMs) > 0 {
+		vm, ok := sn.VMs[dm.se.VM]
+		switch {
+		case !ok:
+			return fmt.Errorf("version %d of the inventory has no VM %q; declare it first", sn.Version, dm.se.VM)
+		case vm.Service != an.Service:
+			return fmt.Errorf("version %d of the inventory says that VM %q runs %q, not %q", sn.Version, dm.se.VM, vm.Service, an.Service)
+		case vm.Domain != dm.se.Domain:
+			return fmt.Errorf("version %d of the inventory has VM %q in failure domain %q, this daemon is in %q", sn.Version, dm.se.VM, vm.Domain, dm.se.Domain)
+		}
+	}
+	var was, is server.Status
+	now := time.Now()
+	taken := false
+	dm.local.update(func(tr *server.Tracker) {
+		was = tr.Status(now)
+		taken = tr.Announce(an, now)
+		is = tr.Status(now)
+	})
+	if !taken {
+		dm.log.Info("announcement-late", slog.String("lifetime", an.Lifetime), slog.Uint64("number", an.Number),
+			slog.String("state", an.State), slog.String("present", is.Lifetime()))
+	}
+	if is.Leaving && !(was.Leaving && was.Lifetime() == is.Lifetime()) {
+		dm.recordLeaving(ctx, is.Lifetime(), an.Number)
+	}
+	return nil
+}
+
+// withdraw takes the backend server out.
+func (dm *Daemon) withdraw(ctx context.Context, lifetime string) {
+	dm.log.Info("server-withdrawn", slog.String("lifetime", lifetime))
+	now := time.Now()
+	dm.local.update(func(tr *server.Tracker) { tr.Withdraw(lifetime, now) })
+	if lifetime != "" {
+		dm.recordLeaving(ctx, lifetime, 0)
+	}
+}
+
+// lost takes the backend server out when it accepts no connection, until it
+// announces itself again.
+func (dm *Daemon) lost() {
+	dm.log.Warn("backend-server-unreachable")
+	now := time.Now()
+	dm.local.update(func(tr *server.Tracker) { tr.Lost(now) })
+}
+
+// leaving is what the store keeps of a lifetime that leaves.
+type leaving struct {
+	Lifetime string `json:"lifetime"`
+	Number   uint64 `json:"number"`
+}
+
+func (dm *Daemon) leavingKey() string { return "leaving/" + dm.se.VM }
+
+// recordLeaving stops new requests for the server before it returns, and writes
+// down that the lifetime leaves. Without it, a process that replaces this one
+// could take an announcement from before the drain that comes late, and send
+// requests to a server that was told that none will come. The peers hear it at
+// once in the daemon's record; the store is for a herd that ends together.
+func (dm *Daemon) recordLeaving(ctx context.Context, lifetime string, number uint64) {
+	dm.setGate(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
+	defer cancel()
+	err := dm.writeLeaving(ctx, leaving{Lifetime: lifetime, Number: number})
+	dm.log.Info("server-leaves", slog.String("lifetime", lifetime), slog.Uint64("number", number), slog.Any("not-stored", err))
+}
+
+func (dm *Daemon) writeLeaving(ctx context.Context, lv leaving) error {
+	value, err := json.Marshal(lv)
+	if err != nil {
+		return err
+	}
+	kv := dm.store
+	id, err := kv.Grant(ctx, leavingTTL)
+	if err != nil {
+		return err
+	}
+	ch := store.Change{Key: dm.leavingKey(), Value: value, Lease: id}
+	ok, cur, err := kv.Swap(ctx, ch)
+	if err == nil && !ok {
+		ch.Revision = cur.Revision
+		_, _, err = kv.Swap(ctx, ch)
+	}
+	return err
+}
+
+// runRecall learns what a former process of the VM acknowledged, from the store
+// and from peers, and then lets the backend server take requests.
+func (dm *Daemon) runRecall(ctx context.Context) {
+	began := time.Now()
+	limit, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		dm.recallStored(limit)
+	}()
+	peers := time.NewTimer(recallPeers)
+	defer peers.Stop()
+	if rc := dm.waitForerunner(limit, asked, peers.C); rc != nil && rc.Lifetime != "" && rc.State != member.StateServing {
+		dm.local.update(func(tr *server.Tracker) { tr.Recall(rc.Lifetime, rc.Announced, time.Now()) })
+	}
+	dm.local.update(func(*server.Tracker) {})
+	dm.local.mu.Lock()
+	dm.local.recalled = true
+	dm.local.mu.Unlock()
+	dm.local.poke()
+	dm.log.Info("recalled", slog.Duration("took", time.Since(began)))
+}
+
+// waitForerunner waits for a peer's word on the former process: until one has
+// come and the store has answered, or the time for peers is over after that.
+func (dm *Daemon) waitForerunner(ctx context.Context, asked <-chan struct{}, late <-chan time.Time) *member.Record {
+	stored, over := false, false
+	for {
+		rc, changed := dm.Node.Board.Forerunner.Watch()
+		if stored && (rc != nil || over) {
+			return rc
+		}
+		select {
+		case <-changed:
+		case <-asked:
+			stored, asked = true, nil
+		case <-late:
+			over = true
+		case <-ctx.Done():
+			return rc
+		}
+	}
+}
+
+// recallStored reads what the store keeps, again until it answers.
+func (dm *Daemon) recallStored(ctx context.Context) {
+	for ctx.Err() == nil {
+		ent, err := dm.store.Get(ctx, dm.leavingKey())
+		if err != nil {
+			dm.log.Info("recall-failed", slog.Any("error", err))
+			select {
+			case <-ctx.Done():
+			case <-time.After(recordTime):
+			}
+			continue
+		}
+		var lv leaving
+		if ent.Revision != 0 {
+			if err := json.Unmarshal(ent.Value, &lv); err != nil {
+				dm.log.Error("recall-unreadable", slog.Any("error", err))
+			}
+		}
+		dm.local.update(func(tr *server.Tracker) { tr.Recall(lv.Lifetime, lv.Number, time.Now()) })
+		return
+	}
+}
+
+// runLocal keeps the inlet and the daemon's record as the backend server, the
+// configuration and the drain say.
+func (dm *Daemon) runLocal(ctx context.Context) {
+	for {
+		now := time.Now()
+		st, changed := dm.local.watch(now)
+		_, self := dm.Node.Board.Self.Watch()
+		sn, held := dm.Node.Board.Held.Watch()
+		dm.setGate(sn, st)
+		dm.setRecord(st)
+		dm.setTarget(sn, st.Announcement)
+		left := time.Hour
+		if st.Announcement != nil {
+			left = st.Until.Sub(now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-self:
+		case <-held:
+		case <-time.After(left):
+		}
+	}
+}
+
+// setGate gives the inlet its slots, classes and connections, and closes it for
+// a server that leaves.
+func (dm *Daemon) setGate(sn *snap.Snapshot, st server.Status) {
+	if st.Leaving {
+		dm.Inlet.Gate.Drain()
+		return
+	}
+	an := st.Announcement
+	if sn == nil || an == nil {
+		return
+	}
+	sv := sn.Services[an.Service]
+	if sv == nil {
+		return
+	}
+	slots := sv.Slots
+	if an.Slots > 0 {
+		slots = an.Slots
+	}
+	var classes []limit.Class
+	for _, cl := range sn.Classes {
+		classes = append(classes, limit.Class{Name: cl.Name, Share: cl.Share, Queue: cl.Queue})
+	}
+	dm.Inlet.Gate.Configure(slots, classes)
+	dm.Inlet.SetMaxConns(sv.Connections)
+	if !dm.closing.Load() {
+		dm.Inlet.Gate.Open()
+	}
+}
+
+// setTarget tells the inlet which backend server is behind it.
+func (dm *Daemon) setTarget(sn *snap.Snapshot, an *admin.Announcement) {
+	self := dm.Node.Board.Self.Get()
+	tg := inlet.Target{VM: self.VM, Process: pick.Process(self)}
+	if an != nil {
+		tg.Service, tg.Addr, tg.Lifetime = an.Service, an.Address, an.Lifetime
+		if tg.Addr == "" && sn != nil && sn.Services[an.Service] != nil {
+			tg.Addr = fmt.Sprintf("127.0.0.1:%d", sn.Services[an.Service].Port)
+		}
+	}
+	dm.Inlet.SetTarget(tg)
+}
+
+// setRecord states the backend server to the other daemons, if that changed.
+func (dm *Daemon) setRecord(st server.Status) {
+	next := member.Record{State: member.StateAbsent}
+	if an := st.Announcement; an != nil {
+		next = member.Record{
+			State: member.StateServing, Service: an.Service, Slots: an.Slots, Since: st.Since, Lifetime: an.Lifetime,
+		}
+		if an.ColdMs > 0 {
+			// To a tenth of a second: each change is told to all daemons, and the
+			// end of the cold time moves a little with each announcement.
+			next.ColdUntil = st.Since.Add(time.Duration(an.ColdMs) * time.Millisecond).Round(100 * time.Millisecond)
+		}
+	}
+	if st.Leaving {
+		next.State = member.StateDraining
+		next.Announced = st.Announcement.Number
+	}
+	select {
+	case <-dm.drained:
+		next.State = member.StateDraining
+	default:
+	}
+	cur := dm.Node.Board.Self.Get()
+	if cur.State == member.StateLeft ||
+		cur.State == next.State && cur.Service == next.Service && cur.Slots == next.Slots && cur.Since.Equal(next.Since) && cur.Lifetime == next.Lifetime {
+		return
+	}
+	dm.log.Info("backend-server", slog.String("state", next.State.String()), slog.String("service", next.Service),
+		slog.String("lifetime", next.Lifetime))
+	dm.Node.Announce(func(rc *member.Record) {
+		rc.State, rc.Service, rc.Slots, rc.Since = next.State, next.Service, next.Slots, next.Since
+		rc.Lifetime, rc.Announced, rc.ColdUntil = next.Lifetime, next.Announced, next.ColdUntil
+	})
+}
--- /dev/null
+++ b/internal/node/server/server.go
@@ -0,0 +1,164 @@
+package server
+
+import (
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+)
+
+// The limits of a tracker.
+const (
+	// keepLives is how many former lifetimes are remembered. An announcement
+	// that is later than so many replacements of the server is not expected.
+	keepLives = 16
+	// freshFor is how long after its last announcement a server is taken to be
+	// there for certain: two of its intervals and a little.
+	freshFor = 3500 * time.Millisecond
+	// firstNumbers are the numbers by which a lifetime that is not known yet is
+	// taken for a new one, and not for a forerunner whose announcement is late.
+	firstNumbers = 2
+)
+
+// Tracker follows the lifetimes of one backend server. The zero value knows
+// none. It is not safe for concurrent use.
+type Tracker struct {
+	cur   *life
+	lives map[string]*life
+}
+
+// life is what is known of one start of the server.
+type life struct {
+	an admin.Announcement
+	// number is the highest one of its announcements that was taken.
+	number uint64
+	// since is when it was first heard, heard when it was last, until how long
+	// its last announcement holds.
+	since, heard, until time.Time
+	// leaving is set for good once it said that it drains or leaves. gone is
+	// set when it was taken out.
+	leaving, gone bool
+}
+
+// Status is what the daemon goes by.
+type Status struct {
+	// Announcement is the newest one, nil while there is no server.
+	Announcement *admin.Announcement
+	// Since is when the server was first heard, Until how long the announcement
+	// holds.
+	Since, Until time.Time
+	// Leaving says that it takes no new requests.
+	Leaving bool
+}
+
+// Lifetime returns the lifetime of the server, empty for none.
+func (st Status) Lifetime() string {
+	if st.Announcement == nil {
+		return ""
+	}
+	return st.Announcement.Lifetime
+}
+
+// Announce takes an announcement and tells whether it was news.
+//
+// Three of them are late and change nothing. One with a number that is not
+// above the newest of its lifetime was overtaken. One of a lifetime that left
+// would bring back a server that takes no requests. And one of another lifetime
+// than the present, which is not among the first of its kind, was sent by a
+// forerunner that has ended: taking it would send requests to a server that is
+// not there until the present one speaks again. It is taken once the present
+// one has been silent.
+func (tr *Tracker) Announce(an admin.Announcement, now time.Time) bool {
+	lf := tr.lives[an.Lifetime]
+	switch {
+	case lf != nil && lf.late(&an):
+		return false
+	case tr.displaces(lf, &an, now):
+		return false
+	}
+	if lf == nil || lf.gone && an.Lifetime == "" {
+		lf = &life{since: now}
+		tr.keep(an.Lifetime, lf)
+	}
+	if !now.Before(lf.until) && !lf.heard.IsZero() {
+		lf.since = now
+	}
+	lf.an, lf.number, lf.heard, lf.until = an, an.Number, now, now.Add(an.TTL())
+	lf.leaving = lf.leaving || an.Draining()
+	tr.cur = lf
+	return true
+}
+
+func (lf *life) late(an *admin.Announcement) bool {
+	if an.Lifetime == "" {
+		return false
+	}
+	return an.Number <= lf.number || lf.gone
+}
+
+// displaces tells whether an announcement of another lifetime would displace a
+// present one that was heard lately, without being the first of a new one.
+func (tr *Tracker) displaces(lf *life, an *admin.Announcement, now time.Time) bool {
+	if tr.cur == nil || tr.cur == lf || tr.cur.gone || now.Sub(tr.cur.heard) > freshFor {
+		return false
+	}
+	return lf != nil || an.Number > firstNumbers
+}
+
+func (tr *Tracker) keep(lifetime string, lf *life) {
+	if tr.lives == nil {
+		tr.lives = map[string]*life{}
+	}
+	for len(tr.lives) >= keepLives {
+		oldest := ""
+		for id, one := range tr.lives {
+			if oldest == "" || one.heard.Before(tr.lives[oldest].heard) {
+				oldest = id
+			}
+		}
+		delete(tr.lives, oldest)
+	}
+	tr.lives[lifetime] = lf
+}
+
+// Withdraw takes a lifetime out for good. One that is not known is remembered,
+// so that an announcement which it sent before and which comes later does not
+// bring it back.
+func (tr *Tracker) Withdraw(lifetime string, now time.Time) {
+	lf := tr.lives[lifetime]
+	if lf == nil {
+		lf = &life{since: now}
+		tr.keep(lifetime, lf)
+	}
+	lf.heard, lf.leaving, lf.gone = now, true, true
+}
+
+// Lost takes the present server out until it announces itself again.
+func (tr *Tracker) Lost(now time.Time) {
+	if tr.cur != nil {
+		tr.cur.until = now
+	}
+}
+
+// Recall takes what a former process of the VM acknowledged: the lifetime
+// leaves, and its announcements up to the number are late.
+func (tr *Tracker) Recall(lifetime string, number uint64, now time.Time) {
+	if lifetime == "" {
+		return
+	}
+	lf := tr.lives[lifetime]
+	if lf == nil {
+		lf = &life{since: now}
+		tr.keep(lifetime, lf)
+	}
+	lf.leaving = true
+	lf.number = max(lf.number, number)
+}
+
+// Status returns what the daemon should go by now.
+func (tr *Tracker) Status(now time.Time) Status {
+	lf := tr.cur
+	if lf == nil || lf.gone || !now.Before(lf.until) {
+		return Status{}
+	}
+	return Status{Announcement: &lf.an, Since: lf.since, Until: lf.until, Leaving: lf.leaving}
+}
--- /dev/null
+++ b/internal/node/server/server_test.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+)
+
+// step is one thing that a tracker hears, and what it must say afterwards.
+type step struct {
+	at       time.Duration
+	do       string // announce, drain, withdraw, recall or lost
+	lifetime string
+	number   uint64
+	// want is the lifetime that serves or, with a "-", that leaves.
+	want string
+}
+
+const s = time.Second
+
+// TestOrders plays announcements in the orders that a network and a killed
+// daemon bring about.
+func TestOrders(t *testing.T) {
+	for name, steps := range map[string][]step{
+		"an overtaken ready does not end a drain": {
+			{0, "announce", "a", 1, "a"}, {s, "drain", "a", 3, "-a"}, {2 * s, "announce", "a", 2, "-a"},
+		},
+		"a ready with a higher number does not end a drain": {
+			{0, "announce", "a", 1, "a"}, {s, "drain", "a", 2, "-a"}, {2 * s, "announce", "a", 3, "-a"},
+		},
+		// A user's request was sent to a server that had left: its daemon was
+		// killed after the drain, and the first that the new one heard was an
+		// announcement from before.
+		"a late ready after the daemon was replaced": {
+			{0, "recall", "a", 5, ""}, {s, "announce", "a", 4, ""}, {2 * s, "drain", "a", 6, "-a"},
+		},
+		"a ready of a lifetime that a forerunner saw leave": {
+			{0, "recall", "a", 5, ""}, {s, "announce", "a", 6, "-a"},
+		},
+		"a removal holds against a late announcement": {
+			{0, "announce", "a", 1, "a"}, {s, "withdraw", "a", 0, ""}, {2 * s, "announce", "a", 9, ""},
+		},
+		"a removal that comes before the announcement": {
+			{0, "withdraw", "a", 0, ""}, {s, "announce", "a", 9, ""},
+		},
+		"a new lifetime after a removal": {
+			{0, "announce", "a", 1, "a"}, {s, "withdraw", "a", 0, ""}, {2 * s, "announce", "b", 1, "b"},
+		},
+		"a new lifetime after a crash": {
+			{0, "announce", "a", 7, "a"}, {s, "announce", "b", 1, "b"},
+		},
+		"an announcement of the crashed lifetime comes late": {
+			{0, "announce", "a", 7, "a"}, {s, "announce", "b", 1, "b"}, {2 * s, "announce", "a", 8, "b"},
+		},
+		"one of a lifetime from before the daemon's time": {
+			{0, "announce", "b", 1, "b"}, {s, "announce", "a", 8, "b"},
+		},
+		"a lifetime that was taken by mistake gives way when it is silent": {
+			{0, "announce", "a", 8, "a"}, {5 * s, "announce", "b", 5, "b"},
+		},
+		"the present one goes on after an interval without news": {
+			{0, "announce", "a", 8, "a"}, {5 * s, "announce", "a", 9, "a"}, {12 * s, "announce", "a", 10, "a"},
+		},
+		"silence ends it": {
+			{0, "announce", "a", 1, "a"}, {7 * s, "recall", "", 0, ""},
+		},
+		"a lost one comes back with its next announcement": {
+			{0, "announce", "a", 1, "a"}, {s, "lost", "", 0, ""}, {2 * s, "announce", "a", 2, "a"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tr Tracker
+			start := time.Unix(1000, 0)
+			for i, st := range steps {
+				now := start.Add(st.at)
+				an := admin.Announcement{Service: "x", Lifetime: st.lifetime, Number: st.number}
+				switch st.do {
+				case "announce":
+					tr.Announce(an, now)
+				case "drain":
+					an.State = admin.StateDraining
+					tr.Announce(an, now)
+				case "withdraw":
+					tr.Withdraw(st.lifetime, now)
+				case "recall":
+					tr.Recall(st.lifetime, st.number, now)
+				case "lost":
+					tr.Lost(now)
+				}
+				got := tr.Status(now)
+				text := got.Lifetime()
+				if got.Leaving {
+					text = "-" + text
+				}
+				if text != st.want {
+					t.Errorf("step %d, %s %s %d: %q serves, want %q", i, st.do, st.lifetime, st.number, text, st.want)
+				}
+			}
+		})
+	}
+}
+
+// TestWithoutLifetimes: servers that name no lifetime are taken by their last
+// word, and may come back after they withdrew.
+func TestWithoutLifetimes(t *testing.T) {
+	var tr Tracker
+	now := time.Unix(1000, 0)
+	an := admin.Announcement{Service: "x"}
+	tr.Announce(an, now)
+	tr.Announce(an, now)
+	if st := tr.Status(now); st.Announcement == nil || st.Leaving {
+		t.Errorf("announced twice: %+v", st)
+	}
+	tr.Withdraw("", now)
+	if st := tr.Status(now); st.Announcement != nil {
+		t.Errorf("withdrawn: %+v", st)
+	}
+	tr.Announce(an, now)
+	if st := tr.Status(now); st.Announcement == nil || st.Leaving {
+		t.Errorf("announced again: %+v", st)
+	}
+}
+
+// TestForgetsTheOldest: a VM on which servers are replaced all day keeps a
+// bounded number of lifetimes.
+func TestForgetsTheOldest(t *testing.T) {
+	var tr Tracker
+	now := time.Unix(1000, 0)
+	for i := range 10 * keepLives {
+		now = now.Add(time.Second)
+		tr.Announce(admin.Announcement{Service: "x", Lifetime: time.Duration(i).String(), Number: 1}, now)
+	}
+	if len(tr.lives) > keepLives {
+		t.Errorf("%d lifetimes are kept, bound %d", len(tr.lives), keepLives)
+	}
+	if st := tr.Status(now); st.Lifetime() != time.Duration(10*keepLives-1).String() {
+		t.Errorf("the newest lifetime is %q", st.Lifetime())
+	}
+}
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -29,8 +29,21 @@
 	// Outlet, Inlet, Control and Admin are the addresses (host:port) to listen
 	// on; Inlet and Control are also those that other VMs connect to.
 	Outlet, Inlet, Control, Admin string
+	// Ready and Announce are addresses to listen on, beside Admin, for questions
+	// whether the daemon is ready and for the backend server's announcements;
+	// empty for none.
+	Ready, Announce string
+	// Adapter names the platform that the daemon is joined to; empty for the
+	// project's own interface.
+	Adapter string
 	// Platform is the address of the key-value service.
 	Platform string
+	// Service is the service that runs on this VM, where it is known
+	// beforehand.
+	Service string
+	// Domains are all failure domains with their regions, for platforms whose
+	// configurations do not declare them.
+	Domains map[string]string
 	// Seeds are control addresses of other daemons.
 	Seeds []string
 	// Token is the secret that all daemons share.
@@ -57,6 +70,8 @@
 type raw struct {
 	vm, domain, outlet, inlet, control, admin string
 	platform, seeds, token, level             string
+	ready, announce, adapter                  string
+	service, domains                          string
 	sample                                    string
 	drain                                     string
 }
@@ -70,6 +85,11 @@
 	fs.StringVar(&rw.control, "control", "", "address for the daemons of other VMs, IP:PORT (required)")
 	fs.StringVar(&rw.admin, "admin", "127.0.0.1:8081", "address for announcements, health, metrics and operators, IP:PORT")
 	fs.StringVar(&rw.platform, "platform", "", "address of the platform's key-value service, IP:PORT (required)")
+	fs.StringVar(&rw.ready, "ready", "", "another address for questions whether the daemon is ready, IP:PORT")
+	fs.StringVar(&rw.announce, "announce", "", "another address for announcements of the backend server, IP:PORT")
+	fs.StringVar(&rw.adapter, "adapter", "", "platform that the daemon is joined to; empty for flamingomast's own interface")
+	fs.StringVar(&rw.service, "service", "", "service that runs on this VM, told to the backend servers that it calls")
+	fs.StringVar(&rw.domains, "failure-domains", "", "all failure domains with their regions, where the platform does not declare them, NAME=REGION,…")
 	fs.StringVar(&rw.seeds, "seeds", "", "control addresses of other daemons to try before the platform is asked, IP:PORT,…")
 	fs.StringVar(&rw.token, "mesh-token", "", "secret that all daemons share; empty for none")
 	fs.StringVar(&rw.level, "log-level", "info", "debug, info, warn or error")
@@ -229,6 +249,17 @@
 		Control: rd.addr("control", rw.control), Admin: rd.addr("admin", rw.admin),
 		Platform: rd.addr("platform", rw.platform), Token: rw.token,
 	}
+	for _, it := range []struct {
+		name, value string
+		to          *string
+	}{{"ready", rw.ready, &se.Ready}, {"announce", rw.announce, &se.Announce}} {
+		if it.value != "" {
+			*it.to = rd.addr(it.name, it.value)
+		}
+	}
+	se.Adapter = rd.optionalName("adapter", rw.adapter)
+	se.Service = rd.optionalName("service", rw.service)
+	se.Domains = rd.domains(rw.domains)
 	rd.distinct(&se)
 	for _, sd := range strings.Split(rw.seeds, ",") {
 		if sd = strings.TrimSpace(sd); sd != "" {
@@ -260,6 +291,29 @@
 	return value
 }
 
+func (rd *Reader) optionalName(setting, value string) string {
+	if value != "" && !nameForm.MatchString(value) {
+		rd.add(setting, fmt.Sprintf("%s is %q", setting, value), "set it to 1 to 63 of a-z, 0-9, \"-\" and \".\", or leave it out")
+	}
+	return value
+}
+
+// domains reads failure domains with their regions.
+func (rd *Reader) domains(text string) map[string]string {
+	if text == "" {
+		return nil
+	}
+	domains := map[string]string{}
+	for _, one := range strings.Split(text, ",") {
+		name, region, _ := strings.Cut(strings.TrimSpace(one), "=")
+		if !nameForm.MatchString(name) || !nameForm.MatchString(region) {
+			rd.add("failure-domains", fmt.Sprintf("failure-domains has %q", one), "write each as NAME=REGION, separated by commas")
+		}
+		domains[name] = region
+	}
+	return domains
+}
+
 // addr checks an address. Daemons reach each other by IP number; a host name
 // would bring in a resolver that may be out when it is needed.
 func (rd *Reader) addr(setting, value string) string {
@@ -284,6 +338,7 @@
 	seen := map[string]string{}
 	for _, it := range []struct{ name, addr string }{
 		{"outlet", se.Outlet}, {"inlet", se.Inlet}, {"control", se.Control}, {"admin", se.Admin},
+		{"ready", se.Ready}, {"announce", se.Announce},
 	} {
 		if it.addr == "" || strings.HasSuffix(it.addr, ":0") {
 			continue
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -276,6 +276,13 @@
 	return ga.running, ch
 }
 
+// Open admits requests again after a Drain, for another backend server.
+func (ga *Gate) Open() {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.draining = false
+}
+
 // Load returns how many requests run and wait, and the slots.
 func (ga *Gate) Load() result.Load {
 	ga.mu.Lock()
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -43,8 +43,7 @@
 	byService := make([]map[string][]*Endpoint, len(sn.ServiceList))
 	for rc := range vw.All {
 		sv := sn.Services[rc.Service]
-		vm, declared := sn.VMs[rc.VM]
-		if !rc.Serving() || sv == nil || !declared || vm.Service != rc.Service || vm.Domain != rc.Domain {
+		if !rc.Serving() || sv == nil || !listed(sn, sv, rc) {
 			continue
 		}
 		if byService[sv.Index] == nil {
@@ -61,6 +60,16 @@
 	return tb
 }
 
+// listed tells whether the inventory has the server where it says that it is;
+// those of an announced service are in no inventory.
+func listed(sn *snap.Snapshot, sv *snap.Service, rc *member.Record) bool {
+	if sv.Announced {
+		return true
+	}
+	vm, declared := sn.VMs[rc.VM]
+	return declared && vm.Service == rc.Service && vm.Domain == rc.Domain
+}
+
 func endpoint(rc *member.Record, sv *snap.Service, known *Endpoint) *Endpoint {
 	slots := rc.Slots
 	if slots <= 0 {
--- /dev/null
+++ b/internal/plat/dialer/doc.go
@@ -0,0 +1,3 @@
+// Package dialer opens TCP connections that end by themselves when the other
+// side can no longer be reached.
+package dialer
