--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -29,7 +29,9 @@
 	// Classes has the classes in the order of their Index; the first one is
 	// for requests without a class.
 	Classes []*Class
-	hosts   map[string][]*Route
+	// RouteList has all routes in the order of their Index.
+	RouteList []*Route
+	hosts     map[string][]*Route
 }
 
 // Service is a declared service with its placement.
@@ -57,7 +59,9 @@
 
 // Route is a declared route.
 type Route struct {
-	Name     string
+	Name string
+	// Index counts the routes, those of services included.
+	Index    int
 	Targets  []Target
 	Class    *Class
 	Deadline time.Duration
@@ -194,11 +198,17 @@
 			Deadline: deadline(0, sv),
 			Repeat:   decl.RepeatSafe,
 		}
+		sn.addRoute(sv.route)
 		sn.ServiceList = append(sn.ServiceList, sv)
 		sn.Services[sv.Name] = sv
 	}
 }
 
+func (sn *Snapshot) addRoute(rt *Route) {
+	rt.Index = len(sn.RouteList)
+	sn.RouteList = append(sn.RouteList, rt)
+}
+
 func deadline(declared decl.Duration, sv *Service) time.Duration {
 	switch {
 	case declared > 0:
@@ -262,6 +272,7 @@
 			rt.Class = classes[rt.Targets[0].Service.Class]
 		}
 		rt.Deadline = deadline(drt.Deadline, rt.Targets[0].Service)
+		sn.addRoute(rt)
 		sn.hosts[drt.Match.Host] = append(sn.hosts[drt.Match.Host], rt)
 	}
 	for _, rts := range sn.hosts {
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -75,7 +76,7 @@
 	defer cancel()
 	class := r.Header.Get(result.ClassHeader)
 	sr := in.Stats.For(tg.Service, class)
-	tk, rf := in.Gate.Enter(ctx, class)
+	tk, rf := in.Gate.Enter(ctx, rank(r.Header, class))
 	sr.Queue.Record(time.Since(start))
 	if rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -123,6 +124,23 @@
 // to keep the connection.
 const maxUnread = 256 << 10
 
+// rank reads how urgent an outlet says that a request is. What cannot be read
+// ranks as the least urgent.
+func rank(hdr http.Header, class string) limit.Request {
+	rq := limit.Request{Class: class, Priority: lastPriority}
+	prio, left, objective := strings.Cut(hdr.Get(result.UrgencyHeader), "/")
+	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
+		rq.Priority = min(n, lastPriority)
+	}
+	if ms, err := strconv.ParseInt(left, 10, 32); objective && err == nil {
+		rq.Objective = time.Duration(max(1, ms)) * time.Millisecond
+	}
+	return rq
+}
+
+// lastPriority is the rank of requests without one.
+const lastPriority = 100
+
 func deadline(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(result.TimeoutMs), 10, 32)
 	if err != nil || ms <= 0 {
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -1,7 +1,9 @@
 package limit
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +40,40 @@
 	queue   []*waiter
 }
 
+// Request is what the gate goes by.
+type Request struct {
+	// Class names the class whose slots it takes.
+	Class string
+	// Priority ranks it among those of its class that wait: 0 goes first.
+	Priority int
+	// Objective is what is left of the time within which an answer has its full
+	// worth; 0 where none is declared.
+	Objective time.Duration
+}
+
+// The patience of requests: the part of the time that is left to a request
+// before it must begin, within which its turn must be expected to come. What is
+// refused at once can still be served in time elsewhere or a little later; what
+// waits and is then too late has cost its caller the time and the server a slot.
+// More urgent ones may wait longer, since those that come after them and are
+// less urgent wait behind them. The figures are from TestPatience.
+const (
+	patience = 0.6
+	// latePatience is for requests whose objective has passed: they wait only
+	// where hardly anybody does.
+	latePatience = 50 * time.Millisecond
+)
+
+// patient returns how long a request may be expected to wait.
+func (rq Request) patient(service time.Duration) time.Duration {
+	slack := rq.Objective - service
+	return max(latePatience/time.Duration(1+rq.Priority), time.Duration(patience*float64(slack))/time.Duration(1+rq.Priority))
+}
+
 type waiter struct {
+	Request
+	// due is when it must begin so that its answer comes within the objective.
+	due     time.Time
 	ready   chan struct{}
 	granted bool
 	gone    bool
@@ -90,29 +125,41 @@
 // Enter waits for a slot. It returns a ticket, or the refusal of a request
 // that has certainly not run. A request that could not be served before its
 // deadline is refused at once, not when the deadline comes.
-func (ga *Gate) Enter(ctx context.Context, name string) (*Ticket, *result.Refusal) {
+func (ga *Gate) Enter(ctx context.Context, rq Request) (*Ticket, *result.Refusal) {
 	ga.mu.Lock()
 	if ga.draining {
 		ga.mu.Unlock()
 		return nil, refuse(result.ReasonDraining, 0)
 	}
-	cl := ga.class(name)
+	cl := ga.class(rq.Class)
 	if ga.mayRun(cl) {
 		tk := ga.admit(cl)
 		ga.mu.Unlock()
 		return tk, nil
 	}
-	if rf := ga.hopeless(ctx, cl); rf != nil {
+	wt := &waiter{Request: rq, due: time.Now().Add(rq.Objective), ready: make(chan struct{})}
+	at := cl.place(wt)
+	if rf := ga.hopeless(ctx, cl, rq, at); rf != nil {
 		ga.mu.Unlock()
 		return nil, rf
 	}
-	wt := &waiter{ready: make(chan struct{})}
-	cl.queue = append(cl.queue, wt)
+	cl.queue = slices.Insert(cl.queue, at, wt)
 	ga.waiting++
 	ga.mu.Unlock()
 	return ga.wait(ctx, cl, wt)
 }
 
+// place returns where a request stands among those of its class that wait: by
+// priority, then by when it must begin. A request that came back after a refusal
+// has less time left, so it goes before the new ones of its kind.
+func (cl *class) place(wt *waiter) int {
+	at, _ := slices.BinarySearchFunc(cl.queue, wt, func(a, b *waiter) int {
+		// Those that are equal keep the order in which they came.
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due.Compare(b.due), -1)
+	})
+	return at
+}
+
 func refuse(re result.Reason, after time.Duration) *result.Refusal {
 	return &result.Refusal{Outcome: result.NotRun, Reason: re, RetryAfter: after}
 }
@@ -133,10 +180,11 @@
 	return &Ticket{ga: ga, cl: cl, since: time.Now()}
 }
 
-// hopeless refuses a request that cannot wait; ga.mu is held.
-func (ga *Gate) hopeless(ctx context.Context, cl *class) *result.Refusal {
-	wait := ga.expectedWait(cl)
-	if len(cl.queue) >= cl.Queue {
+// hopeless refuses a request that would not be served in time if it waited
+// behind ahead others of its class; ga.mu is held.
+func (ga *Gate) hopeless(ctx context.Context, cl *class, rq Request, ahead int) *result.Refusal {
+	wait := ga.expectedWait(cl, ahead)
+	if len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service) {
 		return refuse(result.ReasonFull, wait)
 	}
 	if at, ok := ctx.Deadline(); ok && time.Until(at) < wait+ga.service {
@@ -145,19 +193,20 @@
 	return nil
 }
 
-// expectedWait estimates when a slot would come to a new request of the class,
-// from the rate at which slots really become free. ga.mu is held.
-func (ga *Gate) expectedWait(cl *class) time.Duration {
+// expectedWait estimates when a slot would come to a request behind so many of
+// its class, from the rate at which slots really become free. ga.mu is held.
+func (ga *Gate) expectedWait(cl *class, ahead int) time.Duration {
 	slots := ga.slots
-	ahead := ga.waiting + 1
 	if cl.own > 0 {
 		// Its own slots serve its own queue first.
-		slots, ahead = cl.own, len(cl.queue)+1
+		slots = cl.own
+	} else {
+		ahead += ga.waiting - len(cl.queue)
 	}
 	if slots <= 0 {
 		return time.Second
 	}
-	return ga.service * time.Duration(ahead) / time.Duration(slots)
+	return ga.service * time.Duration(ahead+1) / time.Duration(slots)
 }
 
 func (ga *Gate) wait(ctx context.Context, cl *class, wt *waiter) (*Ticket, *result.Refusal) {
@@ -180,7 +229,7 @@
 	if ga.draining {
 		return nil, refuse(result.ReasonDraining, 0)
 	}
-	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl))
+	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl, len(cl.queue)))
 }
 
 func (cl *class) remove(wt *waiter) {
@@ -287,5 +336,5 @@
 func (ga *Gate) Load() result.Load {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return result.Load{Running: ga.running, Waiting: ga.waiting, Slots: ga.slots}
+	return result.Load{Running: ga.running, Waiting: ga.waiting, Slots: ga.slots, Service: ga.service.Truncate(time.Millisecond)}
 }
--- a/internal/path/limit/limit_test.go
+++ b/internal/path/limit/limit_test.go
@@ -41,7 +41,7 @@
 					time.Sleep(time.Duration(jb.at) * time.Millisecond)
 					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(jb.wait)*time.Millisecond)
 					defer cancel()
-					tk, rf := ga.Enter(ctx, jb.class)
+					tk, rf := ga.Enter(ctx, Request{Class: jb.class})
 					done.Add(1)
 					if rf != nil {
 						if rf.Outcome != result.NotRun {
@@ -79,7 +79,7 @@
 	t.Helper()
 	var list []*Ticket
 	for range n {
-		tk, rf := ga.Enter(t.Context(), class)
+		tk, rf := ga.Enter(t.Context(), Request{Class: class})
 		if rf != nil {
 			t.Fatalf("refused: %+v", rf)
 		}
@@ -101,7 +101,7 @@
 		defer close(end)
 		enter := func(class string) {
 			go func() {
-				if tk, rf := ga.Enter(t.Context(), class); rf == nil {
+				if tk, rf := ga.Enter(t.Context(), Request{Class: class}); rf == nil {
 					order <- class
 					<-end
 					tk.Leave()
@@ -143,7 +143,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		began := time.Now()
-		_, rf := ga.Enter(ctx, "lookup")
+		_, rf := ga.Enter(ctx, Request{Class: "lookup"})
 		if took := time.Since(began); rf == nil || rf.Reason != result.ReasonTooLate || took != 0 {
 			t.Errorf("refused with %+v after %s", rf, took)
 		}
@@ -163,13 +163,13 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for range 2 {
-			go func() { _, _ = ga.Enter(ctx, "lookup") }()
+			go func() { _, _ = ga.Enter(ctx, Request{Class: "lookup"}) }()
 		}
 		synctest.Wait()
-		if _, rf := ga.Enter(t.Context(), "lookup"); rf == nil || rf.Reason != result.ReasonFull {
+		if _, rf := ga.Enter(t.Context(), Request{Class: "lookup"}); rf == nil || rf.Reason != result.ReasonFull {
 			t.Errorf("the third that waits: %+v", rf)
 		}
-		go func() { _, _ = ga.Enter(ctx, "confirm") }()
+		go func() { _, _ = ga.Enter(ctx, Request{Class: "confirm"}) }()
 		synctest.Wait()
 		if ld := ga.Load(); ld.Waiting != 3 {
 			t.Errorf("%d wait, want 3", ld.Waiting)
@@ -185,7 +185,7 @@
 	held := fill(t, ga, "lookup", 4)
 	ga.Configure(1, nil)
 	for i, tk := range held {
-		if _, rf := ga.Enter(t.Context(), "lookup"); rf == nil {
+		if _, rf := ga.Enter(t.Context(), Request{Class: "lookup"}); rf == nil {
 			t.Fatalf("entered with %d running in 1 slot", len(held)-i)
 		}
 		tk.Leave()
@@ -199,7 +199,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			if tk, rf := ga.Enter(b.Context(), "lookup"); rf == nil {
+			if tk, rf := ga.Enter(b.Context(), Request{Class: "lookup"}); rf == nil {
 				tk.Leave()
 			}
 		}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -34,6 +34,9 @@
 	service string
 	sample  atomic.Uint64 // bits of the share of requests that are logged
 	routing atomic.Pointer[routing]
+	// life ends with Close.
+	life context.Context
+	end  context.CancelFunc
 	// requests and bodies bound what callers can make the outlet hold.
 	requests, bodies bound
 }
@@ -42,6 +45,7 @@
 type routing struct {
 	tb      *pick.Table
 	budgets []*retry.Budget // by the index of the service
+	known   []*known        // by the index of the route
 }
 
 // Options sets an outlet; the zero value works.
@@ -62,6 +66,7 @@
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
 	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service}
+	ou.life, ou.end = context.WithCancel(context.Background())
 	ou.SetSample(op.Sample)
 	ou.requests.most, ou.bodies.most = maxRequests, maxBodies
 	if ou.fw == nil {
@@ -81,25 +86,43 @@
 
 // SetTable replaces the table. Requests under way keep the one they have.
 func (ou *Outlet) SetTable(tb *pick.Table) {
-	known := map[string]*retry.Budget{}
-	if old := ou.routing.Load(); old != nil {
+	old := ou.routing.Load()
+	if old != nil && old.tb.Snap == tb.Snap {
+		ou.routing.Store(&routing{tb: tb, budgets: old.budgets, known: old.known})
+		return
+	}
+	budgets, routes := map[string]*retry.Budget{}, map[string]*known{}
+	if old != nil {
 		for i, sv := range old.tb.Snap.ServiceList {
-			known[sv.Name] = old.budgets[i]
+			budgets[sv.Name] = old.budgets[i]
+		}
+		for i, rt := range old.tb.Snap.RouteList {
+			routes[rt.Name] = old.known[i]
 		}
 	}
-	rt := &routing{tb: tb}
+	next := &routing{tb: tb}
 	for _, sv := range tb.Snap.ServiceList {
-		bu := known[sv.Name]
+		bu := budgets[sv.Name]
 		if bu == nil {
 			bu = retry.New()
 		}
-		rt.budgets = append(rt.budgets, bu)
+		next.budgets = append(next.budgets, bu)
+	}
+	for _, rt := range tb.Snap.RouteList {
+		kn := routes[rt.Name]
+		if kn == nil {
+			kn = &known{}
+		}
+		next.known = append(next.known, kn)
 	}
-	ou.routing.Store(rt)
+	ou.routing.Store(next)
 }
 
-// Close ends the kept connections.
-func (ou *Outlet) Close() { ou.fw.Close() }
+// Close ends the kept connections and what the outlet does beside requests.
+func (ou *Outlet) Close() {
+	ou.end()
+	ou.fw.Close()
+}
 
 // Table returns the table in use, nil for none.
 func (ou *Outlet) Table() *pick.Table {
@@ -116,14 +139,18 @@
 	sv    *snap.Service
 	gp    *pick.Group
 	bu    *retry.Budget
+	kn    *known
 	w     http.ResponseWriter
 	r     *http.Request
 	ctx   context.Context
 	src   source
 	tried pick.Tried
 	start time.Time
-	// tries counts the attempts, busy those that found no room.
-	tries, busy int
+	// elapsed is how long the caller had been at it before it came here.
+	elapsed time.Duration
+	// tries counts the attempts, busy those that found no room, sent those that
+	// may have reached a backend server.
+	tries, busy, sent int
 }
 
 // ServeHTTP serves one request.
@@ -149,15 +176,18 @@
 		return
 	}
 	limit := route.Deadline
+	kn := rt.known[route.Index]
+	elapsed := time.Duration(0)
 	if given, ok := ou.timeout(r.Header); ok {
 		limit = min(limit, given)
+		elapsed = kn.elapsed(given)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), limit)
 	defer cancel()
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		w: w, r: r, ctx: ctx, start: start,
+		kn: kn, w: w, r: r, ctx: ctx, start: start, elapsed: elapsed,
 	}
 	defer guardTimes(w, start.Add(limit))()
 	rq.serve()
@@ -238,7 +268,7 @@
 	}
 	var last *result.Refusal
 	for {
-		ep := rq.gp.Pick(time.Now(), &rq.tried, rand.IntN)
+		ep := rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
 		if ep == nil {
 			if last == nil {
 				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
@@ -286,6 +316,12 @@
 	if rq.ctx.Err() != nil || rq.tries >= retry.MaxAttempts || !rq.src.replayable() {
 		return false
 	}
+	if reached(rf) {
+		rq.sent++
+	}
+	if rq.route.Attempts > 0 && rq.sent >= rq.route.Attempts {
+		return false
+	}
 	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate || rf.Reason == result.ReasonShed {
 		if rq.busy++; rq.busy >= maxBusy {
 			return false
@@ -294,21 +330,23 @@
 	if !retry.Allowed(rf.Outcome, rq.route.Repeat, rq.r.Method) {
 		return false
 	}
-	if rf.Reason == result.ReasonConnect || rf.Reason == result.ReasonDraining || rf.Reason == result.ReasonWrongTarget {
-		// The server was not there at all: sending again adds no load to any,
-		// and the cause is gone once the news has come.
-		return true
-	}
-	return rq.bu.Take()
+	// What no backend server saw adds no load to any when it is sent again.
+	return !reached(rf) || rq.bu.Take()
+}
+
+// reached tells whether a refused request may have reached a backend server,
+// which then had the work of it.
+func reached(rf *result.Refusal) bool {
+	return rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed
 }
 
 // end writes the final answer of a request that no server answered. It does so
 // at once; when to come back stands in it.
 func (rq *request) end(rf *result.Refusal) {
 	rq.count(rf.Outcome, rf.Reason)
-	if rq.r.Context().Err() != nil {
-		return
-	}
+	// Written also where the caller seems to have gone: the context of a request
+	// ends as well when a read from the caller fails, and a handler that returns
+	// without an answer is taken for a success without a body.
 	if rq.src.streamed() {
 		rq.w.Header().Set("Connection", "close")
 	}
@@ -342,7 +380,7 @@
 	if at.Response == nil {
 		oc, re := at.Outcome()
 		rf := rq.failure(at, oc, re)
-		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
+		rq.ended(ep, verdictOf(rf))
 		return rf
 	}
 	defer at.Response.Body.Close()
@@ -364,6 +402,7 @@
 		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
 		return rf
 	}
+	rq.kn.answered(headBytes + bodyBytes(rq.r) + max(0, at.Response.ContentLength))
 	proxy.CopyHead(rq.w, at.Response, nil)
 	err := proxy.Copy(rq.w, at)
 	var ce *proxy.CopyError
@@ -378,6 +417,46 @@
 	return nil
 }
 
+// ended counts a failed attempt at a server. One that could not be reached is
+// left out until a connection can be made, so that no request has to find out.
+func (rq *request) ended(ep *pick.Endpoint, vd pick.Verdict) {
+	now := time.Now()
+	wasOut := ep.Out(now)
+	ep.End(now, vd, 0, rq.gp)
+	if vd == pick.Unreachable && !wasOut {
+		go rq.ou.awaitReturn(ep)
+	}
+}
+
+// The probing of a server that could not be reached.
+const (
+	// probeEvery is the wait between two connections.
+	probeEvery = 500 * time.Millisecond
+	// probes is how often they are tried, in all as long as a server is left out
+	// at most.
+	probes = 60
+)
+
+// awaitReturn tries to connect to a server that could not be reached and lets
+// requests go to it again once that succeeds.
+func (ou *Outlet) awaitReturn(ep *pick.Endpoint) {
+	for range probes {
+		select {
+		case <-time.After(probeEvery):
+		case <-ou.life.Done():
+			return
+		}
+		if !ep.Out(time.Now()) {
+			return
+		}
+		if ou.fw.Reach(ou.life, ep.Inlet) {
+			ep.Return()
+			return
+		}
+		ep.KeepOut(time.Now())
+	}
+}
+
 // maxHeldAnswer is the size up to which an answer is read whole before its head
 // is sent on, in bytes: most answers are a few kilobytes.
 const maxHeldAnswer = 32 << 10
@@ -459,6 +538,7 @@
 	out.Header[result.ProcessHeader] = []string{ep.Process}
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
+	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start))}
 	if rq.ou.token != "" {
 		out.Header[result.TokenHeader] = []string{rq.ou.token}
 	}
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,11 @@
 	failShare = one * 6 / 10
 	// startShare is the least part of its share that a new server gets.
 	startShare = 0.1
+	// coldFactor is how many times as long a server takes that says it is cold.
+	coldFactor = 2
+	// guessService is the time for which servers are taken to hold a slot while
+	// none of them has answered.
+	guessService = 100 * time.Millisecond
 )
 
 // Endpoint is a backend server as one outlet sees it. Its counters are shared
@@ -40,6 +46,8 @@
 	// Since is when it began to serve, SlowStart for how long its share grows.
 	Since     time.Time
 	SlowStart time.Duration
+	// ColdUntil is until when it is slow after its start.
+	ColdUntil time.Time
 	// Weak marks one that may be out of reach.
 	Weak bool
 
@@ -49,7 +57,8 @@
 // live is what changes with each request.
 type live struct {
 	running  atomic.Int32
-	reported atomic.Uint64 // load in the high 32 bits, milliseconds in the low
+	reported atomic.Uint64 // load, mean service in ms and time in ms: 16, 16 and 32 bits
+	ownThen  atomic.Int32  // running at the time of the report
 	answered atomic.Int64  // time of the last answer, or of the first request since idle
 	failing  atomic.Int32  // weighted share of failures, in 1/one
 	ejected  atomic.Int64  // until when it is left out
@@ -109,11 +118,12 @@
 		ep.eject(now)
 	case Shed:
 		// It has few requests and would draw more and more of them.
-		if gp.mayEject(now) {
+		ep.weigh(one)
+		if gp.mayEject(ep, now) {
 			ep.live.ejected.Store(now.Add(shedRest).UnixNano())
 		}
 	case Bad:
-		if ep.weigh(one) > failShare && gp.mayEject(now) {
+		if ep.weigh(one) > failShare && gp.mayEject(ep, now) {
 			ep.eject(now)
 		}
 	case Good:
@@ -166,9 +176,22 @@
 // Out tells whether the server is left out for its failures.
 func (ep *Endpoint) Out(now time.Time) bool { return ep.live.ejected.Load() > now.UnixNano() }
 
+// KeepOut prolongs the time for which an unreachable server is left out.
+func (ep *Endpoint) KeepOut(now time.Time) { ep.live.ejected.Store(now.Add(firstEject).UnixNano()) }
+
+// Return ends the time for which an unreachable server is left out, once a
+// connection was made again.
+func (ep *Endpoint) Return() { ep.live.ejected.Store(0) }
+
+// failShareNow returns the weighted share of failures.
+func (ep *Endpoint) failShareNow() float64 { return float64(ep.live.failing.Load()) / one }
+
 // SetLoad takes the load that an inlet reported.
 func (ep *Endpoint) SetLoad(ld result.Load, now time.Time) {
-	ep.live.reported.Store(uint64(ld.Running+ld.Waiting)<<32 | uint64(uint32(now.UnixMilli())))
+	load := uint64(min(ld.Running+ld.Waiting, math.MaxUint16))
+	service := uint64(min(ld.Service.Milliseconds(), math.MaxUint16))
+	ep.live.ownThen.Store(ep.live.running.Load())
+	ep.live.reported.Store(load<<48 | service<<32 | uint64(uint32(now.UnixMilli())))
 }
 
 // load estimates the requests at the server: those of this outlet for certain,
@@ -183,24 +206,68 @@
 	if age >= loadAge {
 		return own
 	}
-	return max(own, float64(rep>>32)*(1-float64(age)/float64(loadAge)))
+	since := own - float64(ep.live.ownThen.Load())
+	return max(own, (float64(rep>>48)+since)*(1-float64(age)/float64(loadAge)))
+}
+
+// service returns the time for which the server holds a slot: as its inlet
+// measures it, else as its answers took; 0 while neither tells.
+func (ep *Endpoint) service(now time.Time) time.Duration {
+	if ms := ep.live.reported.Load() >> 32 & math.MaxUint16; ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return time.Duration(ep.expectedLatency(now))
 }
 
-// score is the expected use of the server's slots if it got one more request,
-// where 1 is full. It is higher for a server that is new, and for one that
-// seems stuck.
-func (ep *Endpoint) score(now time.Time) float64 {
-	sc := (ep.load(now) + 1) / float64(max(1, ep.Slots))
-	if ep.SlowStart > 0 {
-		if age := now.Sub(ep.Since); age < ep.SlowStart {
-			sc /= max(startShare, float64(age)/float64(ep.SlowStart))
+// starting tells whether a new server is to be passed over this time, so that
+// its share grows over its slow start.
+func (ep *Endpoint) starting(now time.Time, rnd Random) bool {
+	age := now.Sub(ep.Since)
+	if ep.SlowStart <= 0 || age >= ep.SlowStart {
+		return false
+	}
+	share := max(startShare, float64(age)/float64(ep.SlowStart))
+	return float64(rnd(shareSteps)) >= share*shareSteps
+}
+
+// shareSteps is how finely a share is drawn.
+const shareSteps = 1000
+
+// cost is the time after which an answer is expected, were the request sent
+// here: the wait for a slot, and the time for which it is held. Servers of one
+// service differ in speed by more than two, so their free slots do not tell
+// which of them answers first. A server that fails part of its requests is
+// taken to need them again, and one that is nearly full to slow down. A server
+// of which nothing is known is taken to be like the others, which hold a slot
+// for the time others; were it taken to be slow, it would never show.
+func (ep *Endpoint) cost(now time.Time, others time.Duration) time.Duration {
+	slots := float64(max(1, ep.Slots))
+	load := ep.load(now)
+	service := float64(ep.service(now))
+	if service == 0 {
+		service = float64(others)
+		if now.Before(ep.ColdUntil) {
+			service *= coldFactor
 		}
 	}
+	wait := max(0, load+1-slots) * service / slots
+	use := min(1, load/slots)
+	cost := wait + service*(1+fullSlowdown*use)
+	cost *= 1 + failWeight*ep.failShareNow()
 	if ep.live.running.Load() > 0 && now.UnixNano()-ep.live.answered.Load() > int64(stuckAfter) {
-		sc += stuckScore
+		cost += float64(stuckCost)
 	}
-	return sc
+	return time.Duration(cost)
 }
 
-// stuckScore ranks a server that seems stuck behind all others.
-const stuckScore = 100
+const (
+	// fullSlowdown is the part by which a server with all slots in use is taken
+	// to be slower than an idle one. It also spreads requests over servers of
+	// equal speed.
+	fullSlowdown = 0.5
+	// failWeight is how many times its cost a server counts besides that fails
+	// everything.
+	failWeight = 4
+	// stuckCost ranks a server that seems stuck behind all others.
+	stuckCost = 100 * time.Second
+)
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -77,7 +77,7 @@
 	}
 	ep := Endpoint{
 		VM: rc.VM, Domain: rc.Domain, Inlet: rc.Inlet, Process: Process(rc), Slots: slots,
-		Since: rc.Since, SlowStart: time.Duration(sv.SlowStart),
+		Since: rc.Since, SlowStart: time.Duration(sv.SlowStart), ColdUntil: rc.ColdUntil,
 	}
 	if known != nil && known.Process == ep.Process {
 		return known.With(ep)
@@ -112,20 +112,34 @@
 // Len returns how many backend servers the group has.
 func (gp *Group) Len() int { return len(gp.all) }
 
-// mayEject tells whether another server may be left out for its failures. At
-// least half stay in use: when most fail at once, the cause is rather the
-// requests or something that all servers share, and leaving out more would
-// only load the rest.
-func (gp *Group) mayEject(now time.Time) bool {
-	out := 0
+// mayEject tells whether a server may be left out for its failures. At least
+// half stay in use, and it must fail much more often than the others: when most
+// fail alike, the cause is rather the requests or something that all servers
+// share, such as a service that they call, and leaving out some would only load
+// the rest.
+func (gp *Group) mayEject(bad *Endpoint, now time.Time) bool {
+	out, others, sum := 0, 0, 0.0
 	for _, ep := range gp.all {
+		if ep.live == bad.live {
+			continue
+		}
+		others++
 		if ep.Out(now) {
 			out++
+		} else {
+			sum += ep.failShareNow()
 		}
 	}
-	return (out+1)*2 <= len(gp.all)
+	if (out+1)*2 > len(gp.all) {
+		return false
+	}
+	return others == out || bad.failShareNow() > outlier*sum/float64(others-out)
 }
 
+// outlier is how many times the others' mean share of failures a server must
+// have to be left out.
+const outlier = 2
+
 // Tried holds the servers that a request has been sent to.
 type Tried struct {
 	list [8]*Endpoint
@@ -152,25 +166,35 @@
 // Random returns a number from 0 to n-1.
 type Random func(n int) int
 
-// Pick returns the server for a request, or nil when the group has none that
-// was not tried. It goes through the tiers in order and takes the better of
-// two drawn at random. A tier without room is passed over where the rules let
-// requests spill; if no tier has room, the best server seen is taken, and its
-// inlet decides.
-func (gp *Group) Pick(now time.Time, tried *Tried, rnd Random) *Endpoint {
+// The price of a failure domain's border, which is paid by the byte, put as
+// time: a request waits so much rather than cross it.
+const (
+	// borderHop is what the way there and back takes.
+	borderHop = 3 * time.Millisecond
+	// borderByte is for each byte of the answer. At it, a request for a
+	// kilobyte rather waits 8 ms, and one for 90 KB stays in its failure domain
+	// as long as any server there takes it.
+	borderByte = 8 * time.Microsecond
+)
+
+// Pick returns the server for a request whose answer is expected to have size
+// bytes, or nil when the group has none that was not tried. Each tier stands
+// for the best of some drawn at random. The cheapest one wins, where a server
+// behind more borders costs more. Where the rules do not let requests spill,
+// only the first tier with a server counts.
+func (gp *Group) Pick(now time.Time, size int64, tried *Tried, rnd Random) *Endpoint {
 	var best *Endpoint
-	bestScore := 0.0
+	var bestCost time.Duration
 	for i := range gp.tiers {
-		for _, list := range [2][]*Endpoint{gp.tiers[i].strong, gp.tiers[i].weak} {
-			ep, sc := better(list, now, tried, rnd)
+		border := time.Duration(i) * (borderHop + time.Duration(size)*borderByte)
+		for j, list := range [2][]*Endpoint{gp.tiers[i].strong, gp.tiers[i].weak} {
+			ep, cost := cheapest(list, now, tried, rnd)
 			if ep == nil {
 				continue
 			}
-			if sc <= 1 {
-				return ep
-			}
-			if best == nil || sc < bestScore {
-				best, bestScore = ep, sc
+			cost += border + time.Duration(j)*weakCost
+			if best == nil || cost < bestCost {
+				best, bestCost = ep, cost
 			}
 		}
 		if !gp.spill && best != nil {
@@ -183,52 +207,80 @@
 	return gp.lastResort(now, tried, rnd)
 }
 
-// draws is how often a server that cannot be used is drawn again before the
-// list is searched.
-const draws = 4
+// weakCost ranks servers that may be out of reach behind those that are not.
+const weakCost = 10 * time.Second
+
+// draws is how many servers of a list are compared. With two, a list of which
+// one in ten has room would rarely show it; with all, every outlet would send to
+// the one that reported last.
+const draws = 5
 
-// better returns the better of two servers of a list, and its score.
-func better(list []*Endpoint, now time.Time, tried *Tried, rnd Random) (*Endpoint, float64) {
-	a := usable(list, nil, now, tried, rnd)
-	if a == nil {
+// cheapest returns the server of a list that costs least among some drawn, and
+// its cost.
+func cheapest(list []*Endpoint, now time.Time, tried *Tried, rnd Random) (*Endpoint, time.Duration) {
+	if len(list) == 0 {
 		return nil, 0
 	}
-	sa := a.score(now)
-	b := usable(list, a, now, tried, rnd)
-	if b == nil {
-		return a, sa
+	var drawn [draws]*Endpoint
+	n := draw(&drawn, list, now, tried, rnd)
+	others := typical(drawn[:n], now)
+	var best *Endpoint
+	var bestCost, bestNoisy time.Duration
+	for _, ep := range drawn[:n] {
+		cost := ep.cost(now, others)
+		noisy := cost + cost*time.Duration(rnd(costNoise))/100
+		if best == nil || noisy < bestNoisy {
+			best, bestCost, bestNoisy = ep, cost, noisy
+		}
 	}
-	sb := b.score(now)
-	la, lb := a.expectedLatency(now), b.expectedLatency(now)
-	if la == 0 || lb == 0 {
-		la, lb = 1, 1
+	return best, bestCost
+}
+
+// costNoise is the most, in percent, that is added to a cost by chance. Without it
+// a server whose time is measured one millisecond longer than the others' would
+// get nothing as long as they have room, and its measure would never change.
+const costNoise = 15
+
+// draw takes servers that were neither tried nor left out, beginning at a random
+// one, and returns how many. One in its slow start is passed over for others.
+func draw(drawn *[draws]*Endpoint, list []*Endpoint, now time.Time, tried *Tried, rnd Random) int {
+	start := rnd(len(list))
+	n := 0
+	var starting *Endpoint
+	for i := range list {
+		ep := list[(start+i)%len(list)]
+		switch {
+		case ep.Out(now) || tried.has(ep):
+			continue
+		case ep.starting(now, rnd):
+			starting = ep
+			continue
+		}
+		drawn[n] = ep
+		if n++; n == draws {
+			break
+		}
 	}
-	// Of two with the same load the one that answers sooner is better: a
-	// server may be slow and say that it has room.
-	if sb*lb < sa*la {
-		return b, sb
+	if n == 0 && starting != nil {
+		drawn[0], n = starting, 1
 	}
-	return a, sa
+	return n
 }
 
-// usable draws a server other than not that was neither tried nor left out.
-func usable(list []*Endpoint, not *Endpoint, now time.Time, tried *Tried, rnd Random) *Endpoint {
-	if len(list) == 0 {
-		return nil
-	}
-	ok := func(ep *Endpoint) bool { return ep != not && !ep.Out(now) && !tried.has(ep) }
-	for range draws {
-		if ep := list[rnd(len(list))]; ok(ep) {
-			return ep
+// typical returns the mean time for which the servers hold a slot, as far as it
+// is known.
+func typical(list []*Endpoint, now time.Time) time.Duration {
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, ep := range list {
+		if sv := ep.service(now); sv > 0 {
+			sum += sv
+			n++
 		}
 	}
-	start := rnd(len(list))
-	for i := range list {
-		if ep := list[(start+i)%len(list)]; ok(ep) {
-			return ep
-		}
+	if n == 0 {
+		return guessService
 	}
-	return nil
+	return sum / n
 }
 
 // lastResort returns a server that is left out, when there is no other: an
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 )
 
 // The limits of a hop.
 const (
-	dialTimeout = time.Second
 	// idleTimeout is below that of servers, so that a kept connection is
 	// closed from this side and no request meets one that the server closes.
 	idleTimeout = 10 * time.Second
@@ -28,7 +28,8 @@
 
 // Forwarder sends requests to next hops.
 type Forwarder struct {
-	tr *http.Transport
+	tr   *http.Transport
+	dial func(ctx context.Context, addr string) (net.Conn, error)
 }
 
 // Options sets a forwarder; the zero value works.
@@ -45,13 +46,12 @@
 func New(op Options) *Forwarder {
 	dial := op.Dial
 	if dial == nil {
-		dl := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
-		dial = func(ctx context.Context, addr string) (net.Conn, error) { return dl.DialContext(ctx, "tcp", addr) }
+		dial = dialer.Dial
 	}
 	if op.MaxIdle == 0 {
 		op.MaxIdle = 128
 	}
-	return &Forwarder{tr: &http.Transport{
+	return &Forwarder{dial: dial, tr: &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			nc, err := dial(ctx, addr)
 			if err != nil {
@@ -70,6 +70,17 @@
 	}}
 }
 
+// Reach tells whether a connection to addr can be made.
+func (fw *Forwarder) Reach(ctx context.Context, addr string) bool {
+	nc, err := fw.dial(ctx, addr)
+	if err != nil {
+		return false
+	}
+	// It carried nothing, so there is nothing to lose.
+	_ = nc.Close()
+	return true
+}
+
 // Close ends the kept connections.
 func (fw *Forwarder) Close() { fw.tr.CloseIdleConnections() }
 
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -85,6 +85,9 @@
 	ProcessHeader = Prefix + "Process"
 	ServiceHeader = Prefix + "Service"
 	ClassHeader   = Prefix + "Class"
+	// UrgencyHeader ranks the request: its priority and, where an objective is
+	// declared, how many milliseconds of it are left, joined by a slash.
+	UrgencyHeader = Prefix + "Urgency"
 	// TokenHeader bears the mesh token, the outlet's proof to the inlet.
 	TokenHeader = Prefix + "Token"
 	// LoadHeader on an inlet's answer gives running requests, waiting requests
@@ -234,6 +237,9 @@
 // Load is what an inlet says of its backend server.
 type Load struct {
 	Running, Waiting, Slots int
+	// Service is the mean time for which a slot is held, in whole milliseconds;
+	// 0 for not known.
+	Service time.Duration
 }
 
 // String returns the form that ParseLoad reads.
@@ -243,11 +249,24 @@
 	b = append(b, '/')
 	b = strconv.AppendInt(b, int64(ld.Waiting), 10)
 	b = append(b, '/')
-	return string(strconv.AppendInt(b, int64(ld.Slots), 10))
+	b = strconv.AppendInt(b, int64(ld.Slots), 10)
+	if ld.Service > 0 {
+		b = append(b, '/')
+		b = strconv.AppendInt(b, ld.Service.Milliseconds(), 10)
+	}
+	return string(b)
 }
 
-// ParseLoad reads what String returns.
+// ParseLoad reads what String returns. An older release leaves out the time.
 func ParseLoad(s string) (ld Load, ok bool) {
+	if strings.Count(s, "/") == 3 {
+		i := strings.LastIndexByte(s, '/')
+		ms, err := strconv.ParseUint(s[i+1:], 10, 24)
+		if err != nil || ms == 0 {
+			return Load{}, false
+		}
+		ld.Service, s = time.Duration(ms)*time.Millisecond, s[:i]
+	}
 	for _, part := range []*int{&ld.Running, &ld.Waiting, &ld.Slots} {
 		text, rest, _ := strings.Cut(s, "/")
 		n, err := strconv.Atoi(text)
--- a/internal/plat/dialer/dialer.go
+++ b/internal/plat/dialer/dialer.go
@@ -19,7 +19,7 @@
 	// request to a VM that lost power, or that is cut off, hangs until its
 	// deadline: nothing answers, and nothing resets the connection. It is
 	// several times the 200 ms after which a lost packet is sent again.
-	unacked = 900 * time.Millisecond
+	unacked = 700 * time.Millisecond
 	// probeIdle and probeEvery let a connection that only waits for an answer
 	// notice the same.
 	probeIdle  = time.Second
