path: throttle at outlets, late requests dropped at inlets, own failure domain while it has room

shed counts what inlets take and offers twice that; lapse tells how long a request lay unread from two steady clocks; servers are chosen by expected time, with the border between failure domains priced by hop, bytes and half a slot's time.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -191,13 +191,13 @@
 			continue
 		}
 		wg.Go(func() {
-			if err := sv.hs.Serve(sv.ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := sv.hs.Serve(sv.ln); !errors.Is(err, http.ErrServerClosed) && !dm.closing.Load() {
 				dm.log.Error("listener-failed", slog.Any("error", err))
 			}
 		})
 	}
 	err = dm.waitForEnd(ctx)
-	dm.shutDown(servers, err != nil)
+	dm.shutDown(servers, ls, err != nil)
 	end()
 	wg.Wait()
 	dm.log.Info("daemon-end")
@@ -296,7 +296,7 @@
 // shutDown ends the daemon without cutting off a request: callers leave, the
 // news goes out, running requests end, and only then do connections close. A
 // process that was replaced takes its leave without delay.
-func (dm *Daemon) shutDown(sv *servers, replaced bool) {
+func (dm *Daemon) shutDown(sv *servers, ls *listeners, replaced bool) {
 	began := time.Now()
 	total := max(dm.se.DrainTimeout-reserve, dm.se.DrainTimeout/2)
 	ctx, cancel := context.WithTimeout(context.Background(), total)
@@ -312,8 +312,8 @@
 	}
 	dm.Drain()
 	var wg conc.WaitGroup
-	wg.Go(func() { dm.endServer(ctx, sv.outlet, &sv.callers) })
-	wg.Go(func() { dm.endServer(ctx, sv.inlet, &sv.peers) })
+	wg.Go(func() { dm.endServer(ctx, sv.outlet, ls.outlet, &sv.callers) })
+	wg.Go(func() { dm.endServer(ctx, sv.inlet, ls.inlet, &sv.peers) })
 	wg.Wait()
 	if !replaced {
 		dm.Node.Leave(context.Background())
@@ -328,8 +328,13 @@
 	dm.log.Info("drained", slog.Duration("took", time.Since(began)))
 }
 
-// endServer ends a server once its requests have ended, or with ctx.
-func (dm *Daemon) endServer(ctx context.Context, hs *http.Server, conns *idle.Set) {
+// endServer ends a server once its requests have ended, or with ctx. It takes no
+// new connections, so that those callers who have not left go elsewhere at once,
+// and each answer from now on ends its connection.
+func (dm *Daemon) endServer(ctx context.Context, hs *http.Server, ln net.Listener, conns *idle.Set) {
+	if err := ln.Close(); err != nil {
+		dm.log.Info("listener-close", slog.Any("error", err))
+	}
 	for conns.End(0) > 0 && ctx.Err() == nil {
 		sleep(ctx, endEvery)
 	}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/path/lapse"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
@@ -38,6 +39,7 @@
 	op     proxy.Options
 	fw     atomic.Pointer[proxy.Forwarder]
 	target atomic.Pointer[Target]
+	lapses lapse.Tracker
 }
 
 // New returns an inlet without a target; op says how its backend server is
@@ -72,8 +74,12 @@
 		in.refuse(w, r, rf)
 		return
 	}
-	ctx, cancel := deadline(r)
+	ctx, cancel := in.deadline(r, start)
 	defer cancel()
+	if ctx.Err() != nil {
+		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadline})
+		return
+	}
 	class := r.Header.Get(result.ClassHeader)
 	sr := in.Stats.For(tg.Service, class)
 	tk, rf := in.Gate.Enter(ctx, rank(r.Header, class))
@@ -141,12 +147,16 @@
 // lastPriority is the rank of requests without one.
 const lastPriority = 100
 
-func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+// deadline returns the context of a request. The time that it gives counts from
+// when it was sent: one that lay unread for as long is not run any more, since
+// its caller has gone, whether that is known here yet or not.
+func (in *Inlet) deadline(r *http.Request, now time.Time) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(result.TimeoutMs), 10, 32)
 	if err != nil || ms <= 0 {
 		return context.WithCancel(r.Context())
 	}
-	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	left := time.Duration(ms)*time.Millisecond - in.lapses.Late(r.Header.Get(result.SentHeader), now)
+	return context.WithTimeout(r.Context(), left)
 }
 
 // forward sends an admitted request to the backend server and its answer back.
--- /dev/null
+++ b/internal/path/lapse/doc.go
@@ -0,0 +1,3 @@
+// Package lapse tells how long a message was under way between two processes
+// whose clocks do not agree.
+package lapse
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -16,10 +16,12 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/path/lapse"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/path/retry"
+	"github.com/flamingomast/flamingomast/internal/path/shed"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
 )
 
@@ -46,6 +48,8 @@
 	tb      *pick.Table
 	budgets []*retry.Budget // by the index of the service
 	known   []*known        // by the index of the route
+	// throttles are by the index of the service, then by that of the class.
+	throttles [][]*shed.Throttle
 }
 
 // Options sets an outlet; the zero value works.
@@ -88,13 +92,16 @@
 func (ou *Outlet) SetTable(tb *pick.Table) {
 	old := ou.routing.Load()
 	if old != nil && old.tb.Snap == tb.Snap {
-		ou.routing.Store(&routing{tb: tb, budgets: old.budgets, known: old.known})
+		ou.routing.Store(&routing{tb: tb, budgets: old.budgets, known: old.known, throttles: old.throttles})
 		return
 	}
-	budgets, routes := map[string]*retry.Budget{}, map[string]*known{}
+	budgets, throttles, routes := map[string]*retry.Budget{}, map[[2]string]*shed.Throttle{}, map[string]*known{}
 	if old != nil {
 		for i, sv := range old.tb.Snap.ServiceList {
 			budgets[sv.Name] = old.budgets[i]
+			for j, cl := range old.tb.Snap.Classes {
+				throttles[[2]string{sv.Name, cl.Name}] = old.throttles[i][j]
+			}
 		}
 		for i, rt := range old.tb.Snap.RouteList {
 			routes[rt.Name] = old.known[i]
@@ -107,6 +114,13 @@
 			bu = retry.New()
 		}
 		next.budgets = append(next.budgets, bu)
+		ths := make([]*shed.Throttle, len(tb.Snap.Classes))
+		for j, cl := range tb.Snap.Classes {
+			if ths[j] = throttles[[2]string{sv.Name, cl.Name}]; ths[j] == nil {
+				ths[j] = &shed.Throttle{}
+			}
+		}
+		next.throttles = append(next.throttles, ths)
 	}
 	for _, rt := range tb.Snap.RouteList {
 		kn := routes[rt.Name]
@@ -140,6 +154,7 @@
 	gp    *pick.Group
 	bu    *retry.Budget
 	kn    *known
+	th    *shed.Throttle
 	w     http.ResponseWriter
 	r     *http.Request
 	ctx   context.Context
@@ -187,7 +202,7 @@
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		kn: kn, w: w, r: r, ctx: ctx, start: start, elapsed: elapsed,
+		kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed,
 	}
 	defer guardTimes(w, start.Add(limit))()
 	rq.serve()
@@ -266,6 +281,16 @@
 		rq.end(rf)
 		return
 	}
+	if !rq.th.Offer(rq.route.Priority, rq.start, rand.Float64()) {
+		rq.end(&result.Refusal{Outcome: result.NotRun, Reason: result.ReasonFull})
+		return
+	}
+	rq.th.Done(rq.route.Priority, time.Now(), rq.send())
+}
+
+// send sends the request until it is answered or given up on, and tells whether
+// an inlet took it.
+func (rq *request) send() (taken bool) {
 	var last *result.Refusal
 	for {
 		ep := rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
@@ -274,12 +299,12 @@
 				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
 			}
 			rq.end(last)
-			return
+			return !last.Crowded()
 		}
 		rf := rq.attempt(ep)
 		if rf == nil {
 			rq.count(result.Answered, "")
-			return
+			return true
 		}
 		if !staleConn(rf) {
 			rq.tried.Add(ep)
@@ -287,7 +312,7 @@
 		last = worse(last, rf)
 		if !rq.again(rf) {
 			rq.end(last)
-			return
+			return !last.Crowded()
 		}
 	}
 }
@@ -344,6 +369,7 @@
 // at once; when to come back stands in it.
 func (rq *request) end(rf *result.Refusal) {
 	rq.count(rf.Outcome, rf.Reason)
+	rq.spread(rf)
 	// Written also where the caller seems to have gone: the context of a request
 	// ends as well when a read from the caller fails, and a handler that returns
 	// without an answer is taken for a success without a body.
@@ -353,6 +379,31 @@
 	rf.Write(rq.w, rq.ou.names.Fractions)
 }
 
+// The return of refused callers.
+const (
+	// returnPart is the part of the objective after which a caller is told to
+	// come back at least: soon enough for an answer in time, and late enough for
+	// slots to have become free.
+	returnPart = 4
+	// returnLeast stands for it where no objective is declared.
+	returnLeast = 100 * time.Millisecond
+)
+
+// spread sets when the caller of a request that has not run should come back:
+// when a slot is expected to be free, spread over as long again, so that those
+// who were refused together do not come back as one wave.
+func (rq *request) spread(rf *result.Refusal) {
+	if rf.Outcome != result.NotRun {
+		return
+	}
+	least := returnLeast
+	if rq.route.Objective > 0 {
+		least = rq.route.Objective / returnPart
+	}
+	after := max(rf.RetryAfter, least)
+	rf.RetryAfter = after/2 + rand.N(after)
+}
+
 func (rq *request) count(oc result.Outcome, re result.Reason) {
 	sr := rq.ou.Stats.For(rq.sv.Name, rq.route.Class.Name)
 	took := time.Since(rq.start)
@@ -537,6 +588,7 @@
 	out.Header[result.VMHeader] = []string{ep.VM}
 	out.Header[result.ProcessHeader] = []string{ep.Process}
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
+	out.Header[result.SentHeader] = []string{lapse.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
 	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start))}
 	if rq.ou.token != "" {
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -28,7 +28,7 @@
 	one       = 1 << 16
 	failShare = one * 6 / 10
 	// startShare is the least part of its share that a new server gets.
-	startShare = 0.1
+	startShare = 0.05
 	// coldFactor is how many times as long a server takes that says it is cold.
 	coldFactor = 2
 	// guessService is the time for which servers are taken to hold a slot while
@@ -226,8 +226,10 @@
 	if ep.SlowStart <= 0 || age >= ep.SlowStart {
 		return false
 	}
-	share := max(startShare, float64(age)/float64(ep.SlowStart))
-	return float64(rnd(shareSteps)) >= share*shareSteps
+	// It has the fewest requests and wins nearly whenever it is compared, so its
+	// chance rises with the square of its age.
+	share := float64(age) / float64(ep.SlowStart)
+	return float64(rnd(shareSteps)) >= max(startShare, share*share)*shareSteps
 }
 
 // shareSteps is how finely a share is drawn.
@@ -252,7 +254,7 @@
 	}
 	wait := max(0, load+1-slots) * service / slots
 	use := min(1, load/slots)
-	cost := wait + service*(1+fullSlowdown*use)
+	cost := waitWeight*wait + service*(1+fullSlowdown*use)
 	cost *= 1 + failWeight*ep.failShareNow()
 	if ep.live.running.Load() > 0 && now.UnixNano()-ep.live.answered.Load() > int64(stuckAfter) {
 		cost += float64(stuckCost)
@@ -265,6 +267,9 @@
 	// to be slower than an idle one. It also spreads requests over servers of
 	// equal speed.
 	fullSlowdown = 0.5
+	// waitWeight is how many times its length a wait counts: others come before
+	// it is over, and an inlet that expects a long one refuses.
+	waitWeight = 3
 	// failWeight is how many times its cost a server counts besides that fails
 	// everything.
 	failWeight = 4
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -175,6 +175,10 @@
 	// kilobyte rather waits 8 ms, and one for 90 KB stays in its failure domain
 	// as long as any server there takes it.
 	borderByte = 8 * time.Microsecond
+	// borderPart is the part of the time for which a slot is held that is added,
+	// so that requests stay as long as there is room, whatever the speed of the
+	// servers there.
+	borderPart = 0.5
 )
 
 // Pick returns the server for a request whose answer is expected to have size
@@ -186,13 +190,13 @@
 	var best *Endpoint
 	var bestCost time.Duration
 	for i := range gp.tiers {
-		border := time.Duration(i) * (borderHop + time.Duration(size)*borderByte)
 		for j, list := range [2][]*Endpoint{gp.tiers[i].strong, gp.tiers[i].weak} {
-			ep, cost := cheapest(list, now, tried, rnd)
+			ep, cost, typical := cheapest(list, now, tried, rnd)
 			if ep == nil {
 				continue
 			}
-			cost += border + time.Duration(j)*weakCost
+			border := borderHop + time.Duration(size)*borderByte + time.Duration(borderPart*float64(typical))
+			cost += time.Duration(i)*border + time.Duration(j)*weakCost
 			if best == nil || cost < bestCost {
 				best, bestCost = ep, cost
 			}
@@ -215,11 +219,11 @@
 // the one that reported last.
 const draws = 5
 
-// cheapest returns the server of a list that costs least among some drawn, and
-// its cost.
-func cheapest(list []*Endpoint, now time.Time, tried *Tried, rnd Random) (*Endpoint, time.Duration) {
+// cheapest returns the server of a list that costs least among some drawn, its
+// cost and the time for which they hold a slot.
+func cheapest(list []*Endpoint, now time.Time, tried *Tried, rnd Random) (*Endpoint, time.Duration, time.Duration) {
 	if len(list) == 0 {
-		return nil, 0
+		return nil, 0, 0
 	}
 	var drawn [draws]*Endpoint
 	n := draw(&drawn, list, now, tried, rnd)
@@ -233,7 +237,7 @@
 			best, bestCost, bestNoisy = ep, cost, noisy
 		}
 	}
-	return best, bestCost
+	return best, bestCost, others
 }
 
 // costNoise is the most, in percent, that is added to a cost by chance. Without it
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -88,6 +88,9 @@
 	// UrgencyHeader ranks the request: its priority and, where an objective is
 	// declared, how many milliseconds of it are left, joined by a slash.
 	UrgencyHeader = Prefix + "Urgency"
+	// SentHeader is the sender's process and its steady clock in milliseconds,
+	// joined by a slash: the time that TimeoutMs gives counts from then.
+	SentHeader = Prefix + "Sent"
 	// TokenHeader bears the mesh token, the outlet's proof to the inlet.
 	TokenHeader = Prefix + "Token"
 	// LoadHeader on an inlet's answer gives running requests, waiting requests
@@ -144,6 +147,18 @@
 	Detail     string
 }
 
+// Crowded tells whether the request was refused for want of room.
+func (rf *Refusal) Crowded() bool {
+	if rf.Outcome != NotRun {
+		return false
+	}
+	switch rf.Reason {
+	case ReasonFull, ReasonTooLate, ReasonDeadline:
+		return true
+	}
+	return false
+}
+
 // StatusFor returns the HTTP status of an outcome and reason.
 func StatusFor(oc Outcome, re Reason) int {
 	switch re {
