conf, node, stat: callers' limits, bounded logs; path: measures of idle servers fade

Accept errors were logged at debug level.

The operators' limits are part of the configuration and idle connections end by them; the outlet looks whether the caller has gone before it sends.

Ruled out: a stalled process (its log has lines in each tenth of a second), processor time (requests took 4 to 8 ms meanwhile).

--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -33,6 +33,7 @@
 	ck.services = index(ck, "service", ms.Services, func(sv *Service) (string, strict.Pos) { return sv.Name, sv.Pos })
 	ck.classes = index(ck, "class", ms.Classes, func(cl *Class) (string, strict.Pos) { return cl.Name, cl.Pos })
 	index(ck, "VM", ms.VMs, func(vm *VM) (string, strict.Pos) { return vm.Name, vm.Pos })
+	index(ck, "caller limits", ms.CallerLimits, func(cl *CallerLimits) (string, strict.Pos) { return cl.Name, cl.Pos })
 	index(ck, "route", ms.Routes, func(rt *Route) (string, strict.Pos) { return rt.Name, rt.Pos })
 	ck.checkDomains()
 	ck.checkServices()
@@ -41,9 +42,33 @@
 	ck.checkRoutes()
 	ck.checkOverlaps()
 	ck.checkPlacements()
+	ck.checkLimits()
 	return ck.prs
 }
 
+// The least that callers are given; below it no request could be sent.
+const (
+	minHeadBytes = 256
+	minTime      = 10 * time.Millisecond
+)
+
+func (ck *checker) checkLimits() {
+	for i, cl := range ck.ms.CallerLimits {
+		of := fmt.Sprintf("caller limits %q", cl.Name)
+		if i > 0 {
+			ck.add(cl.Pos, "put them together in one entry", "%s are a second entry", of)
+		}
+		if cl.HeadBytes != 0 && cl.HeadBytes < minHeadBytes || cl.BodyBytes < 0 {
+			ck.add(cl.Pos, fmt.Sprintf("set head-bytes to %d or more and body-bytes to 0 or more", minHeadBytes), "%s have head-bytes %d and body-bytes %d", of, cl.HeadBytes, cl.BodyBytes)
+		}
+		for name, du := range map[string]Duration{"head": cl.Head, "idle": cl.Idle} {
+			if du != 0 && time.Duration(du) < minTime {
+				ck.add(cl.Pos, fmt.Sprintf("set it to %s or more", minTime), "%s have %s %s", of, name, time.Duration(du))
+			}
+		}
+	}
+}
+
 type checker struct {
 	ms                                  *Mesh
 	regions, domains, services, classes map[string]bool
--- a/internal/conf/decl/decl.go
+++ b/internal/conf/decl/decl.go
@@ -18,6 +18,23 @@
 	Classes    []Class     `json:"classes,omitempty"`
 	Routes     []Route     `json:"routes,omitempty"`
 	Placements []Placement `json:"placements,omitempty"`
+	// CallerLimits has one entry at most.
+	CallerLimits []CallerLimits `json:"caller-limits,omitempty"`
+}
+
+// CallerLimits bounds what callers may send to an outlet, and how long they may
+// take.
+type CallerLimits struct {
+	Name string `json:"name"`
+	// HeadBytes and BodyBytes bound a request; 0 stands for the daemon's own
+	// bound.
+	HeadBytes int `json:"head-bytes,omitempty"`
+	BodyBytes int `json:"body-bytes,omitempty"`
+	// Head is how long the head of a request may take, Idle how long a
+	// connection may be kept without one.
+	Head Duration   `json:"head,omitempty"`
+	Idle Duration   `json:"idle,omitempty"`
+	Pos  strict.Pos `json:"-"`
 }
 
 // Region is a group of failure domains that are near each other.
--- a/internal/conf/decl/read.go
+++ b/internal/conf/decl/read.go
@@ -75,6 +75,7 @@
 		ms.Classes = append(ms.Classes, one.Classes...)
 		ms.Routes = append(ms.Routes, one.Routes...)
 		ms.Placements = append(ms.Placements, one.Placements...)
+		ms.CallerLimits = append(ms.CallerLimits, one.CallerLimits...)
 	}
 	for _, pr := range Check(&ms) {
 		// What has no place comes from an entry that could not be read, which
@@ -95,6 +96,7 @@
 	byName(ms.Classes, func(cl Class) string { return cl.Name })
 	byName(ms.Routes, func(rt Route) string { return rt.Name })
 	byName(ms.Placements, func(pl Placement) string { return pl.Service })
+	byName(ms.CallerLimits, func(cl CallerLimits) string { return cl.Name })
 }
 
 func byName[T any](list []T, name func(T) string) {
@@ -112,6 +114,7 @@
 	cp.Classes = slices.Clone(ms.Classes)
 	cp.Routes = slices.Clone(ms.Routes)
 	cp.Placements = slices.Clone(ms.Placements)
+	cp.CallerLimits = slices.Clone(ms.CallerLimits)
 	cp.Sort()
 	// JSON is a subset of YAML that keeps the order of the keys.
 	js, err := json.Marshal(&cp)
--- a/internal/conf/pack/pack.go
+++ b/internal/conf/pack/pack.go
@@ -27,6 +27,7 @@
 	KindClass     Kind = "class"
 	KindRoute     Kind = "route"
 	KindPlacement Kind = "placement"
+	KindLimits    Kind = "caller-limits"
 )
 
 // Key names a resource.
@@ -122,6 +123,7 @@
 		encodeList(&res, KindClass, ms.Classes, func(cl *decl.Class) string { return cl.Name }),
 		encodeList(&res, KindRoute, ms.Routes, func(rt *decl.Route) string { return rt.Name }),
 		encodeList(&res, KindPlacement, ms.Placements, func(pl *decl.Placement) string { return pl.Service }),
+		encodeList(&res, KindLimits, ms.CallerLimits, func(cl *decl.CallerLimits) string { return cl.Name }),
 	)
 	if err != nil {
 		return nil, err
@@ -176,6 +178,8 @@
 		return nil
 	case KindPlacement:
 		return decodeInto(&ms.Placements, rs.Body, func(pl *decl.Placement) *strict.Pos { return &pl.Pos }, rs.Key)
+	case KindLimits:
+		return decodeInto(&ms.CallerLimits, rs.Body, func(cl *decl.CallerLimits) *strict.Pos { return &cl.Pos }, rs.Key)
 	}
 	return fmt.Errorf("this release does not know the kind %q", rs.Key.Kind)
 }
--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -26,6 +26,8 @@
 	// ServiceList has the services in the order of their Index.
 	ServiceList []*Service
 	VMs         map[string]VM
+	// Limits bounds callers; its zero fields stand for the daemon's own bounds.
+	Limits decl.CallerLimits
 	// Classes has the classes in the order of their Index; the first one is
 	// for requests without a class.
 	Classes []*Class
@@ -150,6 +152,9 @@
 	for _, dm := range ms.Domains {
 		sn.Domains = append(sn.Domains, dm.Name)
 	}
+	for _, cl := range ms.CallerLimits {
+		sn.Limits = cl
+	}
 	classes := sn.compileClasses(ms)
 	sn.compileServices(ms, classes)
 	sn.compileRoutes(ms, classes)
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -16,12 +16,14 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/strict"
 	"github.com/flamingomast/flamingomast/internal/node/daemon"
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // The exit codes, for pipelines.
@@ -167,7 +169,13 @@
 				return usageError(fmt.Sprintf("no adapter %q; %s", se.Adapter, strict.Suggest(se.Adapter, slices.Sorted(maps.Keys(ap.adapters)))))
 			}
 			debug.SetMemoryLimit(max(memoryLimit, int64(memoryPart*float64(se.Memory))))
-			log := slog.New(slog.NewJSONHandler(ap.out, &slog.HandlerOptions{Level: se.LogLevel}))
+			wr := logs.NewWriter(ap.out)
+			life, end := context.WithCancel(context.WithoutCancel(ctx))
+			var wg conc.WaitGroup
+			wg.Go(func() { wr.Run(life) })
+			defer wg.Wait()
+			defer end()
+			log := slog.New(logs.NewHandler(slog.NewJSONHandler(wr, &slog.HandlerOptions{Level: se.LogLevel})))
 			// What libraries log by themselves becomes JSON lines too.
 			slog.SetDefault(log)
 			return daemon.New(se, daemon.Options{Log: log, Adapter: ad}).Run(ctx)
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -121,7 +121,7 @@
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service,
 	})
 	dm.Inlet = inlet.New(proxy.Options{})
-	dm.Inlet.Names = dm.ad.Names
+	dm.Inlet.Names, dm.Inlet.Log = dm.ad.Names, dm.log
 	dm.Inlet.Token = se.Token
 	dm.Inlet.Unreachable = func(inlet.Target) { dm.lost() }
 	return dm
@@ -196,6 +196,7 @@
 			}
 		})
 	}
+	wg.Go(func() { dm.endIdle(life, &servers.callers) })
 	err = dm.waitForEnd(ctx)
 	dm.shutDown(servers, ls, err != nil)
 	end()
@@ -244,7 +245,7 @@
 	plain := func(h http.Handler) *http.Server {
 		return &http.Server{
 			Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHead,
-			ErrorLog: slog.NewLogLogger(dm.log.Handler(), slog.LevelDebug),
+			ErrorLog: slog.NewLogLogger(dm.log.Handler(), slog.LevelWarn),
 		}
 	}
 	hs := dm.handlers()
@@ -348,6 +349,40 @@
 	}
 }
 
+// The ending of callers' idle connections.
+const (
+	// idleEvery is how often they are looked at, and also how much longer than
+	// the operators say they are kept, so that no caller who keeps to the limit
+	// meets the end.
+	idleEvery = 2 * time.Second
+	// maxCallers is how many connections are kept at most; beyond it the idle
+	// ones go earlier. A descriptor more than the process may have stops it from
+	// accepting any.
+	maxCallers = 1500
+)
+
+// endIdle ends the connections that callers have left idle for longer than the
+// configuration in force allows.
+func (dm *Daemon) endIdle(ctx context.Context, callers *idle.Set) {
+	tick := time.NewTicker(idleEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		limit := idleTimeout
+		if sn := dm.Node.Board.Held.Get(); sn != nil && sn.Limits.Idle > 0 {
+			limit = time.Duration(sn.Limits.Idle)
+		}
+		if left := callers.End(limit + idleEvery); left > maxCallers {
+			dm.log.Warn("many-connections", slog.Int("connections", left))
+			callers.End(idleEvery)
+		}
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -96,7 +96,7 @@
 	fs.StringVar(&rw.seeds, "seeds", "", "control addresses of other daemons to try before the platform is asked, IP:PORT,…")
 	fs.StringVar(&rw.token, "mesh-token", "", "secret that all daemons share; empty for none")
 	fs.StringVar(&rw.level, "log-level", "info", "debug, info, warn or error")
-	fs.StringVar(&rw.sample, "access-log-sample", "0", "share of requests that are logged, 0 to 1")
+	fs.StringVar(&rw.sample, "access-log-sample", "1", "share of answered requests that are logged, 0 to 1; their number is bounded in any case")
 	fs.StringVar(&rw.drain, "drain-timeout", "30s", "how long a shutdown waits for running requests")
 	fs.StringVar(&rw.memory, "memory-mb", "32", "how many megabytes the process may take in all")
 	fs.String("config", "", "YAML file with any of these settings")
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // Target is the backend server behind an inlet and the process that serves it.
@@ -35,7 +37,10 @@
 	// Token is what outlets must show; empty for none. It is set before use.
 	Token string
 	// Names are the headers of backend servers. They are set before use.
-	Names  result.Names
+	Names result.Names
+	// Log gets a line for each request that is not answered; it is set before
+	// use.
+	Log    *slog.Logger
 	op     proxy.Options
 	fw     atomic.Pointer[proxy.Forwarder]
 	target atomic.Pointer[Target]
@@ -45,7 +50,7 @@
 // New returns an inlet without a target; op says how its backend server is
 // reached.
 func New(op proxy.Options) *Inlet {
-	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, op: op}
+	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Log: slog.New(slog.DiscardHandler), op: op}
 	in.fw.Store(proxy.New(op))
 	return in
 }
@@ -118,8 +123,24 @@
 	return tg, nil
 }
 
+// id returns the caller's id of a request, empty where callers give none.
+func (in *Inlet) id(r *http.Request) string {
+	if in.Names.Request == "" {
+		return ""
+	}
+	return r.Header.Get(in.Names.Request)
+}
+
 func (in *Inlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
-	w.Header().Set(result.LoadHeader, in.Gate.Load().String())
+	load := in.Gate.Load().String()
+	w.Header().Set(result.LoadHeader, load)
+	event := logs.Refused
+	if rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed {
+		event = logs.Failed
+	}
+	in.Log.LogAttrs(context.Background(), slog.LevelWarn, event, slog.String(logs.ID, in.id(r)),
+		slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
+		slog.String(logs.Load, load), slog.Duration("retry-after", rf.RetryAfter))
 	if r.ContentLength > maxUnread && r.Header.Get("Expect") == "" {
 		w.Header().Set("Connection", "close")
 	}
@@ -165,9 +186,7 @@
 	if at.Response == nil {
 		rf := in.failure(ctx, r, at, tg)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
-		if r.Context().Err() == nil {
-			in.refuse(w, r, rf)
-		}
+		in.refuse(w, r, rf)
 		return
 	}
 	defer at.Response.Body.Close()
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -29,10 +29,14 @@
 	classes  map[string]*class
 	order    []*class
 	// service is the weighted mean time for which a slot is held.
-	service time.Duration
-	idle    chan struct{}
+	service  time.Duration
+	measured int
+	idle     chan struct{}
 }
 
+// serviceWeight is how many requests make the mean time of a slot.
+const serviceWeight = 16
+
 type class struct {
 	Class
 	own     int // slots that are always its own
@@ -247,10 +251,10 @@
 	held := time.Since(tk.since)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	if ga.service == 0 {
-		ga.service = held
-	}
-	ga.service += (held - ga.service) / 16
+	// The first ones count by their number, or one odd first would stand for
+	// long.
+	ga.measured = min(ga.measured+1, serviceWeight)
+	ga.service += (held - ga.service) / time.Duration(ga.measured)
 	ga.running--
 	tk.cl.running--
 	ga.handOver()
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/retry"
 	"github.com/flamingomast/flamingomast/internal/path/shed"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // Outlet serves callers. Its table may be replaced at any time.
@@ -163,6 +165,10 @@
 	start time.Time
 	// elapsed is how long the caller had been at it before it came here.
 	elapsed time.Duration
+	// version is the one that the request was routed by, vm the last one that it
+	// was sent to.
+	version uint64
+	vm      string
 	// tries counts the attempts, busy those that found no room, sent those that
 	// may have reached a backend server.
 	tries, busy, sent int
@@ -171,6 +177,10 @@
 // ServeHTTP serves one request.
 func (ou *Outlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if gone(r) {
+		ou.Stats.For("none", "none").Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonCallerGone), 1)
+		panic(http.ErrAbortHandler)
+	}
 	if rf := ou.checkEdge(r); rf != nil {
 		ou.refuse(w, r, rf)
 		return
@@ -202,12 +212,21 @@
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed,
+		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed,
 	}
 	defer guardTimes(w, start.Add(limit))()
 	rq.serve()
 }
 
+// gone tells whether the caller has closed its connection before the request was
+// read. The server notices that by a read beside the handler, which gets its turn
+// here: without it a request that waited in the queue of new connections until
+// its caller gave up would still be sent to a backend server.
+func gone(r *http.Request) bool {
+	runtime.Gosched()
+	return r.Context().Err() != nil
+}
+
 // guardTimes ends reads from and writes to a caller that takes longer than the
 // deadline: without it a caller that sends or reads slowly holds a slot of the
 // backend server for as long as it likes. It returns what undoes it.
@@ -306,6 +325,7 @@
 			rq.count(result.Answered, "")
 			return true
 		}
+		rq.logAttempt(ep, rf)
 		if !staleConn(rf) {
 			rq.tried.Add(ep)
 		}
@@ -401,7 +421,11 @@
 		least = rq.route.Objective / returnPart
 	}
 	after := max(rf.RetryAfter, least)
-	rf.RetryAfter = after/2 + rand.N(after)
+	if after < time.Second {
+		rf.RetryAfter = after + rand.N(after)
+		return
+	}
+	rf.RetryAfter = after/2 + rand.N(after/2)
 }
 
 func (rq *request) count(oc result.Outcome, re result.Reason) {
@@ -414,17 +438,46 @@
 	}
 	sr.Outcomes.Add(name, 1)
 	sr.Attempts.Add(strconv.Itoa(rq.tries), 1)
-	if share := rq.ou.Sample(); share > 0 && rand.Float64() < share {
-		rq.ou.log.Info("request", slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name),
-			slog.String("method", rq.r.Method), slog.String("outcome", name), slog.Int("attempts", rq.tries),
-			slog.Duration("took", took))
+	rq.logEnd(oc, re, took)
+}
+
+// logEnd writes the line of a request: failures always, answers as sampled.
+func (rq *request) logEnd(oc result.Outcome, re result.Reason, took time.Duration) {
+	level := slog.LevelWarn
+	if oc == result.Answered {
+		level = slog.LevelInfo
+		if share := rq.ou.Sample(); share < 1 && rand.Float64() >= share {
+			return
+		}
+	}
+	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
+		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
+		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
+		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), slog.Duration("elapsed", rq.elapsed), slog.Duration(logs.Took, took))
+}
+
+// logAttempt writes the line of a try that did not end in an answer, with what
+// was believed of the server.
+func (rq *request) logAttempt(ep *pick.Endpoint, rf *result.Refusal) {
+	load, age := ep.Believed(time.Now())
+	rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.Attempt, slog.String(logs.ID, rq.id()),
+		slog.String(logs.VM, ep.VM), slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
+		slog.Float64(logs.Load, load), slog.Duration(logs.LoadAge, age), slog.Duration(logs.Took, time.Since(rq.start)))
+}
+
+// id returns the caller's id of the request, empty where callers give none.
+func (rq *request) id() string {
+	if name := rq.ou.names.Request; name != "" {
+		return rq.r.Header.Get(name)
 	}
+	return ""
 }
 
 // attempt sends the request to one server. It returns nil once an answer was
 // passed on whole; an answer that breaks off ends the caller's connection.
 func (rq *request) attempt(ep *pick.Endpoint) *result.Refusal {
 	rq.tries++
+	rq.vm = ep.VM
 	began := time.Now()
 	ep.Begin(began)
 	at := rq.ou.fw.Do(rq.outgoing(ep))
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -210,11 +210,21 @@
 	return max(own, (float64(rep>>48)+since)*(1-float64(age)/float64(loadAge)))
 }
 
+// Believed returns the load that is believed of the server and how old the last
+// report is, for the log.
+func (ep *Endpoint) Believed(now time.Time) (load float64, age time.Duration) {
+	rep := ep.live.reported.Load()
+	return ep.load(now), time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+}
+
 // service returns the time for which the server holds a slot: as its inlet
-// measures it, else as its answers took; 0 while neither tells.
+// measures it, else as its answers took; 0 while neither tells. What is old
+// fades, so that a server of which the last was bad is tried again.
 func (ep *Endpoint) service(now time.Time) time.Duration {
-	if ms := ep.live.reported.Load() >> 32 & math.MaxUint16; ms > 0 {
-		return time.Duration(ms) * time.Millisecond
+	rep := ep.live.reported.Load()
+	if ms := rep >> 32 & math.MaxUint16; ms > 0 {
+		age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+		return time.Duration(float64(ms) * float64(time.Millisecond) / (1 + float64(age)/float64(latencyAge)))
 	}
 	return time.Duration(ep.expectedLatency(now))
 }
--- /dev/null
+++ b/internal/stat/logs/events.go
@@ -0,0 +1,33 @@
+package logs
+
+// The events that touch a request, and the fields of their lines.
+const (
+	// Request is the end of a request at the outlet that took it.
+	Request = "request"
+	// Attempt is a try at one backend server that did not end in an answer.
+	Attempt = "attempt"
+	// Refused is a request that an inlet did not hand over, Failed one that it
+	// handed over and that was not answered.
+	Refused = "inlet-refused"
+	Failed  = "inlet-failed"
+
+	// ID is the caller's id of a request.
+	ID = "id"
+	// Version is the configuration that a request was routed by.
+	Version = "version"
+	// Outcome and Reason are those of package result.
+	Outcome = "outcome"
+	Reason  = "reason"
+	// VM is the one that a request was sent to, Lifetime its backend server.
+	VM       = "to-vm"
+	Lifetime = "lifetime"
+	// Took is the time from the arrival to the end, in nanoseconds.
+	Took = "took"
+	// Late is how long a request lay unread, Wait how long it waited for a slot.
+	Late = "late"
+	Wait = "wait"
+	// Load is running, waiting, slots and the mean time in ms that a slot is
+	// held, joined by slashes; LoadAge is its age in milliseconds.
+	Load    = "load"
+	LoadAge = "load-age"
+)
--- /dev/null
+++ b/internal/stat/logs/logs_test.go
@@ -0,0 +1,117 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// stuck is a reader of the log that has stopped reading.
+type stuck struct{ free chan struct{} }
+
+func (st stuck) Write(p []byte) (int, error) {
+	<-st.free
+	return len(p), nil
+}
+
+// TestStoppedReader: the pipe behind standard output is full and nobody reads.
+// Requests go on; what is lost is counted and memory is bounded.
+func TestStoppedReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := stuck{free: make(chan struct{})}
+		wr := NewWriter(st)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			wr.Run(ctx)
+		}()
+		line := []byte(strings.Repeat("x", 199) + "\n")
+		for range 10_000 {
+			_, _ = wr.Write(line)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for range 10_000 {
+			_, _ = wr.Write(line)
+		}
+		if held := len(wr.held); held > maxHeld {
+			t.Errorf("%d bytes are held, bound %d", held, maxHeld)
+		}
+		if wr.Lost() < 20_000-2*maxHeld/200-1 {
+			t.Errorf("%d of 20000 lines are counted as lost", wr.Lost())
+		}
+		close(st.free)
+		cancel()
+		<-done
+	})
+}
+
+// TestBound: five times the load writes no more lines, says how many it left
+// out, and keeps the failures among ten times as many successes.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := slog.New(NewHandler(slog.NewJSONHandler(&out, nil)))
+		const seconds, perSecond = 10, 1000
+		for i := range seconds * perSecond {
+			log.Info("request", slog.Int("n", i))
+			if i%10 == 0 {
+				log.Warn("request", slog.Int("n", i))
+			}
+			time.Sleep(time.Second / perSecond)
+		}
+		kept := map[string]int{}
+		leftOut := 0.0
+		dec := json.NewDecoder(&out)
+		for {
+			var line map[string]any
+			if err := dec.Decode(&line); err == io.EOF {
+				break
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			if line["msg"] == LeftOut {
+				leftOut += line["request"].(float64)
+				continue
+			}
+			kept[line["level"].(string)]++
+		}
+		if n := kept["INFO"]; n > burst+rate*seconds+1 {
+			t.Errorf("%d lines of successes, bound %g", n, burst+rate*seconds+1)
+		}
+		if n := kept["WARN"]; n < 500 {
+			t.Errorf("%d of 1000 lines of failures are kept", n)
+		}
+		if leftOut < 4000 {
+			t.Errorf("%g lines are told as left out", leftOut)
+		}
+	})
+}
+
+// BenchmarkLine is the price of a line that is kept and of one that is not.
+func BenchmarkLine(b *testing.B) {
+	wr := NewWriter(io.Discard)
+	go wr.Run(b.Context())
+	json := slog.NewJSONHandler(wr, nil)
+	line := func(log *slog.Logger) {
+		log.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("id", "9c41d07be2a35f68"),
+			slog.String("route", "r-hh2b9wu"), slog.Uint64("version", 12), slog.String("outcome", "answered"), slog.Duration("took", time.Second))
+	}
+	for name, log := range map[string]*slog.Logger{
+		"kept": slog.New(json), "left-out": slog.New(NewHandler(json)), "none": slog.New(slog.DiscardHandler),
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				line(log)
+			}
+		})
+	}
+}
