platform, plat/kvtest: the store's client under the contract of the project's interface

The contract is a package that each implementation's tests run; a small stand-in of this store speaks its calls.

--- a/internal/plat/remote/contract_test.go
+++ b/internal/plat/remote/contract_test.go
@@ -1,176 +1,18 @@
 package remote
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
+	"github.com/flamingomast/flamingomast/internal/plat/kvtest"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
-// contract is what every implementation of the platform's interface must do.
-var contract = []struct {
-	name string
-	run  func(t *testing.T, kv store.Store, st *stand.Stand)
-}{
-	{"a missing key has revision 0", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision != 0 {
-			t.Errorf("Get: %+v, %v", ent, err)
-		}
-	}},
-	{"swap creates once", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("2")}, false)
-		wantValue(t, kv, "a", "1")
-	}},
-	{"swap needs the newest revision", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("2")}, true)
-		cur := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("3")}, false)
-		if string(cur.Value) != "2" {
-			t.Errorf("a failed swap returned %q as current", cur.Value)
-		}
-	}},
-	{"remove", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Remove: true}, true)
-		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision != 0 {
-			t.Errorf("Get after remove: %+v, %v", ent, err)
-		}
-	}},
-	{"watch returns at once what is new", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		if ent, err := kv.Watch(t.Context(), "a", 0, time.Minute); err != nil || string(ent.Value) != "1" {
-			t.Errorf("Watch: %+v, %v", ent, err)
-		}
-	}},
-	{"watch wakes at a change", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		got := make(chan store.Entry, 1)
-		go func() {
-			ent, _ := kv.Watch(t.Context(), "a", 0, time.Minute)
-			got <- ent
-		}()
-		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		if ent := <-got; string(ent.Value) != "1" {
-			t.Errorf("Watch: %+v", ent)
-		}
-	}},
-	{"list returns what begins with the prefix", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		for _, key := range []string{"b/2", "a", "b/1", "c", "b"} {
-			wantSwap(t, kv, store.Change{Key: key, Value: []byte(key)}, true)
-		}
-		items, err := kv.List(t.Context(), "b/")
-		if err != nil || len(items) != 2 || items[0].Key != "b/1" || string(items[1].Value) != "b/2" || items[1].Revision == 0 {
-			t.Errorf("List: %+v, %v", items, err)
-		}
-	}},
-	{"list ends with its context", func(t *testing.T, kv store.Store, st *stand.Stand) {
-		st.SetFaults(stand.Faults{Delay: time.Minute})
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		if _, err := kv.List(ctx, "b/"); err == nil {
-			t.Error("List with an ended context gave no error")
-		}
-	}},
-	{"watch ends after its wait", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		if ent, err := kv.Watch(t.Context(), "a", 0, time.Millisecond); err != nil || ent.Revision != 0 {
-			t.Errorf("Watch: %+v, %v", ent, err)
-		}
-	}},
-	{"watch ends with its context", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		if _, err := kv.Watch(ctx, "a", 0, time.Minute); err == nil {
-			t.Error("Watch with an ended context gave no error")
-		}
-	}},
-	{"a lease ends with its keys", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		id, err := kv.Grant(t.Context(), time.Minute)
-		if err != nil {
-			t.Fatal(err)
-		}
-		ent := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1"), Lease: id}, true)
-		if err := kv.Renew(t.Context(), id); err != nil {
-			t.Error(err)
-		}
-		if err := kv.Revoke(t.Context(), id); err != nil {
-			t.Error(err)
-		}
-		if ent, err := kv.Watch(t.Context(), "a", ent.Revision, time.Minute); err != nil || ent.Revision != 0 {
-			t.Errorf("the key after its lease: %+v, %v", ent, err)
-		}
-		wantKind(t, kv.Renew(t.Context(), id), store.Gone)
-		_, _, err = kv.Swap(t.Context(), store.Change{Key: "b", Lease: id})
-		wantKind(t, err, store.Gone)
-	}},
-	{"a lease lapses", func(t *testing.T, kv store.Store, st *stand.Stand) {
-		id, err := kv.Grant(t.Context(), time.Minute)
-		if err != nil {
-			t.Fatal(err)
-		}
-		st.LapseLeases()
-		wantKind(t, kv.Renew(t.Context(), id), store.Gone)
-	}},
-	{"values have a largest size", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		wantSwap(t, kv, store.Change{Key: "a", Value: make([]byte, store.MaxValue)}, true)
-		_, _, err := kv.Swap(t.Context(), store.Change{Key: "b", Value: make([]byte, store.MaxValue+1)})
-		wantKind(t, err, store.TooLarge)
-	}},
-	{"an outage has no effect", func(t *testing.T, kv store.Store, st *stand.Stand) {
-		st.SetFaults(stand.Faults{Down: true})
-		_, _, err := kv.Swap(t.Context(), store.Change{Key: "a"})
-		wantKind(t, err, store.Unavailable)
-		_, err = kv.Get(t.Context(), "a")
-		wantKind(t, err, store.Unavailable)
-		st.SetFaults(stand.Faults{})
-		wantSwap(t, kv, store.Change{Key: "a"}, true)
-	}},
-	{"a lost answer is unknown and has its effect", func(t *testing.T, kv store.Store, st *stand.Stand) {
-		st.SetFaults(stand.Faults{LoseAnswers: 1})
-		_, _, err := kv.Swap(t.Context(), store.Change{Key: "a", Value: []byte("1")})
-		wantKind(t, err, store.Unknown)
-		wantValue(t, kv, "a", "1")
-	}},
-	{"a backup brings an older state", func(t *testing.T, kv store.Store, st *stand.Stand) {
-		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		bk := st.Backup()
-		two := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("2")}, true)
-		st.Restore(bk)
-		if ent, err := kv.Watch(t.Context(), "a", two.Revision, time.Minute); err != nil || string(ent.Value) != "1" {
-			t.Errorf("Watch after a restore: %+v, %v", ent, err)
-		}
-	}},
-}
-
-func wantSwap(t *testing.T, kv store.Store, ch store.Change, want bool) store.Entry {
-	t.Helper()
-	ok, cur, err := kv.Swap(t.Context(), ch)
-	if err != nil || ok != want {
-		t.Fatalf("Swap(%s at %d) = %t, %v; want %t", ch.Key, ch.Revision, ok, err, want)
-	}
-	return cur
-}
-
-func wantValue(t *testing.T, kv store.Store, key, want string) {
-	t.Helper()
-	if ent, err := kv.Get(t.Context(), key); err != nil || string(ent.Value) != want {
-		t.Errorf("Get(%s) = %q, %v; want %q", key, ent.Value, err, want)
-	}
-}
-
-func wantKind(t *testing.T, err error, want store.Kind) {
-	t.Helper()
-	if !store.Is(err, want) {
-		t.Errorf("error %v, want %s", err, want)
-	}
-}
-
 // serve returns a client of a served stand-in.
 func serve(t *testing.T, st *stand.Stand) store.Store {
 	mux := http.NewServeMux()
@@ -183,19 +25,12 @@
 // TestContract runs the contract against the stand-in, against the client of a
 // served one, and against both behind a guard.
 func TestContract(t *testing.T) {
-	for name, make := range map[string]func(t *testing.T, st *stand.Stand) store.Store{
+	for name, open := range map[string]func(t *testing.T, st *stand.Stand) store.Store{
 		"stand":   func(_ *testing.T, st *stand.Stand) store.Store { return st.Store() },
 		"remote":  serve,
 		"guarded": func(t *testing.T, st *stand.Stand) store.Store { return guard.New(serve(t, st)).Store() },
 	} {
-		t.Run(name, func(t *testing.T) {
-			for _, tc := range contract {
-				t.Run(tc.name, func(t *testing.T) {
-					st := stand.New()
-					tc.run(t, make(t, st), st)
-				})
-			}
-		})
+		t.Run(name, func(t *testing.T) { kvtest.Run(t, open) })
 	}
 }
 
@@ -207,12 +42,12 @@
 	defer sv.Close()
 	kv := New(strings.TrimPrefix(sv.URL, "http://")).Store()
 	_, _, err := kv.Swap(t.Context(), store.Change{Key: "a"})
-	wantKind(t, err, store.Unknown)
+	kvtest.WantKind(t, err, store.Unknown)
 	_, err = kv.Get(t.Context(), "a")
-	wantKind(t, err, store.Unavailable)
+	kvtest.WantKind(t, err, store.Unavailable)
 	sv.Close()
 	_, _, err = kv.Swap(t.Context(), store.Change{Key: "a"})
-	wantKind(t, err, store.Unavailable)
+	kvtest.WantKind(t, err, store.Unavailable)
 	var se *store.Error
 	if !errors.As(err, &se) || se.Op != "swap" || se.Key != "a" {
 		t.Errorf("error %v names neither operation nor key", err)
