Revert "path: among many servers a request asks for a free slot first"

Expected: fewer waits at 87 VMs, where load is known late. The cause is elsewhere: the links of 81 of the 87 VMs carry 5 Mbit/s, an answer of 90 KB takes 144 ms on one, and 14,547 requests took more than half of their objective to reach a server. Each further try crosses two such links.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -155,9 +155,7 @@
 // ranks as the least urgent.
 func rank(hdr http.Header, class string) limit.Request {
 	rq := limit.Request{Class: class, Priority: lastPriority}
-	text, now := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.NowSuffix)
-	rq.NoWait = now
-	prio, left, objective := strings.Cut(text, "/")
+	prio, left, objective := strings.Cut(hdr.Get(result.UrgencyHeader), "/")
 	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
 		rq.Priority = min(n, lastPriority)
 	}
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -53,9 +53,6 @@
 	// Objective is what is left of the time within which an answer has its full
 	// worth; 0 where none is declared.
 	Objective time.Duration
-	// NoWait asks for a slot that is free now: the outlet has another server to
-	// try, and waits only where none has room.
-	NoWait bool
 }
 
 // The patience of requests: the part of the time that is left to a request
@@ -144,11 +141,6 @@
 		ga.mu.Unlock()
 		return tk, nil
 	}
-	if rq.NoWait {
-		wait := ga.expectedWait(cl, len(cl.queue))
-		ga.mu.Unlock()
-		return nil, refuse(result.ReasonFull, wait)
-	}
 	wt := &waiter{Request: rq, due: time.Now().Add(rq.Objective), ready: make(chan struct{})}
 	at := cl.place(wt)
 	if rf := ga.hopeless(ctx, cl, rq, at); rf != nil {
--- a/internal/path/outlet/known.go
+++ b/internal/path/outlet/known.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
-	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
 // known is what an outlet has learned of a route's requests; it outlives
@@ -60,14 +59,11 @@
 
 // urgency returns the header that ranks a request at an inlet: its priority and
 // what is left of its objective, 0 where that has passed.
-func urgency(rt *snap.Route, elapsed time.Duration, now bool) string {
+func urgency(rt *snap.Route, elapsed time.Duration) string {
 	text := strconv.Itoa(rt.Priority)
 	if rt.Objective > 0 {
 		text += "/" + strconv.FormatInt(max(1, (rt.Objective-elapsed).Milliseconds()), 10)
 	}
-	if now {
-		text += result.NowSuffix
-	}
 	return text
 }
 
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -312,7 +312,7 @@
 func (rq *request) send() (taken bool) {
 	var last *result.Refusal
 	for {
-		ep := rq.pick()
+		ep := rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
 		if ep == nil {
 			if last == nil {
 				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
@@ -326,11 +326,7 @@
 			return true
 		}
 		rq.logAttempt(ep, rf)
-		switch {
-		case staleConn(rf):
-		case rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate:
-			rq.tried.AddFull(ep)
-		default:
+		if !staleConn(rf) {
 			rq.tried.Add(ep)
 		}
 		last = worse(last, rf)
@@ -341,17 +337,6 @@
 	}
 }
 
-// pick returns the server to try next: one that was not tried or, where all were
-// and had no room, the best of them to wait at.
-func (rq *request) pick() *pick.Endpoint {
-	ep := rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
-	if ep == nil && rq.busy > 0 {
-		rq.tried.Forgive()
-		ep = rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
-	}
-	return ep
-}
-
 // staleConn tells whether a request met a kept connection that could not take
 // it. That says nothing of the server, which may be tried again.
 func staleConn(rf *result.Refusal) bool {
@@ -367,32 +352,9 @@
 	return rf
 }
 
-// The number of servers that a request tries for want of room. More would only
+// maxBusy is how many servers without room a request tries. More would only
 // multiply the load when all are full.
-//
-// Where there are many, all but the last are asked for a slot that is free now.
-// What an outlet believes of their load is old: among 68 servers and 87 outlets it
-// hears of each one every three seconds. A request that waits at the first server
-// that it was sent to waits while others are idle; one that asks a second finds
-// room in a millisecond. Among a few servers the load is known, and asking for a
-// free slot costs a place in the shorter queue.
-const (
-	fewLooks  = 2
-	manyLooks = 3
-	// many is how many servers a service has whose load is not known well.
-	many = 12
-)
-
-// looks returns how many servers without room the request tries.
-func (rq *request) looks() int {
-	if rq.gp.Len() > many {
-		return manyLooks
-	}
-	return fewLooks
-}
-
-// onlyNow tells whether the next server is asked for a slot that is free now.
-func (rq *request) onlyNow() bool { return rq.gp.Len() > many && rq.busy < rq.looks()-1 }
+const maxBusy = 2
 
 // again tells whether the request is sent again after the refusal rf.
 func (rq *request) again(rf *result.Refusal) bool {
@@ -406,7 +368,7 @@
 		return false
 	}
 	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate || rf.Reason == result.ReasonShed {
-		if rq.busy++; rq.busy >= rq.looks() {
+		if rq.busy++; rq.busy >= maxBusy {
 			return false
 		}
 	}
@@ -681,7 +643,7 @@
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
 	out.Header[result.SentHeader] = []string{lapse.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
-	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start), rq.onlyNow())}
+	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start))}
 	if rq.ou.token != "" {
 		out.Header[result.TokenHeader] = []string{rq.ou.token}
 	}
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -143,7 +143,6 @@
 // Tried holds the servers that a request has been sent to.
 type Tried struct {
 	list [8]*Endpoint
-	full [8]bool
 	n    int
 }
 
@@ -155,26 +154,9 @@
 	}
 }
 
-// AddFull notes a server as tried that had no room.
-func (tr *Tried) AddFull(ep *Endpoint) {
-	if tr.n < len(tr.list) {
-		tr.full[tr.n] = true
-	}
-	tr.Add(ep)
-}
-
-// Forgive lets those that had no room be tried again.
-func (tr *Tried) Forgive() {
-	for i := range tr.list[:tr.n] {
-		if tr.full[i] {
-			tr.list[i] = nil
-		}
-	}
-}
-
 func (tr *Tried) has(ep *Endpoint) bool {
 	for _, t := range tr.list[:tr.n] {
-		if t != nil && t.live == ep.live {
+		if t.live == ep.live {
 			return true
 		}
 	}
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -86,8 +86,7 @@
 	ServiceHeader = Prefix + "Service"
 	ClassHeader   = Prefix + "Class"
 	// UrgencyHeader ranks the request: its priority and, where an objective is
-	// declared, how many milliseconds of it are left, joined by a slash. With
-	// NowSuffix at its end it does not wait for a slot.
+	// declared, how many milliseconds of it are left, joined by a slash.
 	UrgencyHeader = Prefix + "Urgency"
 	// SentHeader is the sender's process and its steady clock in milliseconds,
 	// joined by a slash: the time that TimeoutMs gives counts from then.
@@ -135,9 +134,6 @@
 	return nm
 }
 
-// NowSuffix on an urgency asks for a slot that is free now.
-const NowSuffix = "!"
-
 // IsControl tells whether a canonical header name belongs to this system.
 func IsControl(name string) bool { return strings.HasPrefix(name, Prefix) }
 
