--- /dev/null
+++ b/internal/path/outlet/request.go
@@ -0,0 +1,223 @@
+package outlet
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/path/retry"
+	"github.com/flamingomast/flamingomast/internal/path/shed"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
+)
+
+// request is one request of a caller with all its attempts.
+type request struct {
+	ou    *Outlet
+	route *snap.Route
+	sv    *snap.Service
+	gp    *pick.Group
+	bu    *retry.Budget
+	kn    *known
+	th    *shed.Throttle
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context
+	src   source
+	tried pick.Tried
+	start time.Time
+	// elapsed is how long the caller had been at it before it came here.
+	elapsed time.Duration
+	// version is the one that the request was routed by, vm the last one that it
+	// was sent to.
+	version uint64
+	vm      string
+	// tries counts the attempts, busy those that found no room, sent those that
+	// may have reached a backend server.
+	tries, busy, sent int
+}
+
+func (rq *request) serve() {
+	rq.bu.Request()
+	defer rq.src.release(&rq.ou.bodies)
+	if rf := rq.src.fill(rq.w, rq.r, &rq.ou.bodies); rf != nil {
+		rq.end(rf)
+		return
+	}
+	if !rq.th.Offer(rq.route.Priority, rq.start, rand.Float64()) {
+		rq.end(&result.Refusal{Outcome: result.NotRun, Reason: result.ReasonFull})
+		return
+	}
+	rq.th.Done(rq.route.Priority, time.Now(), rq.send())
+}
+
+// send sends the request until it is answered or given up on, and tells whether
+// an inlet took it.
+func (rq *request) send() (taken bool) {
+	var last *result.Refusal
+	for {
+		ep := rq.gp.Pick(time.Now(), rq.kn.expected(), &rq.tried, rand.IntN)
+		if ep == nil {
+			if last == nil {
+				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
+			}
+			rq.end(last)
+			return !last.Crowded()
+		}
+		rf := rq.attempt(ep)
+		if rf == nil {
+			rq.count(result.Answered, "")
+			return true
+		}
+		rq.logAttempt(ep, rf)
+		if !staleConn(rf) {
+			rq.tried.Add(ep)
+		}
+		last = worse(last, rf)
+		if !rq.again(rf) {
+			rq.end(last)
+			return !last.Crowded()
+		}
+	}
+}
+
+// staleConn tells whether a request met a kept connection that could not take
+// it. That says nothing of the server, which may be tried again.
+func staleConn(rf *result.Refusal) bool {
+	return rf.Outcome == result.NotRun && rf.Reason == result.ReasonBroken
+}
+
+// worse returns what must be said of two attempts together: a request of which
+// one attempt may have run may have run, whatever became of the others.
+func worse(last, rf *result.Refusal) *result.Refusal {
+	if last != nil && last.Outcome == result.MayHaveRun && rf.Outcome == result.NotRun {
+		return last
+	}
+	return rf
+}
+
+// maxBusy is how many servers without room a request tries. More would only
+// multiply the load when all are full.
+const maxBusy = 2
+
+// again tells whether the request is sent again after the refusal rf.
+func (rq *request) again(rf *result.Refusal) bool {
+	if rq.ctx.Err() != nil || rq.tries >= retry.MaxAttempts || !rq.src.replayable() {
+		return false
+	}
+	if reached(rf) {
+		rq.sent++
+	}
+	if rq.route.Attempts > 0 && rq.sent >= rq.route.Attempts {
+		return false
+	}
+	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate || rf.Reason == result.ReasonShed {
+		if rq.busy++; rq.busy >= maxBusy {
+			return false
+		}
+	}
+	if !retry.Allowed(rf.Outcome, rq.route.Repeat, rq.r.Method) {
+		return false
+	}
+	// What no backend server saw adds no load to any when it is sent again.
+	return !reached(rf) || rq.bu.Take()
+}
+
+// reached tells whether a refused request may have reached a backend server,
+// which then had the work of it.
+func reached(rf *result.Refusal) bool {
+	return rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed
+}
+
+// end writes the final answer of a request that no server answered. It does so
+// at once; when to come back stands in it.
+func (rq *request) end(rf *result.Refusal) {
+	rq.count(rf.Outcome, rf.Reason)
+	rq.spread(rf)
+	// Written also where the caller seems to have gone: the context of a request
+	// ends as well when a read from the caller fails, and a handler that returns
+	// without an answer is taken for a success without a body.
+	if rq.src.streamed() || rq.src.broken {
+		rq.w.Header().Set("Connection", "close")
+	}
+	rf.Write(rq.w, rq.ou.names.Fractions)
+}
+
+// The return of refused callers.
+const (
+	// returnPart is the part of the objective after which a caller is told to
+	// come back at least: soon enough for an answer in time, and late enough for
+	// slots to have become free.
+	returnPart = 4
+	// returnLeast stands for it where no objective is declared.
+	returnLeast = 100 * time.Millisecond
+)
+
+// spread sets when the caller of a request that has not run should come back:
+// when a slot is expected to be free, spread over as long again, so that those
+// who were refused together do not come back as one wave.
+func (rq *request) spread(rf *result.Refusal) {
+	if rf.Outcome != result.NotRun {
+		return
+	}
+	least := returnLeast
+	if rq.route.Objective > 0 {
+		least = rq.route.Objective / returnPart
+	}
+	after := max(rf.RetryAfter, least)
+	if after < time.Second {
+		rf.RetryAfter = after + rand.N(after)
+		return
+	}
+	rf.RetryAfter = after/2 + rand.N(after/2)
+}
+
+func (rq *request) count(oc result.Outcome, re result.Reason) {
+	sr := rq.ou.Stats.For(rq.sv.Name, rq.route.Class.Name)
+	took := time.Since(rq.start)
+	sr.Latency.Record(took)
+	name := oc.String()
+	if re != "" {
+		name += "/" + string(re)
+	}
+	sr.Outcomes.Add(name, 1)
+	sr.Attempts.Add(strconv.Itoa(rq.tries), 1)
+	rq.logEnd(oc, re, took)
+}
+
+// logEnd writes the line of a request: failures always, answers as sampled.
+func (rq *request) logEnd(oc result.Outcome, re result.Reason, took time.Duration) {
+	level := slog.LevelWarn
+	if oc == result.Answered {
+		level = slog.LevelInfo
+		if share := rq.ou.Sample(); share < 1 && rand.Float64() >= share {
+			return
+		}
+	}
+	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
+		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
+		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
+		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), slog.Duration("elapsed", rq.elapsed), slog.Duration(logs.Took, took))
+}
+
+// logAttempt writes the line of a try that did not end in an answer, with what
+// was believed of the server.
+func (rq *request) logAttempt(ep *pick.Endpoint, rf *result.Refusal) {
+	load, age := ep.Believed(time.Now())
+	rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.Attempt, slog.String(logs.ID, rq.id()),
+		slog.String(logs.VM, ep.VM), slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
+		slog.Float64(logs.Load, load), slog.Duration(logs.LoadAge, age), slog.Duration(logs.Took, time.Since(rq.start)))
+}
+
+// id returns the caller's id of the request, empty where callers give none.
+func (rq *request) id() string {
+	if name := rq.ou.names.Request; name != "" {
+		return rq.r.Header.Get(name)
+	}
+	return ""
+}
