node/server: a status that was handed out does not change

Ruled out: the fleet's own race reports, which have another place. A status holds a copy; TestStatusStays fails without it. TestLateHeartbeat ends the first process before the second: two that live under one name outbid each other, which is not its story; with both recalls taken out it still fails.

--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -176,5 +176,7 @@
 	if lf == nil || lf.gone || !now.Before(lf.until) {
 		return Status{}
 	}
-	return Status{Announcement: &lf.an, Since: lf.since, Until: lf.until, Leaving: lf.leaving}
+	// A copy: the tracker's own changes with the next announcement.
+	an := lf.an
+	return Status{Announcement: &an, Since: lf.since, Until: lf.until, Leaving: lf.leaving}
 }
--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -138,3 +138,17 @@
 		t.Errorf("the newest lifetime is %q", st.Lifetime())
 	}
 }
+
+// TestStatusStays: the daemon's controllers go by a status while the next
+// announcement comes on another connection. What they hold must not change under
+// them; the race detector found that it did.
+func TestStatusStays(t *testing.T) {
+	var tr Tracker
+	now := time.Unix(1000, 0)
+	tr.Announce(admin.Announcement{Service: "x", Lifetime: "a", Number: 1, Slots: 3}, now)
+	st := tr.Status(now)
+	tr.Announce(admin.Announcement{Service: "x", Lifetime: "a", Number: 2, Slots: 9}, now)
+	if st.Announcement.Slots != 3 {
+		t.Errorf("a status that was handed out has changed to %d slots", st.Announcement.Slots)
+	}
+}
