mesh/ctrl: which lifetime leaves outlives the records of the VM

What a peer kept of the drain stood in the VM's record only, and the new process's own record replaces it as soon as its first Hello is read; were that Hello's answer lost, the next link found nothing. Ruled out: the store (out in this case) and the wait of 4 s (the link was up: the version was held).

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -25,7 +25,7 @@
 	Self Cell[member.Record]
 	// Forerunner is what peers keep of the VM's former process, empty where they
 	// know of none; nil until a peer has answered.
-	Forerunner Cell[member.Record]
+	Forerunner Cell[Leaver]
 	// Links says whom the daemon is connected to, and whether it is a relay.
 	Links Cell[Links]
 	// Cut holds the failure domains that the relay has no link to.
@@ -36,6 +36,13 @@
 	Replaced Cell[member.Record]
 }
 
+// Leaver is a lifetime of a backend server that said it leaves.
+type Leaver struct {
+	Lifetime string
+	// At is the number of the announcement by which it did.
+	At uint64
+}
+
 // Config is a version with its whole content.
 type Config struct {
 	Version uint64
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -108,7 +108,10 @@
 	holds     map[string]hold
 	summaries map[string]*wirepb.Summary
 	reached   map[string]time.Time
-	expiry    *expire.Watch
+	// leavers has the last lifetime of each VM's backend server that said it
+	// leaves.
+	leavers map[string]board.Leaver
+	expiry  *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
 	through map[string]time.Time
 	// bumped counts how often the incarnation was raised above a forerunner's.
@@ -155,6 +158,7 @@
 		holds:     map[string]hold{},
 		summaries: map[string]*wirepb.Summary{},
 		reached:   map[string]time.Time{},
+		leavers:   map[string]board.Leaver{},
 		expiry:    expire.New(),
 		through:   map[string]time.Time{},
 		started:   time.Now(),
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -102,6 +102,7 @@
 	pr.Record, pr.Relay, pr.Ready = rc, hello.Relay, true
 	nd.peers[pr] = true
 	floor := nd.floorOf(rc)
+	leaving := nd.leavers[rc.VM]
 	nd.mu.Unlock()
 	if len(hello.Digest) == len(pack.Digest{}) {
 		pr.Knows(hello.Latest, pack.Digest(hello.Digest))
@@ -113,8 +114,8 @@
 		wc := &wirepb.Welcome{Floor: floor}
 		if known != nil {
 			wc.Incarnation, wc.Nonce = known.Incarnation, known.Nonce
-			wc.Record = known.ToWire()
 		}
+		wc.Leaving, wc.LeftAt = leaving.Lifetime, leaving.At
 		if !pr.Outgoing {
 			nd.sayHello(pr)
 		}
@@ -192,7 +193,7 @@
 // Only relays keep what members hold, so only their word settles the floor.
 func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
-	nd.learnForerunner(wc.Record)
+	nd.learnForerunner(board.Leaver{Lifetime: wc.Leaving, At: wc.LeftAt})
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
 		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
@@ -200,23 +201,38 @@
 }
 
 // learnForerunner puts on the board what a peer keeps of the VM's former
-// process, the newest of what several say. A peer that knows none says so too.
-func (nd *Node) learnForerunner(pb *wirepb.Record) {
-	rc := &member.Record{}
-	if pb != nil {
-		rc = member.FromWire(pb)
-	}
-	if rc.SameProcess(nd.Board.Self.Get()) {
-		rc = &member.Record{}
-	}
-	nd.Board.Forerunner.Update(func(cur *member.Record) *member.Record {
-		if cur != nil && rc.Compare(cur) <= 0 {
+// process; a peer that knows of nothing says so too.
+func (nd *Node) learnForerunner(lv board.Leaver) {
+	nd.Board.Forerunner.Update(func(cur *board.Leaver) *board.Leaver {
+		if cur != nil && (lv.Lifetime == "" || *cur == lv) {
 			return cur
 		}
-		return rc
+		return &lv
 	})
 }
 
+// noteLeavers keeps which lifetimes leave, apart from the records. A new
+// process's own record replaces the one that said so as soon as its first Hello
+// is read; were the answer to that Hello lost, the next one would find nothing,
+// and the new process could take a late announcement of the lifetime.
+func (nd *Node) noteLeavers(recs []*member.Record) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for _, rc := range recs {
+		if rc.Leaving != "" {
+			nd.leavers[rc.VM] = board.Leaver{Lifetime: rc.Leaving, At: rc.LeftAt}
+		}
+	}
+	if len(nd.leavers) > maxLeavers {
+		nd.leavers = map[string]board.Leaver{}
+	}
+}
+
+// maxLeavers bounds the VMs of which a leaving lifetime is remembered; beyond it
+// all are forgotten. A lifetime is of use for some seconds, and the target has
+// 230 replaced VMs a day.
+const maxLeavers = 4096
+
 // The bounds of what a new process takes for its forerunner's.
 const (
 	youth    = 20 * time.Second
@@ -287,6 +303,7 @@
 		next, news = vw.Merge(recs)
 		return next
 	})
+	nd.noteLeavers(news)
 	return news
 }
 
--- a/internal/mesh/ctrl/replace_test.go
+++ b/internal/mesh/ctrl/replace_test.go
@@ -223,3 +223,29 @@
 		fl.allKnown(v)
 	})
 }
+
+// TestLeaverOutlivesRecord: a process that acknowledged a drain is replaced. The
+// new one's first Hello is read and its answer lost; its second link is welcomed
+// by a peer that holds the new record by then. The peer must still tell which
+// lifetime leaves: without it the new process took a late announcement of that
+// lifetime and sent requests to a server that had left.
+func TestLeaverOutlivesRecord(t *testing.T) {
+	nd := New(Config{VM: "a", Domain: "d"})
+	defer nd.end()
+	old := &member.Record{VM: "b", Domain: "d", Incarnation: 1, Sequence: 3, Leaving: "i-1", LeftAt: 5}
+	next := &member.Record{VM: "b", Domain: "d", Incarnation: 2, Sequence: 1}
+	nd.merge([]*member.Record{old})
+	nd.merge([]*member.Record{next})
+	want := board.Leaver{Lifetime: "i-1", At: 5}
+	if got := nd.leavers["b"]; got != want {
+		t.Errorf("the peer remembers %+v, want %+v", got, want)
+	}
+	var fresh Node
+	fresh.Board = &board.Board{}
+	for _, lv := range []board.Leaver{{}, want, {}} {
+		fresh.learnForerunner(lv)
+	}
+	if got := fresh.Board.Forerunner.Get(); got == nil || *got != want {
+		t.Errorf("the new process learned %+v, want %+v", got, want)
+	}
+}
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/server"
@@ -180,8 +181,8 @@
 	}()
 	peers := time.NewTimer(recallPeers)
 	defer peers.Stop()
-	if rc := dm.waitForerunner(limit, asked, peers.C); rc != nil {
-		dm.local.update(func(tr *server.Tracker) { tr.Recall(rc.Leaving, rc.LeftAt, time.Now()) })
+	if lv := dm.waitForerunner(limit, asked, peers.C); lv != nil {
+		dm.local.update(func(tr *server.Tracker) { tr.Recall(lv.Lifetime, lv.At, time.Now()) })
 	}
 	dm.local.mu.Lock()
 	dm.local.recalled = true
@@ -192,12 +193,12 @@
 
 // waitForerunner waits for a peer's word on the former process: until one has
 // come and the store has answered, or the time for peers is over after that.
-func (dm *Daemon) waitForerunner(ctx context.Context, asked <-chan struct{}, late <-chan time.Time) *member.Record {
+func (dm *Daemon) waitForerunner(ctx context.Context, asked <-chan struct{}, late <-chan time.Time) *board.Leaver {
 	stored, over := false, false
 	for {
-		rc, changed := dm.Node.Board.Forerunner.Watch()
-		if stored && (rc != nil || over) {
-			return rc
+		lv, changed := dm.Node.Board.Forerunner.Watch()
+		if stored && (lv != nil || over) {
+			return lv
 		}
 		select {
 		case <-changed:
@@ -206,7 +207,7 @@
 		case <-late:
 			over = true
 		case <-ctx.Done():
-			return rc
+			return lv
 		}
 	}
 }
