node/daemon: a drain is remembered where the first peer knows nothing of it

Two holes, each shown by a test that fails without its mend: TestForerunnerLearned (one peer believed: the server serves after 60 ms) and TestLeavingStoredLate (the write was never tried again). Ruled out: the tracker's orders (TestOrders) and the lost record (TestLeaverOutlivesRecord). Now two peers that know of nothing are believed, or one after 400 ms more; the write goes on until the store has it; and what a peer says later still counts. Price: a new process whose only peer knows of nothing serves 400 ms later.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -23,9 +23,9 @@
 	Members Cell[member.View]
 	// Self is the daemon's own record.
 	Self Cell[member.Record]
-	// Forerunner is what peers keep of the VM's former process, empty where they
-	// know of none; nil until a peer has answered.
-	Forerunner Cell[Leaver]
+	// Forerunner is what peers keep of the VM's former process; nil until a peer
+	// has answered.
+	Forerunner Cell[Forerunner]
 	// Links says whom the daemon is connected to, and whether it is a relay.
 	Links Cell[Links]
 	// Cut holds the failure domains that the relay has no link to.
@@ -43,6 +43,14 @@
 	At uint64
 }
 
+// Forerunner is what peers keep of a VM's former process.
+type Forerunner struct {
+	// Leaver is empty as long as none of them knows of one.
+	Leaver
+	// Peers names those that have answered.
+	Peers []string
+}
+
 // Config is a version with its whole content.
 type Config struct {
 	Version uint64
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -193,7 +194,7 @@
 // Only relays keep what members hold, so only their word settles the floor.
 func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
-	nd.learnForerunner(board.Leaver{Lifetime: wc.Leaving, At: wc.LeftAt})
+	nd.learnForerunner(pr.Record.VM, board.Leaver{Lifetime: wc.Leaving, At: wc.LeftAt})
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
 		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
@@ -202,12 +203,20 @@
 
 // learnForerunner puts on the board what a peer keeps of the VM's former
 // process; a peer that knows of nothing says so too.
-func (nd *Node) learnForerunner(lv board.Leaver) {
-	nd.Board.Forerunner.Update(func(cur *board.Leaver) *board.Leaver {
-		if cur != nil && (lv.Lifetime == "" || *cur == lv) {
-			return cur
+func (nd *Node) learnForerunner(peer string, lv board.Leaver) {
+	nd.Board.Forerunner.Update(func(cur *board.Forerunner) *board.Forerunner {
+		next := &board.Forerunner{Leaver: lv, Peers: []string{peer}}
+		if cur == nil {
+			return next
 		}
-		return &lv
+		if lv.Lifetime == "" {
+			next.Leaver = cur.Leaver
+		}
+		next.Peers = cur.Peers
+		if !slices.Contains(cur.Peers, peer) {
+			next.Peers = append(slices.Clone(cur.Peers), peer)
+		}
+		return next
 	})
 }
 
--- a/internal/mesh/ctrl/replace_test.go
+++ b/internal/mesh/ctrl/replace_test.go
@@ -242,10 +242,10 @@
 	}
 	var fresh Node
 	fresh.Board = &board.Board{}
-	for _, lv := range []board.Leaver{{}, want, {}} {
-		fresh.learnForerunner(lv)
+	for i, lv := range []board.Leaver{{}, want, {}} {
+		fresh.learnForerunner([]string{"p", "q", "q"}[i], lv)
 	}
-	if got := fresh.Board.Forerunner.Get(); got == nil || *got != want {
-		t.Errorf("the new process learned %+v, want %+v", got, want)
+	if got := fresh.Board.Forerunner.Get(); got == nil || got.Leaver != want || len(got.Peers) != 2 {
+		t.Errorf("the new process learned %+v, want %+v of two peers", got, want)
 	}
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/ctrl"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
@@ -72,7 +73,9 @@
 	// store is the platform's, behind the guard.
 	store store.Store
 	local local
-	ad    Adapter
+	// leaver is the newest lifetime that said it leaves.
+	leaver board.Cell[leaving]
+	ad     Adapter
 }
 
 // Adapter joins a daemon to a platform that has names, formats and calls of its
@@ -184,7 +187,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg conc.WaitGroup
-	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runRecall} {
+	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runLeaving, dm.runRecall} {
 		wg.Go(func() { fn(life) })
 	}
 	servers := dm.servers()
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -2,37 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
-	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/server"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
-	"github.com/flamingomast/flamingomast/internal/plat/store"
-)
-
-// The times of what outlives the process.
-const (
-	// recallTime bounds the wait of a new process for what its forerunner
-	// acknowledged: peers are linked within a second, and who has nobody to ask
-	// must not keep its backend server idle.
-	recallTime = 4 * time.Second
-	// recallPeers is how long it waits for a peer once the store has answered.
-	recallPeers = 1500 * time.Millisecond
-	// leavingTTL is how long the store keeps that a lifetime leaves. A server
-	// ends within some tens of seconds after it said so.
-	leavingTTL = time.Minute
-	// recordTime bounds the wait of an acknowledgement for the store. A server
-	// takes an answer only within a second.
-	recordTime = 400 * time.Millisecond
 )
 
 // local is what is known of the VM's own backend server.
@@ -128,113 +109,6 @@
 	dm.local.update(func(tr *server.Tracker) { tr.Lost(now) })
 }
 
-// leaving is what the store keeps of a lifetime that leaves.
-type leaving struct {
-	Lifetime string `json:"lifetime"`
-	Number   uint64 `json:"number"`
-}
-
-func (dm *Daemon) leavingKey() string { return "leaving/" + dm.se.VM }
-
-// recordLeaving stops new requests for the server before it returns, and writes
-// down that the lifetime leaves. Without it, a process that replaces this one
-// could take an announcement from before the drain that comes late, and send
-// requests to a server that was told that none will come. The peers hear it at
-// once in the daemon's record; the store is for a herd that ends together.
-func (dm *Daemon) recordLeaving(ctx context.Context, lifetime string, number uint64) {
-	dm.setGate(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
-	defer cancel()
-	err := dm.writeLeaving(ctx, leaving{Lifetime: lifetime, Number: number})
-	dm.log.Info("server-leaves", slog.String("lifetime", lifetime), slog.Uint64("number", number), slog.Any("not-stored", err))
-}
-
-func (dm *Daemon) writeLeaving(ctx context.Context, lv leaving) error {
-	value, err := json.Marshal(lv)
-	if err != nil {
-		return err
-	}
-	kv := dm.store
-	id, err := kv.Grant(ctx, leavingTTL)
-	if err != nil {
-		return err
-	}
-	ch := store.Change{Key: dm.leavingKey(), Value: value, Lease: id}
-	ok, cur, err := kv.Swap(ctx, ch)
-	if err == nil && !ok {
-		ch.Revision = cur.Revision
-		_, _, err = kv.Swap(ctx, ch)
-	}
-	return err
-}
-
-// runRecall learns what a former process of the VM acknowledged, from the store
-// and from peers, and then lets the backend server take requests.
-func (dm *Daemon) runRecall(ctx context.Context) {
-	began := time.Now()
-	limit, cancel := context.WithTimeout(ctx, recallTime)
-	defer cancel()
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		dm.recallStored(limit)
-	}()
-	peers := time.NewTimer(recallPeers)
-	defer peers.Stop()
-	if lv := dm.waitForerunner(limit, asked, peers.C); lv != nil {
-		dm.local.update(func(tr *server.Tracker) { tr.Recall(lv.Lifetime, lv.At, time.Now()) })
-	}
-	dm.local.mu.Lock()
-	dm.local.recalled = true
-	dm.local.mu.Unlock()
-	dm.local.poke()
-	dm.log.Info("recalled", slog.Duration("took", time.Since(began)))
-}
-
-// waitForerunner waits for a peer's word on the former process: until one has
-// come and the store has answered, or the time for peers is over after that.
-func (dm *Daemon) waitForerunner(ctx context.Context, asked <-chan struct{}, late <-chan time.Time) *board.Leaver {
-	stored, over := false, false
-	for {
-		lv, changed := dm.Node.Board.Forerunner.Watch()
-		if stored && (lv != nil || over) {
-			return lv
-		}
-		select {
-		case <-changed:
-		case <-asked:
-			stored, asked = true, nil
-		case <-late:
-			over = true
-		case <-ctx.Done():
-			return lv
-		}
-	}
-}
-
-// recallStored reads what the store keeps, again until it answers.
-func (dm *Daemon) recallStored(ctx context.Context) {
-	for ctx.Err() == nil {
-		ent, err := dm.store.Get(ctx, dm.leavingKey())
-		if err != nil {
-			dm.log.Info("recall-failed", slog.Any("error", err))
-			select {
-			case <-ctx.Done():
-			case <-time.After(recordTime):
-			}
-			continue
-		}
-		var lv leaving
-		if ent.Revision != 0 {
-			if err := json.Unmarshal(ent.Value, &lv); err != nil {
-				dm.log.Error("recall-unreadable", slog.Any("error", err))
-			}
-		}
-		dm.local.update(func(tr *server.Tracker) { tr.Recall(lv.Lifetime, lv.Number, time.Now()) })
-		return
-	}
-}
-
 // runLocal keeps the inlet and the daemon's record as the backend server, the
 // configuration and the drain say.
 func (dm *Daemon) runLocal(ctx context.Context) {
--- /dev/null
+++ b/internal/node/daemon/recall_test.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/node/setup"
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// heard is what a peer says of the former process, and when.
+type heard struct {
+	at   time.Duration
+	peer string
+	lv   board.Leaver
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// tell puts on the board what the peer says; peers are those that have answered.
+func (he heard) tell(bd *board.Board, peers map[string]bool) {
+	peers[he.peer] = true
+	bd.Forerunner.Update(func(cur *board.Forerunner) *board.Forerunner {
+		next := &board.Forerunner{Leaver: he.lv, Peers: slices.Collect(maps.Keys(peers))}
+		if cur != nil && he.lv.Lifetime == "" {
+			next.Leaver = cur.Leaver
+		}
+		return next
+	})
+}
+
+// TestForerunnerLearned: a backend server's drain was acknowledged and its daemon
+// replaced before the store had taken it down. Of two peers the first to answer
+// has not heard of the drain. An announcement from before the drain comes late:
+// the server must get no request, and callers saw one at a server that had left.
+// A process of which nobody knows anything must not keep its server waiting.
+func TestForerunnerLearned(t *testing.T) {
+	left := board.Leaver{Lifetime: "i-1", At: 5}
+	for name, tc := range map[string]struct {
+		heard []heard
+		// after is when the server serves, 0 for never.
+		after time.Duration
+	}{
+		"the first peer knows":           {[]heard{{ms(50), "p", left}}, 0},
+		"the second peer knows":          {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "q", left}}, 0},
+		"two peers know of nothing":      {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "q", board.Leaver{}}}, ms(300)},
+		"the only peer answers twice":    {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "p", board.Leaver{}}}, ms(450)},
+		"nobody answers":                 {nil, recallPeers},
+		"the only peer knows of nothing": {[]heard{{ms(50), "p", board.Leaver{}}}, ms(450)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := stand.New().Store()
+				dm := New(setup.Settings{VM: "vm-0", Domain: "d"}, Options{Store: &kv})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				began := time.Now()
+				go dm.runRecall(ctx)
+				if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 4, TTLMs: 60_000}); err != nil {
+					t.Fatal(err)
+				}
+				peers := map[string]bool{}
+				for _, he := range tc.heard {
+					time.Sleep(he.at - time.Since(began))
+					he.tell(dm.Node.Board, peers)
+				}
+				// Off the round times, at which the daemon itself acts.
+				time.Sleep(5 * time.Millisecond)
+				for time.Since(began) < 6*time.Second {
+					st, _ := dm.local.watch(time.Now())
+					serves := st.Announcement != nil && !st.Leaving
+					if want := tc.after != 0 && time.Since(began) > tc.after; serves != want {
+						t.Fatalf("after %v the server serves: %v, want %v", time.Since(began), serves, want)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestLeavingStoredLate: a backend server says that it drains while the store
+// takes two seconds to answer, or answers with errors. The acknowledgement cannot
+// wait for it; the store must know of the drain all the same once it answers, or
+// a process that replaces this one later sends requests to the server.
+func TestLeavingStoredLate(t *testing.T) {
+	for name, fault := range map[string]func(context.Context) error{
+		"slow": func(ctx context.Context) error {
+			time.Sleep(2 * time.Second)
+			return nil
+		},
+		"failing": func(ctx context.Context) error {
+			return &store.Error{Kind: store.Unavailable}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := stand.New().Store()
+				grant, faults := kv.Grant, 2
+				kv.Grant = func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+					if faults--; faults >= 0 {
+						if err := fault(ctx); err != nil {
+							return 0, err
+						}
+					}
+					return grant(context.WithoutCancel(ctx), ttl)
+				}
+				dm := New(setup.Settings{VM: "vm-0", Domain: "d"}, Options{Store: &kv})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go dm.runLeaving(ctx)
+				began := time.Now()
+				if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 4, State: "draining", TTLMs: 60_000}); err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(began); took > recordTime {
+					t.Errorf("the acknowledgement took %v", took)
+				}
+				time.Sleep(5 * time.Second)
+				ent, err := kv.Get(ctx, dm.leavingKey())
+				if err != nil || ent.Revision == 0 {
+					t.Errorf("the store holds %+v, %v", ent, err)
+				}
+			})
+		})
+	}
+}
