path: large answers paced on narrow links, slots given back early, more tries among many servers

Three causes. Answers of 90 KB fill a link for 144 ms and small ones wait behind them; an inlet held its server's slot until the last byte had left; and an outlet that hears of each server once a second met full ones by chance and gave up after two. Ruled out: too few slots (58% in use at the portal service). Changes: path/pacer sends large answers in pieces of 8 ms, oldest first, small ones before them; the inlet reads an answer whole and gives the slot back; the link's backlog rides on answers and downloads go where it is short; a load that is not known is taken as typical of the service and not as none; up to five full servers are tried where there are many, two while a quarter is refused.

--- a/cmd/flamingomast/measure_test.go
+++ b/cmd/flamingomast/measure_test.go
@@ -306,6 +306,6 @@
 		}
 		defer at.Response.Body.Close()
 		proxy.CopyHead(w, at.Response, nil)
-		_ = proxy.Copy(w, at)
+		_ = proxy.Copy(w, at, proxy.Pace{})
 	})
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/idle"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
@@ -126,7 +127,7 @@
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service,
 	})
-	dm.Inlet = inlet.New(proxy.Options{})
+	dm.Inlet = inlet.New(proxy.Options{}, pacer.New(se.Link))
 	dm.Inlet.Names, dm.Inlet.Log = dm.ad.Names, dm.log
 	dm.Inlet.Token = se.Token
 	dm.Inlet.Unreachable = func(inlet.Target) { dm.lost() }
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -53,6 +53,8 @@
 	DrainTimeout time.Duration
 	// Memory is how many bytes the process may take in all.
 	Memory int64
+	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
+	Link float64
 }
 
 // String returns the settings without secrets.
@@ -76,7 +78,7 @@
 	service, domains                          string
 	sample                                    string
 	drain                                     string
-	memory                                    string
+	memory, link                              string
 }
 
 // flags declares the settings; the text of each is the help a person sees.
@@ -99,6 +101,7 @@
 	fs.StringVar(&rw.sample, "access-log-sample", "1", "share of answered requests that are logged, 0 to 1; their number is bounded in any case")
 	fs.StringVar(&rw.drain, "drain-timeout", "30s", "how long a shutdown waits for running requests")
 	fs.StringVar(&rw.memory, "memory-mb", "32", "how many megabytes the process may take in all")
+	fs.StringVar(&rw.link, "link-mbps", "0", "rate of the VM's link in Mbit/s, by which large answers are paced; 0 for no pacing")
 	fs.String("config", "", "YAML file with any of these settings")
 }
 
@@ -283,6 +286,11 @@
 		rd.add("memory-mb", fmt.Sprintf("memory-mb is %q", rw.memory), fmt.Sprintf("set it to a whole number of megabytes, %d or more", minMemory))
 	}
 	se.Memory = mb << 20
+	mbps, err := strconv.ParseFloat(rw.link, 64)
+	if err != nil || !(mbps >= 0 && mbps <= maxLink) {
+		rd.add("link-mbps", fmt.Sprintf("link-mbps is %q", rw.link), fmt.Sprintf("set it to a number from 0 to %d", maxLink))
+	}
+	se.Link = mbps * 1e6
 	se.DrainTimeout, err = time.ParseDuration(rw.drain)
 	if err != nil || se.DrainTimeout < 0 {
 		rd.add("drain-timeout", fmt.Sprintf("drain-timeout is %q", rw.drain), "set it to a duration such as 30s")
@@ -290,6 +298,9 @@
 	return se
 }
 
+// maxLink is the highest rate of a link, in Mbit/s.
+const maxLink = 1_000_000
+
 // minMemory is what a daemon takes at least, in megabytes: 13 when idle, and some
 // room for requests.
 const minMemory = 24
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/path/lapse"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
@@ -45,12 +47,22 @@
 	fw     atomic.Pointer[proxy.Forwarder]
 	target atomic.Pointer[Target]
 	lapses lapse.Tracker
+	// held is what answers take that were read and are not sent yet.
+	held proxy.Bound
+	// link is the VM's, nil for one that is not paced.
+	link *pacer.Pacer
 }
 
+// maxHeld is how many bytes of answers are held in all while they are sent: the
+// largest ones have some 0.5 MB, and a link of 5 Mbit/s takes 3 s for them. Beyond
+// it an answer keeps its slot until it was sent.
+const maxHeld = 2 << 20
+
 // New returns an inlet without a target; op says how its backend server is
-// reached.
-func New(op proxy.Options) *Inlet {
-	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Log: slog.New(slog.DiscardHandler), op: op}
+// reached. Large answers are paced by link, which may be nil.
+func New(op proxy.Options, link *pacer.Pacer) *Inlet {
+	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Log: slog.New(slog.DiscardHandler), op: op, link: link}
+	in.held.Most = maxHeld
 	in.fw.Store(proxy.New(op))
 	return in
 }
@@ -99,7 +111,7 @@
 		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadline})
 		return
 	}
-	in.forward(ctx, w, r, tg, sr)
+	in.forward(ctx, w, r, tg, sr, tk)
 	sr.Latency.Record(time.Since(start))
 }
 
@@ -132,7 +144,7 @@
 }
 
 func (in *Inlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
-	load := in.Gate.Load().String()
+	load := in.load().String()
 	w.Header().Set(result.LoadHeader, load)
 	event := logs.Refused
 	if rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed {
@@ -181,7 +193,9 @@
 }
 
 // forward sends an admitted request to the backend server and its answer back.
-func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, sr *hist.Series) {
+// The slot is given back once the answer has been read: the backend server is
+// done then, while a narrow link or a slow caller may take the answer for long.
+func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, sr *hist.Series, tk *limit.Ticket) {
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg))
 	if at.Response == nil {
 		rf := in.failure(ctx, r, at, tg)
@@ -201,16 +215,68 @@
 		in.refuse(w, r, rf)
 		return
 	}
+	size := max(0, at.Response.ContentLength)
+	if in.held.Take(size) {
+		defer in.held.Give(size)
+		if err := at.Hold(maxHeld); err != nil {
+			rf := in.failure(ctx, r, at, tg)
+			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
+			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+			in.refuse(w, r, rf)
+			return
+		}
+		if size > 0 {
+			tk.Leave()
+		}
+	}
 	proxy.CopyHead(w, at.Response, func(hdr http.Header) {
-		hdr[result.LoadHeader] = []string{in.Gate.Load().String()}
+		hdr[result.LoadHeader] = []string{in.load().String()}
 	})
-	if err := proxy.Copy(w, at); err != nil {
+	pc := in.pace(r, size)
+	defer pc.Done()
+	if err := proxy.Copy(w, at, pc); err != nil {
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
 		panic(http.ErrAbortHandler)
 	}
 	sr.Outcomes.Add(result.Answered.String(), 1)
 }
 
+// smallAnswer is the size up to which an answer goes before the large ones, in
+// bytes: on a link of 5 Mbit/s it takes 13 ms.
+const smallAnswer = 8 << 10
+
+// pace returns how an answer of a size goes to the outlet, size 0 for an unknown
+// one. One to an outlet of the same VM does not use the link.
+func (in *Inlet) pace(r *http.Request, size int64) proxy.Pace {
+	if in.link == nil || sameHost(r) {
+		return proxy.Pace{}
+	}
+	if size > 0 && size <= smallAnswer {
+		in.link.Sent(int(size))
+		return proxy.Pace{}
+	}
+	an := in.link.Begin(int(size))
+	return proxy.Pace{Piece: in.link.Piece(), Wait: func(n int) error { return an.Wait(r.Context(), n) }, End: an.End}
+}
+
+// load returns what outlets are told of this inlet.
+func (in *Inlet) load() result.Load {
+	ld := in.Gate.Load()
+	ld.Backlog = in.link.Backlog().Truncate(time.Millisecond)
+	return ld
+}
+
+// sameHost tells whether a request came from the VM that it came to.
+func sameHost(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	here, _, herr := net.SplitHostPort(local.String())
+	there, _, terr := net.SplitHostPort(r.RemoteAddr)
+	return herr == nil && terr == nil && here == there
+}
+
 func (in *Inlet) failure(ctx context.Context, r *http.Request, at *proxy.Attempt, tg *Target) *result.Refusal {
 	oc, re := at.Outcome()
 	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second}
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -124,6 +124,7 @@
 	ga    *Gate
 	cl    *class
 	since time.Time
+	left  bool
 }
 
 // Enter waits for a slot. It returns a ticket, or the refusal of a request
@@ -245,8 +246,12 @@
 	}
 }
 
-// Leave gives the slot back. It must be called once.
+// Leave gives the slot back; it does so once. It is not safe for concurrent use.
 func (tk *Ticket) Leave() {
+	if tk.left {
+		return
+	}
+	tk.left = true
 	ga := tk.ga
 	held := time.Since(tk.since)
 	ga.mu.Lock()
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -1,7 +1,6 @@
 package outlet
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"log/slog"
@@ -12,6 +11,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // attempt sends the request to one server. It returns nil once an answer was
@@ -30,7 +30,7 @@
 	}
 	defer at.Response.Body.Close()
 	if ld, ok := result.ParseLoad(at.Response.Header.Get(result.LoadHeader)); ok {
-		ep.SetLoad(ld, time.Now())
+		ep.SetLoad(ld, time.Now(), rq.gp)
 	}
 	if rf := result.FromAnswer(at.Response); rf != nil {
 		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
@@ -49,7 +49,7 @@
 	}
 	rq.kn.answered(headBytes + bodyBytes(rq.r) + max(0, at.Response.ContentLength))
 	proxy.CopyHead(rq.w, at.Response, nil)
-	err := proxy.Copy(rq.w, at)
+	err := proxy.Copy(rq.w, at, proxy.Pace{})
 	var ce *proxy.CopyError
 	if errors.As(err, &ce) && ce.Reading && rq.ctx.Err() == nil {
 		vd = pick.Bad
@@ -110,19 +110,10 @@
 // middle would otherwise have cost the caller its connection, where a request
 // that may be repeated can be sent again as long as nothing was passed on.
 func (rq *request) readSmall(at *proxy.Attempt) *result.Refusal {
-	res := at.Response
-	if res.ContentLength <= 0 || res.ContentLength > maxHeldAnswer {
-		return nil
-	}
-	body := make([]byte, res.ContentLength)
-	if _, err := io.ReadFull(res.Body, body); err != nil {
-		at.Discard()
+	if err := at.Hold(maxHeldAnswer); err != nil {
+		rq.ou.log.Debug("answer-broken", slog.String(logs.ID, rq.id()), slog.Any("error", err))
 		return rq.failure(at, result.MayHaveRun, result.ReasonBroken)
 	}
-	if err := res.Body.Close(); err != nil {
-		rq.ou.log.Debug("answer-close", slog.Any("error", err))
-	}
-	res.Body = io.NopCloser(bytes.NewReader(body))
 	return nil
 }
 
--- a/internal/path/outlet/load_test.go
+++ b/internal/path/outlet/load_test.go
@@ -11,12 +11,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
@@ -38,6 +40,20 @@
 	return lr.nw.Dial(ctx, lr.caller, addr)
 }
 
+// counting counts the requests that reach a handler.
+type counting struct {
+	http.Handler
+	requests atomic.Int64
+}
+
+// ServeHTTP counts a request.
+func (co *counting) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	co.requests.Add(1)
+	co.Handler.ServeHTTP(w, r)
+}
+
+func (co *counting) n() int { return int(co.requests.Load()) }
+
 // backend is a backend server with as many workers as slots, which takes the
 // requests in their order and does not see that a caller has given up.
 type backend struct {
@@ -97,6 +113,7 @@
 	rules  string
 	recs   []*member.Record
 	gates  []*limit.Gate
+	inlets []*counting
 	back   []*backend
 	stops  []func()
 	closes []func()
@@ -142,7 +159,7 @@
 	name := fmt.Sprint("vm-", i)
 	be := &backend{work: uniform(work), workers: make(chan struct{}, slots)}
 	lr.serve(name+":1", be)
-	in := inlet.New(proxy.Options{Dial: lr.dial})
+	in := inlet.New(proxy.Options{Dial: lr.dial}, nil)
 	lr.closes = append(lr.closes, in.Close)
 	rec := &member.Record{
 		VM: name, Domain: []string{"a", "b", "c"}[i%3], Incarnation: 1, Sequence: 1, State: member.StateServing,
@@ -150,13 +167,30 @@
 	}
 	in.SetTarget(inlet.Target{VM: name, Process: pick.Process(rec), Service: "booking", Addr: name + ":1"})
 	in.Gate.Configure(slots, []limit.Class{{Name: "confirm", Share: 50, Queue: 8}, {Name: "default", Share: 25, Queue: 4}})
-	lr.serve(rec.Inlet, in)
+	co := &counting{Handler: in}
+	lr.serve(rec.Inlet, co)
+	lr.inlets = append(lr.inlets, co)
 	lr.recs, lr.gates, lr.back = append(lr.recs, rec), append(lr.gates, in.Gate), append(lr.back, be)
 }
 
-func (lr *loadRig) update() {
+// view returns what outlets go by.
+func (lr *loadRig) view() (*member.View, *snap.Snapshot) {
 	vw, _ := (&member.View{}).Merge(lr.recs)
-	lr.out.SetTable(pick.Build(compile(lr.t, lr.rules), vw, nil, lr.out.Table()))
+	return vw, compile(lr.t, lr.rules)
+}
+
+func (lr *loadRig) update() {
+	vw, sn := lr.view()
+	lr.out.SetTable(pick.Build(sn, vw, nil, lr.out.Table()))
+}
+
+// messages returns how many requests have reached an inlet.
+func (lr *loadRig) messages() int {
+	n := 0
+	for _, in := range lr.inlets {
+		n += in.n()
+	}
+	return n
 }
 
 func (lr *loadRig) close() {
--- /dev/null
+++ b/internal/path/outlet/many_test.go
@@ -0,0 +1,62 @@
+package outlet_test
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+)
+
+// spread sends each request to one of many outlets.
+type spread []*outlet.Outlet
+
+func (sp spread) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sp[rand.IntN(len(sp))].ServeHTTP(w, r)
+}
+
+// TestManyOutlets: 60 outlets share 24 servers of 4 slots that are used to two
+// thirds. Each outlet has 50 requests a second and hears of a server twice a second, so
+// what it believes is old, and one server in ten is full by chance. Callers were
+// refused beside free servers, and calls that backend servers made were lost with
+// all the work done for them.
+func TestManyOutlets(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		rate float64
+		// refused is the most that may be refused, messages the most that one
+		// request may be sent on average.
+		refused, messages float64
+	}{
+		{"two thirds", 3200, 0.006, 1.5},
+		{"nine tenths", 4320, 0.08, 2.2},
+		{"one and a half", 7200, 0.55, 3.2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			lr := newLoadRig(t, 24, anyDomain)
+			defer lr.close()
+			lr.rules = strings.Replace(lr.rules, "routes: [", "routes: [{name: q, match: {host: booking, path-prefix: /quick}, to: [{service: booking, weight: 1}], objective: 60ms, priority: 2}, ", 1)
+			vw, sn := lr.view()
+			var sp spread
+			for range 60 {
+				ou := outlet.New(outlet.Options{Forwarder: lr.forwarder()})
+				ou.SetTable(pick.Build(sn, vw, nil, nil))
+				sp = append(sp, ou)
+			}
+			lr.front = sp
+			lr.load(tc.rate, time.Second, always("/quick"))
+			before := lr.messages()
+			ta := lr.load(tc.rate, 2*time.Second, always("/quick"))
+			refused := float64(ta.notRun) / float64(ta.total())
+			messages := float64(lr.messages()-before) / float64(ta.total())
+			t.Logf("%s: %.4f refused, %.2f messages a request, 99th of answers %v", tc.name, refused, messages, quantile(ta.latency, 0.99))
+			if refused > tc.refused || messages > tc.messages {
+				t.Errorf("%s: %.4f refused, bound %.4f; %.2f messages a request, bound %.2f", tc.name, refused, tc.refused, messages, tc.messages)
+			}
+		})
+	}
+}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -33,7 +33,7 @@
 	life context.Context
 	end  context.CancelFunc
 	// requests and bodies bound what callers can make the outlet hold.
-	requests, bodies bound
+	requests, bodies proxy.Bound
 }
 
 // routing is a table with the state that belongs to its services.
@@ -65,7 +65,7 @@
 	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service}
 	ou.life, ou.end = context.WithCancel(context.Background())
 	ou.SetSample(op.Sample)
-	ou.requests.most, ou.bodies.most = maxRequests, maxBodies
+	ou.requests.Most, ou.bodies.Most = maxRequests, maxBodies
 	if ou.fw == nil {
 		ou.fw = proxy.New(proxy.Options{})
 	}
@@ -150,11 +150,11 @@
 		ou.refuse(w, r, rf)
 		return
 	}
-	if !ou.requests.take(1) {
+	if !ou.requests.Take(1) {
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonOutletFull, RetryAfter: time.Second})
 		return
 	}
-	defer ou.requests.give(1)
+	defer ou.requests.Give(1)
 	rt := ou.routing.Load()
 	if rt == nil {
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoConfig, RetryAfter: time.Second})
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -101,9 +101,30 @@
 	return rf
 }
 
-// maxBusy is how many servers without room a request tries. More would only
-// multiply the load when all are full.
-const maxBusy = 2
+// How many servers without room a request tries.
+const (
+	// leastBusy holds for few servers, and while many requests find no room
+	// anywhere: more would only multiply the load when all are full.
+	leastBusy = 2
+	// busyPart is the part of the servers that are tried where there are many. An
+	// outlet of many servers hears of each once a second and finds one in seven
+	// full by chance at half the load; a refusal costs 1 ms and tells.
+	busyPart = 5
+	// mostBusy bounds them: at nine tenths of the load one server in four is
+	// full, and five are in one case of a thousand.
+	mostBusy = 5
+	// pressed is the share of refused requests above which all are taken to be
+	// full, and not some by chance.
+	pressed = 0.25
+)
+
+// maxBusy returns how many servers without room the request tries.
+func (rq *request) maxBusy() int {
+	if rq.th.Refused(rq.route.Priority, rq.start) > pressed {
+		return leastBusy
+	}
+	return min(max(leastBusy, 1+rq.gp.Len()/busyPart), mostBusy)
+}
 
 // again tells whether the request is sent again after the refusal rf.
 func (rq *request) again(rf *result.Refusal) bool {
@@ -117,7 +138,7 @@
 		return false
 	}
 	if rf.Reason == result.ReasonFull || rf.Reason == result.ReasonTooLate || rf.Reason == result.ReasonShed {
-		if rq.busy++; rq.busy >= maxBusy {
+		if rq.busy++; rq.busy >= rq.maxBusy() {
 			return false
 		}
 	}
--- a/internal/path/outlet/rig_test.go
+++ b/internal/path/outlet/rig_test.go
@@ -91,7 +91,7 @@
 }
 
 func (rg *rig) addVM(i int, addr string) {
-	vm := &rigVM{in: inlet.New(proxy.Options{}), addr: addr}
+	vm := &rigVM{in: inlet.New(proxy.Options{}, nil), addr: addr}
 	vm.http = httptest.NewServer(vm.in)
 	rg.t.Cleanup(vm.http.Close)
 	vm.rec = &member.Record{
--- a/internal/path/outlet/source.go
+++ b/internal/path/outlet/source.go
@@ -46,11 +46,11 @@
 }
 
 // fill reads a small body, as long as bodies has room for it.
-func (so *source) fill(w http.ResponseWriter, r *http.Request, bodies *bound) *result.Refusal {
+func (so *source) fill(w http.ResponseWriter, r *http.Request, bodies *proxy.Bound) *result.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if r.ContentLength < 0 || r.ContentLength > maxBuffered || !bodies.take(r.ContentLength) {
+	if r.ContentLength < 0 || r.ContentLength > maxBuffered || !bodies.Take(r.ContentLength) {
 		so.stream = &stream{r: http.MaxBytesReader(w, r.Body, proxy.MaxBody)}
 		return nil
 	}
@@ -68,7 +68,7 @@
 }
 
 // release gives back what the body took.
-func (so *source) release(bodies *bound) { bodies.give(int64(len(so.buffered))) }
+func (so *source) release(bodies *proxy.Bound) { bodies.Give(int64(len(so.buffered))) }
 
 // attach gives the body to an attempt.
 func (so *source) attach(out, r *http.Request) {
--- /dev/null
+++ b/internal/path/pacer/pacer.go
@@ -0,0 +1,196 @@
+package pacer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// The measures of a link.
+const (
+	// pieceTime is how long a piece of a large answer takes the link, which is
+	// the longest that a small answer waits behind it. Shorter ones cost a timer
+	// and a system call each for little gain: at 8 ms an answer of 90 KB on a
+	// link of 5 Mbit/s is 18 pieces.
+	pieceTime = 8 * time.Millisecond
+	// minPiece and maxPiece bound a piece, in bytes.
+	minPiece = 2 << 10
+	maxPiece = 16 << 10
+	// fast is the rate, in bytes a second, from which a link is not paced: a
+	// large answer of 90 KB takes it 14 ms.
+	fast = 50e6 / 8
+	// use is the part of the rate that large answers may bring the link up to.
+	// The rest is for what is not counted here: acknowledgements, heads of
+	// packets, control traffic.
+	use = 0.94
+	// credit is how much idle time of the link may be made up for, so that a
+	// timer that fires late costs no throughput.
+	credit = 4 * time.Millisecond
+)
+
+// Pacer is one link. Its methods may be called from any goroutine. A nil Pacer is
+// a link that is not paced; it takes no Begin.
+//
+// It answers the load in which large and small answers share a narrow link. The
+// system takes whatever is written and sends it in its order: a small answer then
+// waits behind all large ones that were written before it, 144 ms for each 90 KB
+// at 5 Mbit/s, and many times that when several are under way.
+type Pacer struct {
+	rate float64 // bytes a second
+
+	mu sync.Mutex
+	// free is when all that was sent has left.
+	free time.Time
+	// waiting holds the large answers with a piece to send, oldest first: one
+	// answer after the other is done earlier in the mean than all side by side.
+	waiting []*turn
+	armed   bool
+	// rest is the bytes of large answers that are not sent yet.
+	rest int
+}
+
+// turn is a piece that waits.
+type turn struct {
+	since time.Time
+	bytes int
+	ready chan struct{}
+}
+
+// New returns a pacer for a link of so many bits a second; 0 stands for one
+// without a bound.
+func New(bits float64) *Pacer {
+	if bits <= 0 || bits/8 >= fast {
+		return nil
+	}
+	return &Pacer{rate: bits / 8 * use}
+}
+
+// Piece returns how many bytes of a large answer should be sent at once.
+func (pa *Pacer) Piece() int {
+	if pa == nil {
+		return maxPiece
+	}
+	return min(max(int(pa.rate*pieceTime.Seconds()), minPiece), maxPiece)
+}
+
+// Sent counts n bytes that were sent without waiting.
+func (pa *Pacer) Sent(n int) {
+	if pa == nil {
+		return
+	}
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	pa.take(time.Now(), n)
+}
+
+// Answer is a large answer that is being sent.
+type Answer struct {
+	pa    *Pacer
+	since time.Time
+	rest  int
+}
+
+// Begin starts a large answer of so many bytes, 0 where that is not known.
+func (pa *Pacer) Begin(n int) *Answer {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	pa.rest += n
+	return &Answer{pa: pa, since: time.Now(), rest: n}
+}
+
+// End ends the answer, whether it was sent whole or not.
+func (an *Answer) End() {
+	an.pa.mu.Lock()
+	defer an.pa.mu.Unlock()
+	an.pa.rest -= an.rest
+	an.rest = 0
+}
+
+// Wait waits until the link is free for n bytes of the answer. It returns an
+// error only when ctx ends first.
+func (an *Answer) Wait(ctx context.Context, n int) error {
+	if err := an.pa.wait(ctx, an.since, n); err != nil {
+		return err
+	}
+	an.pa.mu.Lock()
+	defer an.pa.mu.Unlock()
+	n = min(n, an.rest)
+	an.rest -= n
+	an.pa.rest -= n
+	return nil
+}
+
+// Backlog returns how long the link takes for what was sent and for the rest of
+// the large answers.
+func (pa *Pacer) Backlog() time.Duration {
+	if pa == nil {
+		return 0
+	}
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	return max(0, time.Until(pa.free)) + time.Duration(float64(pa.rest)/pa.rate*float64(time.Second))
+}
+
+func (pa *Pacer) wait(ctx context.Context, since time.Time, n int) error {
+	pa.mu.Lock()
+	now := time.Now()
+	if len(pa.waiting) == 0 && !pa.free.After(now) {
+		pa.take(now, n)
+		pa.mu.Unlock()
+		return nil
+	}
+	tu := &turn{since: since, bytes: n, ready: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(pa.waiting, tu, func(a, b *turn) int {
+		if c := a.since.Compare(b.since); c != 0 {
+			return c
+		}
+		return -1
+	})
+	pa.waiting = slices.Insert(pa.waiting, at, tu)
+	pa.arm(now)
+	pa.mu.Unlock()
+	select {
+	case <-tu.ready:
+		return nil
+	case <-ctx.Done():
+	}
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	if i := slices.Index(pa.waiting, tu); i >= 0 {
+		pa.waiting = slices.Delete(pa.waiting, i, i+1)
+	}
+	return ctx.Err()
+}
+
+// take counts n bytes as sent at now; pa.mu is held.
+func (pa *Pacer) take(now time.Time, n int) {
+	if least := now.Add(-credit); pa.free.Before(least) {
+		pa.free = least
+	}
+	pa.free = pa.free.Add(time.Duration(float64(n) / pa.rate * float64(time.Second)))
+}
+
+// arm lets the next piece go once the link is free; pa.mu is held.
+func (pa *Pacer) arm(now time.Time) {
+	if pa.armed || len(pa.waiting) == 0 {
+		return
+	}
+	pa.armed = true
+	time.AfterFunc(max(0, pa.free.Sub(now)), pa.next)
+}
+
+func (pa *Pacer) next() {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	pa.armed = false
+	now := time.Now()
+	// Small answers may have gone meanwhile.
+	if len(pa.waiting) > 0 && !pa.free.After(now) {
+		tu := pa.waiting[0]
+		pa.waiting = pa.waiting[1:]
+		pa.take(now, tu.bytes)
+		close(tu.ready)
+	}
+	pa.arm(now)
+}
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -64,6 +64,7 @@
 	ejected  atomic.Int64  // until when it is left out
 	times    atomic.Int32  // how often in a row it was left out
 	latency  atomic.Int64  // weighted mean time of an answer, 0 for unknown
+	linkFree atomic.Int64  // when the VM's link will have sent what waits
 }
 
 // NewEndpoint returns an endpoint without a past.
@@ -187,7 +188,9 @@
 func (ep *Endpoint) failShareNow() float64 { return float64(ep.live.failing.Load()) / one }
 
 // SetLoad takes the load that an inlet reported.
-func (ep *Endpoint) SetLoad(ld result.Load, now time.Time) {
+func (ep *Endpoint) SetLoad(ld result.Load, now time.Time, gp *Group) {
+	gp.typical.add(ld)
+	ep.live.linkFree.Store(now.Add(ld.Backlog).UnixNano())
 	load := uint64(min(ld.Running+ld.Waiting, math.MaxUint16))
 	service := uint64(min(ld.Service.Milliseconds(), math.MaxUint16))
 	ep.live.ownThen.Store(ep.live.running.Load())
@@ -195,26 +198,31 @@
 }
 
 // load estimates the requests at the server: those of this outlet for certain,
-// those of others as last reported, fading with age.
-func (ep *Endpoint) load(now time.Time) float64 {
+// those of others as last reported. With age the report gives way to what is
+// typical of the service's servers. Were it to fade to nothing, an outlet of many
+// servers, which hears of each once a second, would pass by one that has room
+// for those of which it knows nothing.
+func (ep *Endpoint) load(now time.Time, typical float64) float64 {
 	own := float64(ep.live.running.Load())
+	usual := typical * float64(ep.Slots)
 	rep := ep.live.reported.Load()
 	if rep == 0 {
-		return own
+		return max(own, usual)
 	}
 	age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
 	if age >= loadAge {
-		return own
+		return max(own, usual)
 	}
 	since := own - float64(ep.live.ownThen.Load())
-	return max(own, (float64(rep>>48)+since)*(1-float64(age)/float64(loadAge)))
+	old := float64(age) / float64(loadAge)
+	return max(own, (float64(rep>>48)+since)*(1-old)+usual*old)
 }
 
 // Believed returns the load that is believed of the server and how old the last
 // report is, for the log.
 func (ep *Endpoint) Believed(now time.Time) (load float64, age time.Duration) {
 	rep := ep.live.reported.Load()
-	return ep.load(now), time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	return ep.load(now, 0), time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
 }
 
 // service returns the time for which the server holds a slot: as its inlet
@@ -252,9 +260,9 @@
 // taken to need them again, and one that is nearly full to slow down. A server
 // of which nothing is known is taken to be like the others, which hold a slot
 // for the time others; were it taken to be slow, it would never show.
-func (ep *Endpoint) cost(now time.Time, others time.Duration) time.Duration {
+func (ep *Endpoint) cost(now time.Time, others time.Duration, typical float64) time.Duration {
 	slots := float64(max(1, ep.Slots))
-	load := ep.load(now)
+	load := ep.load(now, typical)
 	service := float64(ep.service(now))
 	if service == 0 {
 		service = float64(others)
@@ -272,7 +280,19 @@
 	return time.Duration(cost)
 }
 
+// linkWait returns how long the VM's link has to send before it is free for an
+// answer of size bytes. Small answers go before the others.
+func (ep *Endpoint) linkWait(now time.Time, size int64) time.Duration {
+	if size <= largeAnswer {
+		return 0
+	}
+	return max(0, time.Duration(ep.live.linkFree.Load()-now.UnixNano()))
+}
+
 const (
+	// largeAnswer is the size above which an answer waits for the link, in bytes:
+	// what inlets take for a small one, and its head.
+	largeAnswer = 10 << 10
 	// fullSlowdown is the part by which a server with all slots in use is taken
 	// to be slower than an idle one. It also spreads requests over servers of
 	// equal speed.
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -21,6 +21,8 @@
 	tiers []tier
 	all   []*Endpoint
 	spill bool
+	// typical is shared by all tables.
+	typical *use
 }
 
 // tier has the servers of failure domains that are equally preferred. Those
@@ -32,9 +34,10 @@
 // Build returns the table for a snapshot and the members. Endpoints that prev
 // knows keep their counters, as long as the same process serves.
 func Build(sn *snap.Snapshot, vw *member.View, cut *board.CutSet, prev *Table) *Table {
-	known := map[string]*Endpoint{}
+	known, uses := map[string]*Endpoint{}, map[string]*use{}
 	if prev != nil {
-		for _, gp := range prev.groups {
+		for i, gp := range prev.groups {
+			uses[prev.Snap.ServiceList[i].Name] = gp.typical
 			for _, ep := range gp.all {
 				known[ep.VM] = ep
 			}
@@ -56,6 +59,9 @@
 	tb := &Table{Snap: sn, groups: make([]*Group, len(sn.ServiceList))}
 	for i, sv := range sn.ServiceList {
 		tb.groups[i] = group(sv, byService[i])
+		if tb.groups[i].typical = uses[sv.Name]; tb.groups[i].typical == nil {
+			tb.groups[i].typical = &use{}
+		}
 	}
 	return tb
 }
@@ -191,11 +197,11 @@
 	var bestCost time.Duration
 	for i := range gp.tiers {
 		for j, list := range [2][]*Endpoint{gp.tiers[i].strong, gp.tiers[i].weak} {
-			ep, cost, typical := cheapest(list, now, tried, rnd)
+			ep, cost, held := cheapest(list, now, size, gp.typical.share(), tried, rnd)
 			if ep == nil {
 				continue
 			}
-			border := borderHop + time.Duration(size)*borderByte + time.Duration(borderPart*float64(typical))
+			border := borderHop + time.Duration(size)*borderByte + time.Duration(borderPart*float64(held))
 			cost += time.Duration(i)*border + time.Duration(j)*weakCost
 			if best == nil || cost < bestCost {
 				best, bestCost = ep, cost
@@ -221,7 +227,7 @@
 
 // cheapest returns the server of a list that costs least among some drawn, its
 // cost and the time for which they hold a slot.
-func cheapest(list []*Endpoint, now time.Time, tried *Tried, rnd Random) (*Endpoint, time.Duration, time.Duration) {
+func cheapest(list []*Endpoint, now time.Time, size int64, use float64, tried *Tried, rnd Random) (*Endpoint, time.Duration, time.Duration) {
 	if len(list) == 0 {
 		return nil, 0, 0
 	}
@@ -231,7 +237,7 @@
 	var best *Endpoint
 	var bestCost, bestNoisy time.Duration
 	for _, ep := range drawn[:n] {
-		cost := ep.cost(now, others)
+		cost := ep.cost(now, others, use) + ep.linkWait(now, size)
 		noisy := cost + cost*time.Duration(rnd(costNoise))/100
 		if best == nil || noisy < bestNoisy {
 			best, bestCost, bestNoisy = ep, cost, noisy
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -204,6 +205,48 @@
 
 var buffers = sync.Pool{New: func() any { return new([bufSize]byte) }}
 
+// Pace says how an answer is sent; the zero value sends it as it comes.
+type Pace struct {
+	// Piece is how many bytes are sent at once, Wait waits until that many may be.
+	Piece int
+	Wait  func(n int) error
+	// End, if set, ends the pacing.
+	End func()
+}
+
+// Done ends the pacing.
+func (pc Pace) Done() {
+	if pc.End != nil {
+		pc.End()
+	}
+}
+
+func (pc Pace) wait(n int) error {
+	if pc.Wait == nil {
+		return nil
+	}
+	return pc.Wait(n)
+}
+
+// Hold reads the answer's body whole, if it has a length that is not above most.
+// When it breaks off, the error is returned and the attempt's connection ends.
+func (at *Attempt) Hold(most int64) error {
+	res := at.Response
+	// An answer to HEAD has the length of a body that does not come.
+	if res.ContentLength <= 0 || res.ContentLength > most || res.Body == http.NoBody {
+		return nil
+	}
+	body := make([]byte, res.ContentLength)
+	if _, err := io.ReadFull(res.Body, body); err != nil {
+		at.Discard()
+		return err
+	}
+	// It was read to its end; the connection is kept by then.
+	_ = res.Body.Close()
+	res.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // CopyError tells which side of a copy failed.
 type CopyError struct {
 	// Reading is set when the answer broke off, unset when the caller did not
@@ -227,10 +270,16 @@
 // written. When it fails, the caller's connection must be ended without a
 // proper end of the body (http.ErrAbortHandler does), for otherwise a broken
 // answer without a length would look whole.
-func Copy(w http.ResponseWriter, at *Attempt) error {
+//
+// The answer is sent in the pieces that pc says.
+func Copy(w http.ResponseWriter, at *Attempt, pc Pace) error {
 	res := at.Response
-	buf := buffers.Get().(*[bufSize]byte)
-	defer buffers.Put(buf)
+	whole := buffers.Get().(*[bufSize]byte)
+	defer buffers.Put(whole)
+	buf := whole[:]
+	if pc.Wait != nil {
+		buf = buf[:min(pc.Piece, bufSize)]
+	}
 	flush := func() error { return nil }
 	if res.ContentLength < 0 {
 		// Without a length this may be a stream, of which each part is due
@@ -238,8 +287,11 @@
 		flush = http.NewResponseController(w).Flush
 	}
 	for {
-		n, err := res.Body.Read(buf[:])
+		n, err := res.Body.Read(buf)
 		if n > 0 {
+			if perr := pc.wait(n); perr != nil {
+				return &CopyError{Err: perr}
+			}
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return &CopyError{Err: werr}
 			}
--- a/internal/path/proxy/proxy_test.go
+++ b/internal/path/proxy/proxy_test.go
@@ -170,7 +170,7 @@
 		at := fw.Do(newRequest(t, "GET", strings.TrimPrefix(back.URL, "http://"), "/"))
 		defer at.Response.Body.Close()
 		CopyHead(w, at.Response, nil)
-		if err := Copy(w, at); err != nil {
+		if err := Copy(w, at, Pace{}); err != nil {
 			t.Error(err)
 		}
 	}))
@@ -239,7 +239,7 @@
 	rec := &blockingWriter{header: http.Header{}, block: make(chan struct{})}
 	done := make(chan error, 1)
 	go func() {
-		done <- Copy(rec, &Attempt{Response: &http.Response{Body: pr, ContentLength: 1 << 30}})
+		done <- Copy(rec, &Attempt{Response: &http.Response{Body: pr, ContentLength: 1 << 30}}, Pace{})
 	}()
 	select {
 	case err := <-done:
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -258,6 +258,9 @@
 	// Service is the mean time for which a slot is held, in whole milliseconds;
 	// 0 for not known.
 	Service time.Duration
+	// Backlog is how long the VM's link takes for what waits to be sent, in whole
+	// milliseconds.
+	Backlog time.Duration
 }
 
 // String returns the form that ParseLoad reads.
@@ -268,30 +271,34 @@
 	b = strconv.AppendInt(b, int64(ld.Waiting), 10)
 	b = append(b, '/')
 	b = strconv.AppendInt(b, int64(ld.Slots), 10)
-	if ld.Service > 0 {
+	if ld.Service > 0 || ld.Backlog > 0 {
 		b = append(b, '/')
 		b = strconv.AppendInt(b, ld.Service.Milliseconds(), 10)
 	}
+	if ld.Backlog > 0 {
+		b = append(b, '/')
+		b = strconv.AppendInt(b, ld.Backlog.Milliseconds(), 10)
+	}
 	return string(b)
 }
 
-// ParseLoad reads what String returns. An older release leaves out the time.
+// ParseLoad reads what String returns. An older release leaves out the times.
 func ParseLoad(s string) (ld Load, ok bool) {
-	if strings.Count(s, "/") == 3 {
-		i := strings.LastIndexByte(s, '/')
-		ms, err := strconv.ParseUint(s[i+1:], 10, 24)
-		if err != nil || ms == 0 {
+	var ms [2]int
+	fields := []*int{&ld.Running, &ld.Waiting, &ld.Slots, &ms[0], &ms[1]}
+	n, last := 0, 0
+	for part := range strings.SplitSeq(s, "/") {
+		v, err := strconv.ParseUint(part, 10, 24)
+		if err != nil || n == len(fields) {
 			return Load{}, false
 		}
-		ld.Service, s = time.Duration(ms)*time.Millisecond, s[:i]
+		last = int(v)
+		*fields[n] = last
+		n++
 	}
-	for _, part := range []*int{&ld.Running, &ld.Waiting, &ld.Slots} {
-		text, rest, _ := strings.Cut(s, "/")
-		n, err := strconv.Atoi(text)
-		if err != nil || n < 0 {
-			return Load{}, false
-		}
-		*part, s = n, rest
+	if n > 3 && last == 0 {
+		return Load{}, false
 	}
-	return ld, s == ""
+	ld.Service, ld.Backlog = time.Duration(ms[0])*time.Millisecond, time.Duration(ms[1])*time.Millisecond
+	return ld, n >= 3
 }
--- a/internal/path/retry/retry.go
+++ b/internal/path/retry/retry.go
@@ -8,8 +8,9 @@
 	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
-// MaxAttempts is how often a request is sent at most.
-const MaxAttempts = 4
+// MaxAttempts is how often a request is sent at most: five servers without room,
+// and one more.
+const MaxAttempts = 6
 
 // The budget, in units of one thousandth of a retry.
 const (
