path: large answers come at half of the receiver's link

Cause: after pacing at the sender, small answers still took 65 to 165 ms on the network in one case of four to ten (by times put into answers in a trial): a document sent at 94% of a link of 5 Mbit/s to a VM with the same link fills that, and answers of others to it wait. Ruled out: the processor (without it lookups take 170 ms against 183) and the way to callers (in a trial with one server a failure domain a document of 90 KB from the VM's own server comes in 88 ms, so it does not use the link). Change: the outlet says how fast a large answer may come, half of its link or less beside others; the sender keeps to it. Test: TestReceiverRate.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -125,7 +125,7 @@
 		Store: dm.store, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
 	})
 	dm.Outlet = outlet.New(outlet.Options{
-		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service,
+		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service, Link: se.Link,
 	})
 	dm.Inlet = inlet.New(proxy.Options{}, pacer.New(se.Link))
 	dm.Inlet.Names, dm.Inlet.Log = dm.ad.Names, dm.log
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -255,7 +255,12 @@
 		in.link.Sent(int(size))
 		return proxy.Pace{}
 	}
-	an := in.link.Begin(int(size))
+	rate, err := strconv.ParseUint(r.Header.Get(result.RateHeader), 10, 32)
+	if err != nil {
+		// The outlet's link is not narrow, or it is of an older release.
+		rate = 0
+	}
+	an := in.link.Begin(int(size), float64(rate))
 	return proxy.Pace{Piece: in.link.Piece(), Wait: func(n int) error { return an.Wait(r.Context(), n) }, End: an.End}
 }
 
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -5,9 +5,11 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/lapse"
+	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
@@ -21,6 +23,10 @@
 	rq.vm = ep.VM
 	began := time.Now()
 	ep.Begin(began)
+	if pick.Large(rq.kn.expected()) {
+		rq.ou.large.Add(1)
+		defer rq.ou.large.Add(-1)
+	}
 	at := rq.ou.fw.Do(rq.outgoing(ep))
 	if at.Response == nil {
 		oc, re := at.Outcome()
@@ -176,6 +182,13 @@
 	out.Header[result.SentHeader] = []string{lapse.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
 	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start))}
+	if pick.Large(rq.kn.expected()) {
+		// This one is counted among them.
+		others := int(rq.ou.large.Load()) - 1
+		if rate := pacer.Share(rq.ou.link, others); rate > 0 {
+			out.Header[result.RateHeader] = []string{strconv.Itoa(rate)}
+		}
+	}
 	if rq.ou.token != "" {
 		out.Header[result.TokenHeader] = []string{rq.ou.token}
 	}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -32,6 +32,10 @@
 	// life ends with Close.
 	life context.Context
 	end  context.CancelFunc
+	// link is the rate of the VM's link in bits a second, 0 where it is not known;
+	// large is how many large answers come over it.
+	link  float64
+	large atomic.Int32
 	// requests and bodies bound what callers can make the outlet hold.
 	requests, bodies proxy.Bound
 }
@@ -55,6 +59,8 @@
 	Token string
 	// Names are the headers of callers.
 	Names result.Names
+	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
+	Link float64
 	// Service is the service that runs on this VM, which backend servers are
 	// told as the one that calls.
 	Service string
@@ -62,7 +68,7 @@
 
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service}
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link}
 	ou.life, ou.end = context.WithCancel(context.Background())
 	ou.SetSample(op.Sample)
 	ou.requests.Most, ou.bodies.Most = maxRequests, maxBodies
--- a/internal/path/pacer/pacer.go
+++ b/internal/path/pacer/pacer.go
@@ -66,6 +66,20 @@
 	return &Pacer{rate: bits / 8 * use}
 }
 
+// receiverPart is the part of a receiver's link that one answer may take: two at
+// a time fit, and small answers pass one.
+const receiverPart = 0.5
+
+// Share returns how many bytes a second one more answer should come at over a
+// link of so many bits a second on which others large ones are under way, 0 for a
+// link that is fast enough for all.
+func Share(bits float64, others int) int {
+	if bits <= 0 || bits/8 >= fast {
+		return 0
+	}
+	return int(bits / 8 * min(receiverPart, 1/float64(1+others)))
+}
+
 // Piece returns how many bytes of a large answer should be sent at once.
 func (pa *Pacer) Piece() int {
 	if pa == nil {
@@ -84,19 +98,28 @@
 	pa.take(time.Now(), n)
 }
 
-// Answer is a large answer that is being sent.
+// Answer is a large answer that is being sent. It is not safe for concurrent use.
 type Answer struct {
 	pa    *Pacer
 	since time.Time
 	rest  int
+	// rate is what its receiver takes, in bytes a second, 0 for no bound; next is
+	// when that allows another piece.
+	rate float64
+	next time.Time
 }
 
-// Begin starts a large answer of so many bytes, 0 where that is not known.
-func (pa *Pacer) Begin(n int) *Answer {
+// Begin starts a large answer of so many bytes, 0 where that is not known, to a
+// receiver that takes rate bytes a second, 0 where that is not bounded.
+//
+// The receiver's link may be as narrow as this one: an answer that is sent as
+// fast as it goes fills that, and what others send there waits behind it.
+func (pa *Pacer) Begin(n int, rate float64) *Answer {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 	pa.rest += n
-	return &Answer{pa: pa, since: time.Now(), rest: n}
+	now := time.Now()
+	return &Answer{pa: pa, since: now, rest: n, rate: rate, next: now}
 }
 
 // End ends the answer, whether it was sent whole or not.
@@ -110,6 +133,9 @@
 // Wait waits until the link is free for n bytes of the answer. It returns an
 // error only when ctx ends first.
 func (an *Answer) Wait(ctx context.Context, n int) error {
+	if err := an.keepRate(ctx, n); err != nil {
+		return err
+	}
 	if err := an.pa.wait(ctx, an.since, n); err != nil {
 		return err
 	}
@@ -121,6 +147,28 @@
 	return nil
 }
 
+// keepRate waits until the receiver takes another n bytes.
+func (an *Answer) keepRate(ctx context.Context, n int) error {
+	if an.rate <= 0 {
+		return nil
+	}
+	now := time.Now()
+	if wait := an.next.Sub(now); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if late := now.Add(-credit); an.next.Before(late) {
+		an.next = late
+	}
+	an.next = an.next.Add(time.Duration(float64(n) / an.rate * float64(time.Second)))
+	return nil
+}
+
 // Backlog returns how long the link takes for what was sent and for the rest of
 // the large answers.
 func (pa *Pacer) Backlog() time.Duration {
--- a/internal/path/pacer/pacer_test.go
+++ b/internal/path/pacer/pacer_test.go
@@ -41,7 +41,7 @@
 			left := since
 			wait := func(context.Context, int) error { return nil }
 			if pa != nil {
-				an := pa.Begin(90_000)
+				an := pa.Begin(90_000, 0)
 				defer an.End()
 				wait = an.Wait
 			}
@@ -114,7 +114,7 @@
 		var wg sync.WaitGroup
 		began := time.Now()
 		send := func(name string) {
-			an := pa.Begin(20 * pa.Piece())
+			an := pa.Begin(20*pa.Piece(), 0)
 			defer an.End()
 			for range 20 {
 				if err := an.Wait(t.Context(), pa.Piece()); err != nil {
@@ -136,11 +136,47 @@
 	})
 }
 
+// TestReceiverRate: two VMs send a document each to a third one, whose link is as
+// narrow as theirs. Sent as fast as theirs allow, they fill it, and small answers
+// to the same VM wait behind both.
+func TestReceiverRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		receiver := &wire{rate: 5e6 / 8}
+		var wg sync.WaitGroup
+		for i := range 2 {
+			pa := New(5e6)
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+				an := pa.Begin(90_000, float64(Share(5e6, i)))
+				defer an.End()
+				for rest := 90_000; rest > 0; rest -= pa.Piece() {
+					if err := an.Wait(t.Context(), pa.Piece()); err != nil {
+						t.Error(err)
+					}
+					receiver.send(pa.Piece())
+				}
+			})
+		}
+		var list []time.Duration
+		for began := time.Now(); time.Since(began) < 250*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+			now := time.Now()
+			list = append(list, receiver.send(100).Sub(now))
+		}
+		wg.Wait()
+		if got := most(list); got > 40*time.Millisecond {
+			t.Errorf("a small answer took up to %v beside two large ones", got)
+		}
+		if got := Share(1e9, 5); got != 0 {
+			t.Errorf("a fast link asks for %d bytes a second", got)
+		}
+	})
+}
+
 // TestBacklog: outlets place downloads by how long a VM's link has to send.
 func TestBacklog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pa := New(5e6)
-		a, b := pa.Begin(90_000), pa.Begin(90_000)
+		a, b := pa.Begin(90_000, 0), pa.Begin(90_000, 0)
 		if got := pa.Backlog(); got < 300*time.Millisecond || got > 310*time.Millisecond {
 			t.Errorf("two answers of 153ms each: %v", got)
 		}
@@ -164,12 +200,12 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer cancel()
 		began := time.Now()
-		an := pa.Begin(400_000)
+		an := pa.Begin(400_000, 0)
 		if err := an.Wait(ctx, 400_000); err == nil || time.Since(began) != 10*time.Millisecond {
 			t.Errorf("the wait ended with %v after %v", err, time.Since(began))
 		}
 		an.End()
-		if err := pa.Begin(4000).Wait(t.Context(), 4000); err != nil || time.Since(began) > 90*time.Millisecond {
+		if err := pa.Begin(4000, 0).Wait(t.Context(), 4000); err != nil || time.Since(began) > 90*time.Millisecond {
 			t.Errorf("the next one waited %v: %v", time.Since(began), err)
 		}
 		if len(pa.waiting) != 0 || pa.rest != 0 {
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -283,12 +283,16 @@
 // linkWait returns how long the VM's link has to send before it is free for an
 // answer of size bytes. Small answers go before the others.
 func (ep *Endpoint) linkWait(now time.Time, size int64) time.Duration {
-	if size <= largeAnswer {
+	if !Large(size) {
 		return 0
 	}
 	return max(0, time.Duration(ep.live.linkFree.Load()-now.UnixNano()))
 }
 
+// Large tells whether an answer that is expected to have size bytes is large, so
+// that it waits for links.
+func Large(size int64) bool { return size > largeAnswer }
+
 const (
 	// largeAnswer is the size above which an answer waits for the link, in bytes:
 	// what inlets take for a small one, and its head.
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -94,6 +94,9 @@
 	SentHeader = Prefix + "Sent"
 	// TokenHeader bears the mesh token, the outlet's proof to the inlet.
 	TokenHeader = Prefix + "Token"
+	// RateHeader on a request is how many bytes a second of its answer the sender
+	// can take, where its link is narrow.
+	RateHeader = Prefix + "Rate"
 	// LoadHeader on an inlet's answer gives running requests, waiting requests
 	// and slots.
 	LoadHeader = Prefix + "Load"
