stat/trail, cmds: explain tells from logs what became of a request, and why

Cause: an on-call engineer had to put the lines of several daemons together by hand, and the logs did not tell whether a late answer had waited or run long. Change: flamingomast explain --id ID LOG... orders the lines of a request and of the calls made for it, adds what the daemons went by at that moment, and names the causes; inlets say on each answer how long the request waited and held its slot, and the outlet's line has both. Not measured: the price of the two fields.

--- /dev/null
+++ b/internal/node/cmds/explain.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/flamingomast/flamingomast/internal/stat/trail"
+)
+
+func (ap *app) explainCmd() *ffcli.Command {
+	fs := ap.flags("explain")
+	ap.jsonFlag(fs)
+	id := fs.String("id", "", "the caller's id of the request (required)")
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "flamingomast explain --id ID LOG...", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Tell from daemons' logs what became of a request, and why.",
+		LongHelp: "The logs of all daemons that may have taken part are given as files, in any order.\n" +
+			"It ends with status 0 where a line bears the id, with 1 where none does.",
+		Exec: func(_ context.Context, files []string) error {
+			switch {
+			case *id == "":
+				return usageError("flamingomast explain: name the request with --id")
+			case len(files) == 0:
+				return usageError("flamingomast explain: name the logs")
+			}
+			lo := trail.New(*id)
+			for _, name := range files {
+				if err := readLog(lo, name); err != nil {
+					return err
+				}
+			}
+			rp := lo.Explain()
+			if ap.json {
+				if err := ap.printJSON(rp); err != nil {
+					return err
+				}
+			} else {
+				ap.printReport(rp)
+			}
+			if len(rp.Lines) == 0 {
+				return fmt.Errorf("flamingomast explain: no line bears the id %s", *id)
+			}
+			return nil
+		},
+	}
+}
+
+func readLog(lo *trail.Log, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return usageError("flamingomast explain: " + err.Error())
+	}
+	// It was only read.
+	defer file.Close()
+	return lo.Read(file)
+}
+
+func (ap *app) printReport(rp *trail.Report) {
+	for _, cause := range rp.Causes {
+		fmt.Fprintln(ap.out, cause)
+	}
+	ap.printLines("its lines, and those of calls made for it", rp.Lines)
+	ap.printLines("what the daemons went by", rp.Beliefs)
+	if rp.Foreign+rp.Broken > 0 {
+		fmt.Fprintf(ap.out, "\npassed over: %d lines of others, %d that cannot be read\n", rp.Foreign, rp.Broken)
+	}
+}
+
+func (ap *app) printLines(title string, list []*trail.Line) {
+	if len(list) == 0 {
+		return
+	}
+	fmt.Fprintf(ap.out, "\n%s:\n", title)
+	for _, ln := range list {
+		fields, err := json.Marshal(ln.Fields)
+		if err != nil {
+			fields = []byte(err.Error())
+		}
+		fmt.Fprintf(ap.out, "%s %s %s %s\n", ln.Time.Format("15:04:05.000"), ln.VM, ln.Event, fields)
+	}
+}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -118,7 +118,7 @@
 		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadline})
 		return
 	}
-	in.forward(ctx, w, r, tg, sr, tk, tf)
+	in.forward(ctx, w, r, tg, &passage{start: start, sr: sr, tk: tk, tf: tf})
 	sr.Latency.Record(time.Since(start))
 }
 
@@ -199,10 +199,24 @@
 	return context.WithTimeout(r.Context(), left)
 }
 
+// passage is a request on its way through the inlet.
+type passage struct {
+	start time.Time
+	sr    *hist.Series
+	tk    *limit.Ticket
+	tf    *transfer
+}
+
+// spent returns what the request has spent here until now.
+func (pa *passage) spent(now time.Time) result.Spent {
+	return result.Spent{Wait: pa.tk.Since().Sub(pa.start), Held: now.Sub(pa.tk.Since())}
+}
+
 // forward sends an admitted request to the backend server and its answer back.
 // The slot is given back once the answer has been read: the backend server is
 // done then, while a narrow link or a slow caller may take the answer for long.
-func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, sr *hist.Series, tk *limit.Ticket, tf *transfer) {
+func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, pa *passage) {
+	sr := pa.sr
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg))
 	if at.Response == nil {
 		rf := in.failure(ctx, r, at, tg)
@@ -233,13 +247,14 @@
 			return
 		}
 		if size > 0 {
-			tk.Leave()
+			pa.tk.Leave()
 		}
 	}
 	proxy.CopyHead(w, at.Response, func(hdr http.Header) {
 		hdr[result.LoadHeader] = []string{in.load().String()}
+		hdr[result.SpentHeader] = []string{pa.spent(time.Now()).String()}
 	})
-	if err := proxy.Copy(w, at, tf.pace(r.Context(), size)); err != nil {
+	if err := proxy.Copy(w, at, pa.tf.pace(r.Context(), size)); err != nil {
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -246,6 +246,9 @@
 	}
 }
 
+// Since returns when the slot was given.
+func (tk *Ticket) Since() time.Time { return tk.since }
+
 // Leave gives the slot back; it does so once. It is not safe for concurrent use.
 func (tk *Ticket) Leave() {
 	if tk.left {
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -49,6 +49,7 @@
 		vd = pick.Bad
 	}
 	took := time.Since(began)
+	rq.spent = result.ParseSpent(at.Response.Header.Get(result.SpentHeader))
 	if rf := rq.readSmall(at); rf != nil {
 		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
 		return rf
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -38,6 +38,8 @@
 	// was sent to.
 	version uint64
 	vm      string
+	// spent is what the answered attempt spent at the inlet.
+	spent result.Spent
 	// tries counts the attempts, busy those that found no room, sent those that
 	// may have reached a backend server.
 	tries, busy, sent int
@@ -224,7 +226,8 @@
 	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
 		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
 		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
-		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), slog.Duration("elapsed", rq.elapsed), slog.Duration(logs.Took, took))
+		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), slog.Duration(logs.Elapsed, rq.elapsed),
+		slog.Duration(logs.Wait, rq.spent.Wait), slog.Duration(logs.Held, rq.spent.Held), slog.Duration(logs.Took, took))
 }
 
 // logAttempt writes the line of a try that did not end in an answer, with what
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -104,6 +104,9 @@
 	// LoadHeader on an inlet's answer gives running requests, waiting requests
 	// and slots.
 	LoadHeader = Prefix + "Load"
+	// SpentHeader on an inlet's answer gives for how many milliseconds the request
+	// waited for a slot and held it, joined by a slash.
+	SpentHeader = Prefix + "Spent"
 )
 
 // Names are the headers in which callers and backend servers speak to this
@@ -260,6 +263,29 @@
 // maxRetryAfter is the longest Retry-After that is believed.
 const maxRetryAfter = time.Hour
 
+// Spent is the time that a request spent at an inlet.
+type Spent struct {
+	// Wait is for a slot, Held the time of the slot until the answer was read.
+	Wait, Held time.Duration
+}
+
+// String returns the form that ParseSpent reads.
+func (sp Spent) String() string {
+	return strconv.FormatInt(sp.Wait.Milliseconds(), 10) + "/" + strconv.FormatInt(sp.Held.Milliseconds(), 10)
+}
+
+// ParseSpent reads what String returns; the zero value for what cannot be read.
+func ParseSpent(s string) Spent {
+	wait, held, _ := strings.Cut(s, "/")
+	w, werr := strconv.ParseUint(wait, 10, 31)
+	h, herr := strconv.ParseUint(held, 10, 31)
+	if werr != nil || herr != nil {
+		// An older release sends none.
+		return Spent{}
+	}
+	return Spent{Wait: time.Duration(w) * time.Millisecond, Held: time.Duration(h) * time.Millisecond}
+}
+
 // Load is what an inlet says of its backend server.
 type Load struct {
 	Running, Waiting, Slots int
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -23,9 +23,12 @@
 	Lifetime = "lifetime"
 	// Took is the time from the arrival to the end, in nanoseconds.
 	Took = "took"
-	// Late is how long a request lay unread, Wait how long it waited for a slot.
-	Late = "late"
+	// Elapsed is how long the caller had been at a request before it came.
+	Elapsed = "elapsed"
+	// Wait is how long a request waited for a slot, Held for how long it held it
+	// until its answer had been read, in nanoseconds, as its inlet says.
 	Wait = "wait"
+	Held = "held"
 	// Load is running, waiting, slots and the mean time in ms that a slot is
 	// held, joined by slashes; LoadAge is its age in milliseconds.
 	Load    = "load"
--- /dev/null
+++ b/internal/stat/trail/cause.go
@@ -0,0 +1,223 @@
+package trail
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
+)
+
+// Report is what became of a request and why, as far as the logs tell.
+type Report struct {
+	ID string `json:"id"`
+	// Lines are those of the request and of calls made for it, in order.
+	Lines []*Line `json:"lines"`
+	// Beliefs are what the daemons that took part went by: the last line of each
+	// kind before the request ended.
+	Beliefs []*Line `json:"beliefs"`
+	// Causes are sentences, the nearest cause first.
+	Causes []string `json:"causes"`
+	// Foreign and Broken count lines that were passed over.
+	Foreign int `json:"foreign-lines"`
+	Broken  int `json:"broken-lines"`
+}
+
+// Explain puts the lines in order and names the cause.
+func (lo *Log) Explain() *Report {
+	sortLines(lo.request)
+	sortLines(lo.beliefs)
+	rp := &Report{ID: lo.id, Lines: lo.request, Foreign: lo.Foreign, Broken: lo.Broken}
+	if len(lo.request) == 0 {
+		rp.Causes = []string{"no line bears this id: the request reached no daemon of these logs, or its lines were left out" + lo.leftOut("", time.Time{})}
+		return rp
+	}
+	end := lo.end()
+	rp.Beliefs = lo.inForce(rp.Lines[len(rp.Lines)-1].Time)
+	if end == nil {
+		first := lo.request[0]
+		rp.Causes = append(rp.Causes, "no line tells its end: the outlet was ended before it, or the line was left out"+lo.leftOut(first.VM, first.Time))
+		return rp
+	}
+	rp.Causes = append(rp.Causes, lo.cause(end)...)
+	return rp
+}
+
+// end returns the line of the caller's own request, nil where there is none. A
+// caller that came back has another id.
+func (lo *Log) end() *Line {
+	var end *Line
+	for _, ln := range lo.request {
+		if ln.Event == logs.Request && ln.text(logs.ID) == lo.id {
+			end = ln
+		}
+	}
+	return end
+}
+
+// inForce returns the last line of each kind of belief of the daemons that took
+// part, at a moment.
+func (lo *Log) inForce(at time.Time) []*Line {
+	part := map[string]bool{}
+	for _, ln := range lo.request {
+		part[ln.VM] = true
+		if to := ln.text(logs.VM); to != "" {
+			part[to] = true
+		}
+	}
+	type kind struct{ vm, event, about string }
+	last := map[kind]*Line{}
+	for _, ln := range lo.beliefs {
+		if !part[ln.VM] || ln.Time.After(at) || ln.Event == logs.LeftOut {
+			continue
+		}
+		last[kind{ln.VM, ln.Event, ln.text("member") + ln.text("domain")}] = ln
+	}
+	var list []*Line
+	for _, ln := range last {
+		list = append(list, ln)
+	}
+	sortLines(list)
+	return list
+}
+
+// cause returns why a request ended as its line says.
+func (lo *Log) cause(end *Line) []string {
+	var list []string
+	reason := result.Reason(end.text(logs.Reason))
+	tries := int(end.number("attempts"))
+	say := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	switch {
+	case end.text(logs.Outcome) == result.Answered.String():
+		say("answered by the server beside %s after %v", end.text(logs.VM), end.span(logs.Took).Round(time.Millisecond))
+		list = append(list, lo.slow(end)...)
+	case reason.NoRoom() && tries == 0:
+		say("refused without being sent: most requests of its kind were refused lately, so the outlet of %s held this one back", end.VM)
+	case reason.NoRoom():
+		say("refused after %d servers had no room (%s)", tries, reason)
+		list = append(list, lo.refusals()...)
+	case reason == result.ReasonNoServer:
+		say("no server of %s was known to the outlet of %s", end.text("service"), end.VM)
+	case end.text(logs.Outcome) == result.MayHaveRun.String() && reason != result.ReasonCallerGone:
+		list = append(list, lo.mayHaveRun(end)...)
+	case reason == result.ReasonCallerGone:
+		say("the caller left after %v", end.span(logs.Took).Round(time.Millisecond))
+	default:
+		say("ended as %s (%s) at the outlet of %s", end.text(logs.Outcome), reason, end.VM)
+	}
+	return append(list, lo.oldVersion(end)...)
+}
+
+// slow tells where the time of an answered request went.
+func (lo *Log) slow(end *Line) []string {
+	var list []string
+	if d := end.span(logs.Elapsed); d > 0 {
+		list = append(list, fmt.Sprintf("the caller had been at it for %v before, as it came back after a refusal or called late", d.Round(time.Millisecond)))
+	}
+	wait, held := end.span(logs.Wait), end.span(logs.Held)
+	if wait+held > 0 {
+		rest := end.span(logs.Took) - wait - held
+		list = append(list, fmt.Sprintf("%v of it waiting for a slot at the inlet, %v at the backend server, %v on the way and in attempts before",
+			wait, held, rest.Round(time.Millisecond)))
+	}
+	return append(list, lo.refusals()...)
+}
+
+// refusals names the servers that refused the request, with what the outlet
+// believed and what the inlet said.
+func (lo *Log) refusals() []string {
+	var list []string
+	for _, ln := range lo.request {
+		if ln.text(logs.ID) != lo.id {
+			continue
+		}
+		switch ln.Event {
+		case logs.Attempt:
+			list = append(list, fmt.Sprintf("%s did not take it (%s); the outlet believed %.0f requests there, %v old",
+				ln.text(logs.VM), ln.text(logs.Reason), ln.number(logs.Load), ln.span(logs.LoadAge).Round(time.Millisecond)))
+		case logs.Refused:
+			list = append(list, fmt.Sprintf("the inlet of %s says %s with load %s (running/waiting/slots/ms a slot is held/ms of backlog on its link)",
+				ln.VM, ln.text(logs.Reason), ln.text(logs.Load)))
+		}
+	}
+	return list
+}
+
+// mayHaveRun tells what was lost of a request that was sent and not answered.
+func (lo *Log) mayHaveRun(end *Line) []string {
+	to := end.text(logs.VM)
+	list := []string{fmt.Sprintf("it was sent to %s and no answer says that it has not run (%s)", to, end.text(logs.Reason))}
+	for _, ln := range lo.request {
+		if ln.Event == logs.Failed && ln.text(logs.ID) == lo.id {
+			return append(list, fmt.Sprintf("the inlet of %s had handed it to its backend server, which did not answer it (%s)", ln.VM, ln.text(logs.Reason)))
+		}
+	}
+	for _, ln := range lo.beliefs {
+		if ln.VM == to && ln.Event == "daemon-start" && ln.Time.After(end.Time.Add(-end.span(logs.Took))) {
+			return append(list, fmt.Sprintf("the daemon of %s was lost meanwhile: a new one started at %s", to, ln.Time.Format(time.TimeOnly)))
+		}
+	}
+	return append(list, fmt.Sprintf("the inlet of %s has no line of it: it was lost, the way to it was, or its line was left out%s", to, lo.leftOut(to, end.Time)))
+}
+
+// oldVersion tells whether others held a newer configuration than the request was
+// routed by, and what the daemon knew of the platform.
+func (lo *Log) oldVersion(end *Line) []string {
+	routed := end.number(logs.Version)
+	began := end.Time.Add(-end.span(logs.Took))
+	var newer *Line
+	for _, ln := range lo.beliefs {
+		if ln.Event == "version-held" && ln.number(logs.Version) > routed && ln.Time.Before(began) && (newer == nil || ln.Time.Before(newer.Time)) {
+			newer = ln
+		}
+	}
+	if routed == 0 || newer == nil {
+		return nil
+	}
+	list := []string{fmt.Sprintf("it was routed by version %.0f; %s had held version %.0f for %v by then",
+		routed, newer.VM, newer.number(logs.Version), began.Sub(newer.Time).Round(time.Millisecond))}
+	for _, ln := range lo.beliefs {
+		if ln.VM == end.VM && !ln.Time.After(end.Time) && strings.HasPrefix(ln.Event, "version-") && ln.Event != "version-held" {
+			list = append(list, fmt.Sprintf("%s did not take version %.0f (%s: %s)", ln.VM, ln.number(logs.Version), ln.Event, ln.text("error")))
+		}
+	}
+	if ln := lo.last(end.VM, "platform-state", end.Time); ln != nil && ln.Fields["answers"] == false {
+		list = append(list, fmt.Sprintf("the platform had not answered %s since %s", ln.VM, ln.Time.Format(time.TimeOnly)))
+	}
+	return list
+}
+
+// last returns the last line of an event of a VM until a moment.
+func (lo *Log) last(vm, event string, until time.Time) *Line {
+	var last *Line
+	for _, ln := range lo.beliefs {
+		if ln.VM == vm && ln.Event == event && !ln.Time.After(until) {
+			last = ln
+		}
+	}
+	return last
+}
+
+// leftOut says how many lines a daemon, or any, left out around a moment, which may
+// have been those looked for.
+func (lo *Log) leftOut(vm string, at time.Time) string {
+	n := 0.0
+	for _, ln := range lo.beliefs {
+		if ln.Event != logs.LeftOut || vm != "" && ln.VM != vm || !at.IsZero() && (ln.Time.Before(at) || ln.Time.Sub(at) > 2*reportSpan) {
+			continue
+		}
+		for _, v := range ln.Fields {
+			if f, ok := v.(float64); ok {
+				n += f
+			}
+		}
+	}
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%.0f lines were left out then)", n)
+}
+
+// reportSpan is the time over which lines that were left out are counted together.
+const reportSpan = 5 * time.Second
--- /dev/null
+++ b/internal/stat/trail/doc.go
@@ -0,0 +1,3 @@
+// Package trail finds the cause of what became of one request in the logs of
+// several daemons.
+package trail
--- /dev/null
+++ b/internal/stat/trail/trail_test.go
@@ -0,0 +1,116 @@
+package trail
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// line writes a line of a log at some milliseconds of a second.
+func line(ms int, vm, event, fields string) string {
+	at := time.Date(2030, 1, 2, 3, 4, 5, ms*int(time.Millisecond), time.UTC)
+	if fields != "" {
+		fields = "," + fields
+	}
+	return fmt.Sprintf(`{"time":%q,"level":"INFO","msg":%q,"vm":%q%s}`, at.Format(time.RFC3339Nano), event, vm, fields)
+}
+
+// request is the end of request "x" at VM a.
+func request(ms int, outcome, reason string, attempts int, more string) string {
+	return line(ms, "a", "request", fmt.Sprintf(`"id":"x","service":"booking","version":7,"outcome":%q,"reason":%q,"attempts":%d%s`, outcome, reason, attempts, more))
+}
+
+// TestCauses explains requests from the lines that daemons write. Each case is a
+// complaint that an engineer gets.
+func TestCauses(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		log  []string
+		want []string
+	}{
+		{"refused beside free servers", []string{
+			request(30, "not-run", "slots-full", 2, `,"to-vm":"c","took":12000000`),
+			line(20, "a", "attempt", `"id":"x","to-vm":"b","reason":"slots-full","load":1,"load-age":900000000`),
+			line(19, "b", "inlet-refused", `"id":"x","reason":"slots-full","load":"6/1/6/80"`),
+		}, []string{"refused after 2 servers had no room (slots-full)", "the inlet of b says slots-full with load 6/1/6/80", "the outlet believed 1 requests there, 900ms old"}},
+		{"held back by the outlet", []string{request(30, "not-run", "slots-full", 0, "")}, []string{"refused without being sent"}},
+		{"no server known", []string{request(30, "not-run", string(result.ReasonNoServer), 0, "")}, []string{"no server of booking was known to the outlet of a"}},
+		{"502, the server broke off", []string{
+			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
+			line(29, "b", "inlet-failed", `"id":"x","outcome":"may-have-run","reason":"connection-broken"`),
+		}, []string{"it was sent to b and no answer says that it has not run", "the inlet of b had handed it to its backend server"}},
+		{"502, the daemon was killed", []string{
+			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
+			line(200, "b", "daemon-start", ""),
+		}, []string{"it was sent to b", "the daemon of b was lost meanwhile: a new one started at 03:04:05"}},
+		{"502, nothing known of the inlet", []string{
+			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
+			line(900, "b", "log-lines-left-out", `"inlet-failed":12`),
+		}, []string{"it was sent to b", "its line was left out (12 lines were left out then)"}},
+		{"late", []string{request(900, "answered", "", 1, `,"to-vm":"b","elapsed":100000000,"wait":50000000,"held":600000000,"took":700000000`)},
+			[]string{"answered by the server beside b after 700ms", "been at it for 100ms before", "50ms of it waiting for a slot at the inlet, 600ms at the backend server, 50ms on the way"}},
+		{"the old route", []string{
+			request(900, "answered", "", 1, `,"to-vm":"b","took":10000000`),
+			line(100, "c", "version-held", `"version":8`), line(120, "b", "version-held", `"version":8`),
+			line(50, "a", "platform-state", `"answers":false`),
+		}, []string{"answered by the server beside b after 10ms", "it was routed by version 7; c had held version 8 for 790ms by then", "the platform had not answered a since 03:04:05"}},
+		{"a version that was refused", []string{
+			request(900, "answered", "", 1, `,"took":10000000`), line(100, "c", "version-held", `"version":8`),
+			line(110, "a", "version-refused", `"version":8,"error":"no service nowhere"`),
+		}, []string{"answered", "it was routed by version 7", "a did not take version 8 (version-refused: no service nowhere)"}},
+		{"the caller left", []string{request(900, "may-have-run", "caller-gone", 1, `,"took":500000000`)}, []string{"the caller left after 500ms"}},
+		{"the outlet was killed", []string{line(10, "b", "inlet-failed", `"id":"x","reason":"caller-gone"`)}, []string{"no line tells its end"}},
+		{"unknown id", []string{line(10, "b", "version-held", `"version":8`)}, []string{"no line bears this id"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			lo := New("x")
+			if err := lo.Read(strings.NewReader(strings.Join(tc.log, "\n"))); err != nil {
+				t.Fatal(err)
+			}
+			rp := lo.Explain()
+			if len(rp.Causes) != len(tc.want) {
+				t.Fatalf("causes %q, want %d", rp.Causes, len(tc.want))
+			}
+			for i, want := range tc.want {
+				if !strings.Contains(rp.Causes[i], want) {
+					t.Errorf("cause %d is %q, want %q in it", i, rp.Causes[i], want)
+				}
+			}
+			if lo.Foreign+lo.Broken != 0 {
+				t.Errorf("%d foreign and %d broken lines", lo.Foreign, lo.Broken)
+			}
+		})
+	}
+}
+
+// TestPassedOver: a log that was cut in the middle of a line, with lines of other
+// programs and text before each line, is no error.
+func TestPassedOver(t *testing.T) {
+	lo := New("x")
+	log := "12.3 s vm-a: " + request(30, "answered", "", 1, `,"to-vm":"b"`) + "\nnot a line\n\n{\"a\":1}\n" +
+		line(20, "a", "request", `"id":"xy"`) + "\n" + line(25, "b", "request", `"id":"x.call","service":"portal"`) + "\n" + line(26, "a", "request", `"id":"x"`)[:40]
+	if err := lo.Read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	rp := lo.Explain()
+	if rp.Foreign != 2 || rp.Broken != 1 || len(rp.Lines) != 2 || rp.Lines[0].VM != "b" {
+		t.Errorf("%d foreign, %d broken, %d lines: %+v", rp.Foreign, rp.Broken, len(rp.Lines), rp.Lines)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(request(30, "answered", "", 1, ""))
+	f.Add(`{"time":1,"msg":{}}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		lo := New("x")
+		if err := lo.Read(strings.NewReader(s)); err != nil {
+			t.Fatal(err)
+		}
+		if rp := lo.Explain(); len(rp.Causes) == 0 {
+			t.Error("no cause is named")
+		}
+	})
+}
