path/limit: urgent requests displace others, and those that came back wait longer

Calls of backend servers were refused behind a full queue of less urgent requests. Change: a newcomer that goes before the last of a full queue displaces it; one that came back has the patience of the most urgent and passes the throttle; with 15 servers or more three are tried while a quarter is refused. Tests: TestDisplaced, TestReturned.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -174,7 +174,9 @@
 // ranks as the least urgent.
 func rank(hdr http.Header, class string) limit.Request {
 	rq := limit.Request{Class: class, Priority: lastPriority}
-	prio, left, objective := strings.Cut(hdr.Get(result.UrgencyHeader), "/")
+	text, returned := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.Again)
+	rq.Returned = returned
+	prio, left, objective := strings.Cut(text, "/")
 	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
 		rq.Priority = min(n, lastPriority)
 	}
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -53,6 +53,8 @@
 	// Objective is what is left of the time within which an answer has its full
 	// worth; 0 where none is declared.
 	Objective time.Duration
+	// Returned says that the caller came back after a refusal.
+	Returned bool
 }
 
 // The patience of requests: the part of the time that is left to a request
@@ -69,9 +71,17 @@
 )
 
 // patient returns how long a request may be expected to wait.
+//
+// One that came back has less of its objective left than a new one of its kind.
+// It may wait as long as the most urgent ones: were it refused sooner than new
+// ones, its caller would be turned away twice while others get in at once.
 func (rq Request) patient(service time.Duration) time.Duration {
+	part := time.Duration(1 + rq.Priority)
+	if rq.Returned {
+		part = 1
+	}
 	slack := rq.Objective - service
-	return max(latePatience/time.Duration(1+rq.Priority), time.Duration(patience*float64(slack))/time.Duration(1+rq.Priority))
+	return max(latePatience, time.Duration(patience*float64(slack))) / part
 }
 
 type waiter struct {
@@ -148,6 +158,9 @@
 		ga.mu.Unlock()
 		return nil, rf
 	}
+	if len(cl.queue) >= cl.Queue {
+		ga.displace(cl)
+	}
 	cl.queue = slices.Insert(cl.queue, at, wt)
 	ga.waiting++
 	ga.mu.Unlock()
@@ -189,7 +202,8 @@
 // behind ahead others of its class; ga.mu is held.
 func (ga *Gate) hopeless(ctx context.Context, cl *class, rq Request, ahead int) *result.Refusal {
 	wait := ga.expectedWait(cl, ahead)
-	if len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service) {
+	last := ahead >= len(cl.queue)
+	if last && len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service) {
 		return refuse(result.ReasonFull, wait)
 	}
 	if at, ok := ctx.Deadline(); ok && time.Until(at) < wait+ga.service {
@@ -231,12 +245,26 @@
 		ga.waiting--
 		cl.remove(wt)
 	}
-	if ga.draining {
+	switch {
+	case ga.draining:
 		return nil, refuse(result.ReasonDraining, 0)
+	case ctx.Err() == nil:
+		return nil, refuse(result.ReasonFull, ga.expectedWait(cl, len(cl.queue)))
 	}
 	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl, len(cl.queue)))
 }
 
+// displace refuses the last of a full queue for one that goes before it. Without
+// that, calls of backend servers were refused behind a queue of less urgent
+// requests, and the work of their callers was lost. ga.mu is held.
+func (ga *Gate) displace(cl *class) {
+	last := cl.queue[len(cl.queue)-1]
+	cl.queue = cl.queue[:len(cl.queue)-1]
+	ga.waiting--
+	last.gone = true
+	close(last.ready)
+}
+
 func (cl *class) remove(wt *waiter) {
 	for i, w := range cl.queue {
 		if w == wt {
--- a/internal/path/limit/limit_test.go
+++ b/internal/path/limit/limit_test.go
@@ -250,3 +250,61 @@
 		})
 	}
 }
+
+// TestDisplaced: a queue is full of requests of little urgency when an urgent one
+// comes. A call of a backend server was refused then, and the work of the request
+// that it was made for was lost. The last in the queue is refused in its place, at
+// once; one that is no more urgent than those that wait displaces nobody.
+func TestDisplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := New()
+		ga.Configure(1, []Class{{Name: "default", Share: 100, Queue: 2}})
+		held := fill(t, ga, "default", 1)
+		type end struct {
+			name string
+			rf   *result.Refusal
+		}
+		ends := make(chan end, 10)
+		enter := func(name string, priority int) {
+			go func() {
+				tk, rf := ga.Enter(t.Context(), Request{Class: "default", Priority: priority, Objective: time.Second})
+				ends <- end{name, rf}
+				if tk != nil {
+					tk.Leave()
+				}
+			}()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+		}
+		enter("document", 2)
+		enter("lookup", 2)
+		enter("call", 0)
+		if got := <-ends; got.name != "lookup" || got.rf == nil || got.rf.Reason != result.ReasonFull || got.rf.Outcome != result.NotRun {
+			t.Errorf("%s ended with %+v; want the last lookup refused as full", got.name, got.rf)
+		}
+		enter("another", 2)
+		if got := <-ends; got.name != "another" || got.rf == nil {
+			t.Errorf("%s ended with %+v; want the newcomer refused", got.name, got.rf)
+		}
+		held[0].Leave()
+		for _, want := range []string{"call", "document"} {
+			if got := <-ends; got.name != want || got.rf != nil {
+				t.Errorf("%s got the slot, %+v; want %s", got.name, got.rf, want)
+			}
+		}
+		if ld := ga.Load(); ld.Running != 0 || ld.Waiting != 0 {
+			t.Errorf("left over: %+v", ld)
+		}
+	})
+}
+
+// TestReturned: lookups come faster than slots become free. One that came back
+// after a refusal has less time left, and was refused again before new ones were.
+func TestReturned(t *testing.T) {
+	fresh := Request{Priority: 2, Objective: 600 * time.Millisecond}
+	back := Request{Priority: 2, Objective: 400 * time.Millisecond, Returned: true}
+	const service = 160 * time.Millisecond
+	if f, b := fresh.patient(service), back.patient(service); b <= f {
+		t.Errorf("a new lookup may wait %v, one that came back %v", f, b)
+	}
+}
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -183,7 +183,7 @@
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
 	out.Header[result.SentHeader] = []string{lapse.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
-	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed+time.Since(rq.start))}
+	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed, time.Since(rq.start))}
 	if size := rq.kn.expected(); pick.Large(size) {
 		out.Header[result.SizeHeader] = []string{strconv.FormatInt(size, 10)}
 		// This one is counted among them.
--- a/internal/path/outlet/known.go
+++ b/internal/path/outlet/known.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
 // known is what an outlet has learned of a route's requests; it outlives
@@ -57,12 +58,24 @@
 	}
 }
 
-// urgency returns the header that ranks a request at an inlet: its priority and
-// what is left of its objective, 0 where that has passed.
-func urgency(rt *snap.Route, elapsed time.Duration) string {
+// returnedAfter is the time after which a caller is taken to have come back after
+// a refusal: it is told to wait for longer, and what a backend server has spent
+// before it calls is mostly less.
+const returnedAfter = returnLeast
+
+// returned tells whether a caller came back after a refusal.
+func returned(elapsed time.Duration) bool { return elapsed >= returnedAfter }
+
+// urgency returns the header that ranks a request at an inlet: its priority, what
+// is left of its objective, 0 where that has passed, and whether its caller came
+// back. Spent is how long the request has been here.
+func urgency(rt *snap.Route, elapsed, spent time.Duration) string {
 	text := strconv.Itoa(rt.Priority)
 	if rt.Objective > 0 {
-		text += "/" + strconv.FormatInt(max(1, (rt.Objective-elapsed).Milliseconds()), 10)
+		text += "/" + strconv.FormatInt(max(1, (rt.Objective-elapsed-spent).Milliseconds()), 10)
+	}
+	if returned(elapsed) {
+		text += result.Again
 	}
 	return text
 }
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -52,7 +52,9 @@
 		rq.end(rf)
 		return
 	}
-	if !rq.th.Offer(rq.route.Priority, rq.start, rand.Float64()) {
+	// One that came back is offered in any case: held back, it would be turned away
+	// twice for nothing.
+	if !returned(rq.elapsed) && !rq.th.Offer(rq.route.Priority, rq.start, rand.Float64()) {
 		rq.end(&result.Refusal{Outcome: result.NotRun, Reason: result.ReasonFull})
 		return
 	}
@@ -109,6 +111,9 @@
 	// leastBusy holds for few servers, and while many requests find no room
 	// anywhere: more would only multiply the load when all are full.
 	leastBusy = 2
+	// manyServers is the number from which three are tried even then: with as many
+	// some have room for a moment.
+	manyServers = 15
 	// busyPart is the part of the servers that are tried where there are many. An
 	// outlet of many servers hears of each once a second and finds one in seven
 	// full by chance at half the load; a refusal costs 1 ms and tells.
@@ -124,6 +129,9 @@
 // maxBusy returns how many servers without room the request tries.
 func (rq *request) maxBusy() int {
 	if rq.th.Refused(rq.route.Priority, rq.start) > pressed {
+		if rq.gp.Len() >= manyServers {
+			return leastBusy + 1
+		}
 		return leastBusy
 	}
 	return min(max(leastBusy, 1+rq.gp.Len()/busyPart), mostBusy)
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -88,8 +88,10 @@
 	ServiceHeader = Prefix + "Service"
 	ClassHeader   = Prefix + "Class"
 	// UrgencyHeader ranks the request: its priority and, where an objective is
-	// declared, how many milliseconds of it are left, joined by a slash.
+	// declared, how many milliseconds of it are left, joined by a slash. Again
+	// ends it where the caller came back after a refusal.
 	UrgencyHeader = Prefix + "Urgency"
+	Again         = "/again"
 	// SizeHeader is how many bytes the answer is expected to have, where that is
 	// large.
 	SizeHeader = Prefix + "Size"
