path/inlet: late documents are sent where nobody in time needs link or slots

Ruled out: the sender's link (backlog 0 in the refusals' lines). Change: a document gets a quarter of the receiver's link at least; one that is late in any case is taken while half of the slots are free and the link nearly so.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -101,7 +101,7 @@
 	rq := rank(r.Header, class)
 	tf := in.transfer(r)
 	defer tf.end()
-	if rf := tf.expect(r, rq.Objective, in.Gate.Load().Service); rf != nil {
+	if rf := tf.expect(r, rq.Objective, in.Gate.Load()); rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
 		return
--- a/internal/path/inlet/paced.go
+++ b/internal/path/inlet/paced.go
@@ -20,6 +20,10 @@
 // twentieth of an objective of 800 ms. Without it 5 to 7 in 100 came late by less.
 const smallTime = 40 * time.Millisecond
 
+// lateBacklog is the backlog up to which an answer is sent that comes late in any
+// case: less than the large answer under way.
+const lateBacklog = 100 * time.Millisecond
+
 // transfer is the way of an answer over the VM's link.
 type transfer struct {
 	link *pacer.Pacer
@@ -48,19 +52,36 @@
 // server a slot and others the link. The load it answers is that of more large
 // answers than the link carries, which otherwise wait for each other until all of
 // them are late.
-func (tf *transfer) expect(r *http.Request, objective, service time.Duration) *result.Refusal {
+func (tf *transfer) expect(r *http.Request, objective time.Duration, ld result.Load) *result.Refusal {
 	n, err := strconv.ParseUint(r.Header.Get(result.SizeHeader), 10, 31)
 	if err != nil || tf.link == nil {
 		// Not expected to be large.
 		return nil
 	}
-	if over := tf.link.Time(int(n), tf.rate) + service + smallTime - objective; objective > 0 && over > 0 {
-		return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonLink, RetryAfter: over}
+	if objective > 0 {
+		takes := tf.link.Time(int(n), tf.rate) + ld.Service + smallTime
+		if over := excess(tf.link.Backlog(), takes, objective, ld); over > 0 {
+			return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonLink, RetryAfter: over}
+		}
 	}
 	tf.an = tf.link.Expect(int(n), tf.rate)
 	return nil
 }
 
+// excess returns by how much the link's backlog is too long for an answer that
+// takes as long as takes on a free link and has objective left; 0 or less where it
+// is short enough. One that cannot be in time any more still has its caller, and is
+// taken where neither the link nor the slots are needed for those that can.
+func excess(backlog, takes, objective time.Duration, ld result.Load) time.Duration {
+	switch {
+	case takes <= objective:
+		return backlog + takes - objective
+	case 2*ld.Running > ld.Slots:
+		return max(ld.Service, backlog)
+	}
+	return backlog - lateBacklog
+}
+
 // pace returns how an answer of a size is sent, size 0 for an unknown one.
 func (tf *transfer) pace(ctx context.Context, size int64) proxy.Pace {
 	if tf.link == nil || size > 0 && size <= smallAnswer {
--- a/internal/path/pacer/pacer.go
+++ b/internal/path/pacer/pacer.go
@@ -76,9 +76,14 @@
 	return &Pacer{rate: bits / 8 * use}
 }
 
-// receiverPart is the part of a receiver's link that one answer may take: two at
-// a time fit, and small answers pass one.
-const receiverPart = 0.5
+// What one answer may take of a receiver's link.
+const (
+	// receiverPart is for one or two at a time: two fit, and small answers pass one.
+	receiverPart = 0.5
+	// receiverLeast is for many. In smaller parts each would take so long that none
+	// is in time; rather some wait for others for a moment.
+	receiverLeast = 0.25
+)
 
 // Share returns how many bytes a second one more answer should come at over a
 // link of so many bits a second on which others large ones are under way, 0 for a
@@ -87,7 +92,7 @@
 	if !Narrow(bits) {
 		return 0
 	}
-	return int(bits / 8 * min(receiverPart, 1/float64(1+others)))
+	return int(bits / 8 * max(receiverLeast, min(receiverPart, 1/float64(1+others))))
 }
 
 // Piece returns how many bytes of a large answer should be sent at once.
@@ -192,13 +197,13 @@
 	return nil
 }
 
-// Time returns how long an answer of n bytes takes from now on, to a receiver
+// Time returns how long an answer of n bytes takes on a free link, to a receiver
 // that takes rate bytes a second, 0 where that is not bounded.
 func (pa *Pacer) Time(n int, rate float64) time.Duration {
 	if rate <= 0 || rate > pa.rate {
 		rate = pa.rate
 	}
-	return pa.Backlog() + time.Duration(float64(n)/rate*float64(time.Second))
+	return time.Duration(float64(n) / rate * float64(time.Second))
 }
 
 // Backlog returns how long the link takes for what was sent and for the rest of
--- a/internal/path/pacer/pacer_test.go
+++ b/internal/path/pacer/pacer_test.go
@@ -168,6 +168,11 @@
 		if got := most(list); got > 40*time.Millisecond {
 			t.Errorf("a small answer took up to %v beside two large ones", got)
 		}
+		for others, want := range map[int]int{0: 312_500, 1: 312_500, 2: 208_333, 3: 156_250, 9: 156_250} {
+			if got := Share(5e6, others); got != want {
+				t.Errorf("beside %d others: %d bytes a second, want %d", others, got, want)
+			}
+		}
 		if got := Share(1e9, 5); got != 0 {
 			t.Errorf("a fast link asks for %d bytes a second", got)
 		}
