path/limit, node/cmds: nobody starves at a gate; the heap grows by half

Calls and allergy lists kept the slots of the records service, and documents were refused at entry. Memory is the dearest price of the grown agency. Change: one slot in 16 that is handed over goes to who has waited longest, one of each priority may wait, and the only one of a priority is not displaced. The collector runs when the heap has grown by half.

--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -47,6 +47,11 @@
 // platform 22 MB cost 142 processor seconds, 64 MB cost 43 (12 daemons, 61 s).
 const memoryPart = 0.7
 
+// gcPercent is by how much the heap may grow between two collections, in percent.
+// At 50 in place of 100 a daemon among 87 takes 42 in place of 58 GB seconds of the
+// fleet's memory over 18 s of a calm day, and 0.023 in place of 0.019 of a core.
+const gcPercent = 50
+
 // app holds what the commands share.
 type app struct {
 	out, err io.Writer
@@ -171,6 +176,7 @@
 			}
 			// The profile of allocations costs a table of 1.4 MB, and nothing reads it.
 			runtime.MemProfileRate = 0
+			debug.SetGCPercent(gcPercent)
 			debug.SetMemoryLimit(max(memoryLimit, int64(memoryPart*float64(se.Memory))))
 			var level slog.LevelVar
 			level.Set(se.LogLevel)
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -42,6 +42,8 @@
 	own     int // slots that are always its own
 	running int
 	queue   []*waiter
+	// grants counts the slots that were handed to those who wait.
+	grants int
 }
 
 // Request is what the gate goes by.
@@ -70,14 +72,15 @@
 	latePatience = 50 * time.Millisecond
 )
 
-// patient returns how long a request may be expected to wait.
+// patient returns how long the request may be expected to wait; a favoured one
+// waits as long as the most urgent.
 //
-// One that came back has less of its objective left than a new one of its kind.
-// It may wait as long as the most urgent ones: were it refused sooner than new
-// ones, its caller would be turned away twice while others get in at once.
-func (rq Request) patient(service time.Duration) time.Duration {
+// One that came back is favoured. It has less of its objective left than a new one
+// of its kind: were it refused sooner than those, its caller would be turned away
+// twice while others get in at once.
+func (rq Request) patient(service time.Duration, favoured bool) time.Duration {
 	part := time.Duration(1 + rq.Priority)
-	if rq.Returned {
+	if favoured {
 		part = 1
 	}
 	slack := rq.Objective - service
@@ -88,6 +91,7 @@
 	Request
 	// due is when it must begin so that its answer comes within the objective.
 	due     time.Time
+	since   time.Time
 	ready   chan struct{}
 	granted bool
 	gone    bool
@@ -152,7 +156,8 @@
 		ga.mu.Unlock()
 		return tk, nil
 	}
-	wt := &waiter{Request: rq, due: time.Now().Add(rq.Objective), ready: make(chan struct{})}
+	now := time.Now()
+	wt := &waiter{Request: rq, since: now, due: now.Add(rq.Objective), ready: make(chan struct{})}
 	at := cl.place(wt)
 	if rf := ga.hopeless(ctx, cl, rq, at); rf != nil {
 		ga.mu.Unlock()
@@ -203,7 +208,10 @@
 func (ga *Gate) hopeless(ctx context.Context, cl *class, rq Request, ahead int) *result.Refusal {
 	wait := ga.expectedWait(cl, ahead)
 	last := ahead >= len(cl.queue)
-	if last && len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service) {
+	// One of each priority may wait as long as the most urgent, or nobody less
+	// urgent would ever be there when slots become free.
+	favoured := rq.Returned || cl.alone(rq.Priority)
+	if last && len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service, favoured) {
 		return refuse(result.ReasonFull, wait)
 	}
 	if at, ok := ctx.Deadline(); ok && time.Until(at) < wait+ga.service {
@@ -254,15 +262,22 @@
 	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl, len(cl.queue)))
 }
 
-// displace refuses the last of a full queue for one that goes before it. Without
+// displace refuses the last of a full queue for one that goes before it, as long as
+// there is one that is not the only one of its priority. Without
 // that, calls of backend servers were refused behind a queue of less urgent
 // requests, and the work of their callers was lost. ga.mu is held.
 func (ga *Gate) displace(cl *class) {
-	last := cl.queue[len(cl.queue)-1]
-	cl.queue = cl.queue[:len(cl.queue)-1]
+	victim := cl.queue[len(cl.queue)-1]
+	for _, wt := range slices.Backward(cl.queue) {
+		if !cl.single(wt) {
+			victim = wt
+			break
+		}
+	}
+	cl.remove(victim)
 	ga.waiting--
-	last.gone = true
-	close(last.ready)
+	victim.gone = true
+	close(victim.ready)
 }
 
 func (cl *class) remove(wt *waiter) {
@@ -309,8 +324,8 @@
 		if cl == nil {
 			return
 		}
-		wt := cl.queue[0]
-		cl.queue = cl.queue[1:]
+		wt := cl.next()
+		cl.remove(wt)
 		ga.waiting--
 		wt.granted, wt.gone = true, true
 		ga.running++
@@ -319,6 +334,36 @@
 	}
 }
 
+// oldestEvery is how many slots go to the first in the queue before one goes to
+// the one that has waited longest. Without it, documents got nothing at servers
+// that urgent lookups and calls keep busy: 10 in 100 of what was owed to them on a
+// day of high load.
+const oldestEvery = 16
+
+// next returns the waiter that gets the next slot.
+func (cl *class) next() *waiter {
+	cl.grants++
+	wt := cl.queue[0]
+	if cl.grants%oldestEvery == 0 {
+		for _, one := range cl.queue[1:] {
+			if one.since.Before(wt.since) {
+				wt = one
+			}
+		}
+	}
+	return wt
+}
+
+// alone tells whether no other request of the same priority waits.
+func (cl *class) alone(priority int) bool {
+	return !slices.ContainsFunc(cl.queue, func(wt *waiter) bool { return wt.Priority == priority })
+}
+
+// single tells whether a waiter is the only one of its priority.
+func (cl *class) single(wt *waiter) bool {
+	return !slices.ContainsFunc(cl.queue, func(one *waiter) bool { return one != wt && one.Priority == wt.Priority })
+}
+
 func (ga *Gate) nextClass() *class {
 	var best *class
 	for _, cl := range ga.order {
--- a/internal/path/limit/limit_test.go
+++ b/internal/path/limit/limit_test.go
@@ -304,7 +304,44 @@
 	fresh := Request{Priority: 2, Objective: 600 * time.Millisecond}
 	back := Request{Priority: 2, Objective: 400 * time.Millisecond, Returned: true}
 	const service = 160 * time.Millisecond
-	if f, b := fresh.patient(service), back.patient(service); b <= f {
+	if f, b := fresh.patient(service, false), back.patient(service, back.Returned); b <= f {
 		t.Errorf("a new lookup may wait %v, one that came back %v", f, b)
 	}
 }
+
+// TestNobodyStarves: urgent calls keep a server busy for good, and documents of the
+// least urgency come now and then. They got nothing at all; one slot in some goes
+// to who has waited longest.
+func TestNobodyStarves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga := New()
+		ga.Configure(2, []Class{{Name: "default", Share: 100, Queue: 8}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var served [3]atomic.Int64
+		var wg conc.WaitGroup
+		send := func(priority int, objective time.Duration) {
+			wg.Go(func() {
+				tk, rf := ga.Enter(ctx, Request{Class: "default", Priority: priority, Objective: objective})
+				if rf != nil {
+					return
+				}
+				time.Sleep(10 * time.Millisecond)
+				served[priority].Add(1)
+				tk.Leave()
+			})
+		}
+		for i := range 2000 {
+			send(0, 150*time.Millisecond)
+			if i%10 == 0 {
+				send(2, 400*time.Millisecond)
+			}
+			time.Sleep(4 * time.Millisecond)
+		}
+		cancel()
+		wg.Wait()
+		t.Logf("served: %d of 2000 calls, %d of 200 documents", served[0].Load(), served[2].Load())
+		if served[2].Load() < 40 || served[0].Load() < 1300 {
+			t.Errorf("%d of 2000 calls and %d of 200 documents were served in 1600 slots", served[0].Load(), served[2].Load())
+		}
+	})
+}
