mesh/ctrl: the address of a peer is read under its lock

A fetch in the background read the peer's record while the next Hello replaced it. TestAnnounceBeforeConfiguration failed in the same run: it took the routing table for there once the gate was set; both follow a version by themselves, so it waits for the table now. Ruled out: the tests' own state (both stacks are in fetch and Hello).

--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -394,7 +394,7 @@
 	for nd.Board.LatestVersion() < version && nd.hasPeer(pr) {
 		wait, err := nd.fetchOnce(pr)
 		if err != nil {
-			nd.log.Warn("fetch-failed", slog.String("peer", pr.Record.VM), slog.Any("error", err))
+			nd.log.Warn("fetch-failed", slog.String("address", nd.addressOf(pr)), slog.Any("error", err))
 			wait = rand.N(fetchRetry)
 		}
 		if pause(nd.life, wait) != nil {
@@ -409,6 +409,16 @@
 	return nd.peers[pr]
 }
 
+// addressOf returns where a peer is reached. Its record changes with its next Hello.
+func (nd *Node) addressOf(pr *link.Peer) string {
+	if pr.Outgoing {
+		return pr.Addr
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return pr.Record.Control
+}
+
 func (nd *Node) fetchOnce(pr *link.Peer) (wait time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(nd.life, fetchTimeout)
 	defer cancel()
@@ -418,11 +428,7 @@
 		base = cfg.Content
 		req.Have = base.Digest[:]
 	}
-	addr := pr.Record.Control
-	if pr.Outgoing {
-		addr = pr.Addr
-	}
-	res, err := nd.Client(addr).Fetch(ctx, connect.NewRequest(req))
+	res, err := nd.Client(nd.addressOf(pr)).Fetch(ctx, connect.NewRequest(req))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/node/daemon/daemon_test.go
+++ b/internal/node/daemon/daemon_test.go
@@ -98,6 +98,8 @@
 	if err := dm.ready(); err != nil {
 		t.Errorf("not ready: %v", err)
 	}
+	// The gate and the table follow a version each by itself.
+	eventually(t, "a table", func() bool { return dm.Outlet.Table() != nil })
 	sv := dm.Outlet.Table().Snap.Services["booking"]
 	eventually(t, "the server is routed to", func() bool { return dm.Outlet.Table().Group(sv).Len() == 1 })
 }
