path/piping: requests that callers send ahead run side by side

Cause: the library's server reads the next request of a connection only after it has answered the last, so a caller that sends five lookups of 0.3 s at once waits 1.5 s for the last of them, and the outlet counted their time from when it read them.

Ways weighed: an own loop with http.ReadRequest and Response.Write (again all that the library's server does with bodies, interim answers and deadlines); a branch connection for each request sent ahead, served by the same http.Server. Taken: the second. Requests that may run once only, that have a body, or that stand behind one that closes, wait for their turn.

TestSentAhead, over real daemons, fails without the front: all five time out, since none is answered before all have come.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
+	"github.com/flamingomast/flamingomast/internal/path/piping"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
@@ -201,7 +202,7 @@
 		hs *http.Server
 		ln net.Listener
 	}{
-		{servers.outlet, servers.callers.Listener(ls.outlet)}, {servers.inlet, servers.peers.Listener(dm.pathBytes.Listener(ls.inlet))},
+		{servers.outlet, servers.front.Listener(servers.callers.Listener(ls.outlet))}, {servers.inlet, servers.peers.Listener(dm.pathBytes.Listener(ls.inlet))},
 		{servers.control, dm.bytes.Listener(ls.control)}, {servers.admin, ls.admin},
 		{servers.pages, ls.ready}, {servers.pages, ls.announce},
 	} {
@@ -247,6 +248,8 @@
 	outlet, inlet, control, admin, pages *http.Server
 	// callers and peers are the connections of the outlet and of the inlet.
 	callers, peers idle.Set
+	// front serves what callers send ahead.
+	front *piping.Front
 }
 
 // The limits of what callers may send.
@@ -268,19 +271,34 @@
 	}
 	hs := dm.handlers()
 	sv := &servers{
-		outlet: plain(dm.leaving(dm.Outlet)), inlet: plain(dm.leaving(dm.Inlet)),
+		inlet:   plain(dm.leaving(dm.Inlet)),
 		control: dm.Node.NewServer(), admin: plain(admin.New(hs)),
 	}
 	sv.pages = sv.admin
 	if dm.ad.Pages != nil {
 		sv.pages = plain(dm.ad.Pages(hs))
 	}
+	sv.front = piping.New(dm.mayRunAhead, sv.callers.State)
+	sv.outlet = plain(sv.front.Handler(dm.leaving(dm.Outlet)))
 	sv.outlet.Protocols = &both
-	sv.outlet.ConnState, sv.inlet.ConnState = sv.callers.State, sv.peers.State
+	sv.outlet.ConnState, sv.outlet.ConnContext = sv.front.ConnState, sv.front.ConnContext
+	sv.inlet.ConnState = sv.peers.State
 	sv.control.ErrorLog = sv.outlet.ErrorLog
 	return sv
 }
 
+// mayRunAhead tells whether a request may be begun before those that its caller sent
+// before it are answered. Once the daemon drains, the next answer closes the
+// connection, and what stands behind it counts as not read.
+func (dm *Daemon) mayRunAhead(r *http.Request) bool {
+	select {
+	case <-dm.drained:
+		return false
+	default:
+	}
+	return dm.Outlet.Repeatable(r)
+}
+
 // leaving tells callers and outlets to drop their connections once the daemon
 // drains, so that none of them is in use when the listener goes.
 func (dm *Daemon) leaving(next http.Handler) http.Handler {
--- a/internal/path/idle/idle.go
+++ b/internal/path/idle/idle.go
@@ -129,6 +129,14 @@
 	return cn.Conn.SetReadDeadline(t)
 }
 
+// CloseWrite ends writing alone, where the connection can.
+func (cn *conn) CloseWrite() error {
+	if cw, ok := cn.Conn.(interface{ CloseWrite() error }); ok {
+		return cw.CloseWrite()
+	}
+	return nil
+}
+
 // Close ends the connection.
 func (cn *conn) Close() error {
 	cn.st.mu.Lock()
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/piping"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/path/retry"
@@ -147,7 +148,7 @@
 
 // ServeHTTP serves one request.
 func (ou *Outlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
+	start := arrived(r)
 	if gone(r) {
 		ou.Stats.For("none", "none").Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonCallerGone), 1)
 		panic(http.ErrAbortHandler)
@@ -178,7 +179,7 @@
 		limit = min(limit, given)
 		elapsed = kn.elapsed(given)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), limit)
+	ctx, cancel := context.WithDeadline(r.Context(), start.Add(limit))
 	defer cancel()
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
@@ -196,6 +197,26 @@
 	rq.serve()
 }
 
+// arrived returns when a request had been read. One that was sent behind others and
+// waited for its turn has used up as much of its time.
+func arrived(r *http.Request) time.Time {
+	if at := piping.Arrived(r); !at.IsZero() {
+		return at
+	}
+	return time.Now()
+}
+
+// Repeatable tells whether a request may be run again if its answer is lost, and
+// begun before those that its caller sent before it are answered.
+func (ou *Outlet) Repeatable(r *http.Request) bool {
+	rt := ou.routing.Load()
+	if rt == nil {
+		return false
+	}
+	route := rt.tb.Snap.Match(r.Method, r.Host, r.URL.Path, r.Header)
+	return route != nil && retry.Allowed(result.MayHaveRun, route.Repeat, r.Method)
+}
+
 // gone tells whether the caller has closed its connection before the request was
 // read. The server notices that by a read beside the handler, which gets its turn
 // here: without it a request that waited in the queue of new connections until
--- a/internal/plat/memnet/memnet.go
+++ b/internal/plat/memnet/memnet.go
@@ -289,6 +289,12 @@
 	return nil
 }
 
+// CloseWrite ends the way to the other side alone.
+func (mc *conn) CloseWrite() error {
+	mc.w.close()
+	return nil
+}
+
 func (mc *conn) LocalAddr() net.Addr  { return mc.local }
 func (mc *conn) RemoteAddr() net.Addr { return mc.remote }
 
