path/limit: those that can be in time go first, calls by what their slot is worth

Whether callers come back is learned from refusals, and until then from whether requests come only while the own backend server runs something.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -131,6 +131,7 @@
 	})
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service, Link: se.Link,
+		Running:   func() (n, priority int) { return dm.Inlet.Gate.Running() },
 		Forwarder: proxy.New(proxy.Options{Dial: dm.pathBytes.Dialer(dialer.Dial)}),
 	})
 	dm.Inlet = inlet.New(proxy.Options{}, link)
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -174,8 +174,8 @@
 // ranks as the least urgent.
 func rank(hdr http.Header, class string) limit.Request {
 	rq := limit.Request{Class: class, Priority: lastPriority}
-	text, returned := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.Again)
-	rq.Returned = returned
+	text, final := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.Final)
+	rq.Final, rq.Kind = final, hdr.Get(result.RouteHeader)
 	prio, left, objective := strings.Cut(text, "/")
 	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
 		rq.Priority = min(n, lastPriority)
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -28,15 +27,16 @@
 	draining bool
 	classes  map[string]*class
 	order    []*class
-	// service is the weighted mean time for which a slot is held.
-	service  time.Duration
-	measured int
-	idle     chan struct{}
+	// service is the weighted mean time for which a slot is held, kinds the same for
+	// each kind of request.
+	service mean
+	kinds   kinds
+	worth   worths
+	// doing counts the requests that run by priority, without calls.
+	doing [result.Ranks - 1]int
+	idle  chan struct{}
 }
 
-// serviceWeight is how many requests make the mean time of a slot.
-const serviceWeight = 16
-
 type class struct {
 	Class
 	own     int // slots that are always its own
@@ -50,56 +50,20 @@
 type Request struct {
 	// Class names the class whose slots it takes.
 	Class string
+	// Kind names requests that hold a slot for a similar time.
+	Kind string
 	// Priority ranks it among those of its class that wait: 0 goes first.
 	Priority int
 	// Objective is what is left of the time within which an answer has its full
 	// worth; 0 where none is declared.
 	Objective time.Duration
-	// Returned says that the caller came back after a refusal.
-	Returned bool
-}
-
-// The patience of requests: the part of the time that is left to a request
-// before it must begin, within which its turn must be expected to come. What is
-// refused at once can still be served in time elsewhere or a little later; what
-// waits and is then too late has cost its caller the time and the server a slot.
-// More urgent ones may wait longer, since those that come after them and are
-// less urgent wait behind them. TestPatience shows how many wait by it.
-const (
-	patience = 0.6
-	// latePatience is for requests whose objective has passed: they wait only
-	// where hardly anybody does.
-	latePatience = 50 * time.Millisecond
-)
-
-// patient returns how long the request may be expected to wait; a favoured one
-// waits as long as the most urgent.
-//
-// One that came back is favoured. It has less of its objective left than a new one
-// of its kind: were it refused sooner than those, its caller would be turned away
-// twice while others get in at once.
-func (rq Request) patient(service time.Duration, favoured bool) time.Duration {
-	part := time.Duration(1 + rq.Priority)
-	if favoured {
-		part = 1
-	}
-	slack := rq.Objective - service
-	return max(latePatience, time.Duration(patience*float64(slack))) / part
-}
-
-type waiter struct {
-	Request
-	// due is when it must begin so that its answer comes within the objective.
-	due     time.Time
-	since   time.Time
-	ready   chan struct{}
-	granted bool
-	gone    bool
+	// Final says that its caller cannot come back after a refusal.
+	Final bool
 }
 
 // New returns a gate without slots; Configure gives it some.
 func New() *Gate {
-	return &Gate{classes: map[string]*class{}}
+	return &Gate{classes: map[string]*class{}, kinds: kinds{}}
 }
 
 // Configure sets the slots and classes. Requests that run or wait stay as they
@@ -137,6 +101,7 @@
 type Ticket struct {
 	ga    *Gate
 	cl    *class
+	rq    Request
 	since time.Time
 	left  bool
 }
@@ -152,14 +117,14 @@
 	}
 	cl := ga.class(rq.Class)
 	if ga.mayRun(cl) {
-		tk := ga.admit(cl)
+		tk := ga.admit(cl, rq)
 		ga.mu.Unlock()
 		return tk, nil
 	}
-	now := time.Now()
-	wt := &waiter{Request: rq, since: now, due: now.Add(rq.Objective), ready: make(chan struct{})}
+	wt := newWaiter(rq, ga.expected(rq.Kind), time.Now())
+	wt.rank = ga.worth.rank(&rq, wt.service)
 	at := cl.place(wt)
-	if rf := ga.hopeless(ctx, cl, rq, at); rf != nil {
+	if rf := ga.hopeless(ctx, cl, wt, at); rf != nil {
 		ga.mu.Unlock()
 		return nil, rf
 	}
@@ -172,15 +137,13 @@
 	return ga.wait(ctx, cl, wt)
 }
 
-// place returns where a request stands among those of its class that wait: by
-// priority, then by when it must begin. A request that came back after a refusal
-// has less time left, so it goes before the new ones of its kind.
-func (cl *class) place(wt *waiter) int {
-	at, _ := slices.BinarySearchFunc(cl.queue, wt, func(a, b *waiter) int {
-		// Those that are equal keep the order in which they came.
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due.Compare(b.due), -1)
-	})
-	return at
+// expected returns for how long a request of a kind is expected to hold a slot;
+// ga.mu is held.
+func (ga *Gate) expected(kind string) time.Duration {
+	if d := ga.kinds.value(kind); d > 0 {
+		return d
+	}
+	return ga.service.value
 }
 
 func refuse(re result.Reason, after time.Duration) *result.Refusal {
@@ -197,57 +160,67 @@
 	return cl.running < cl.own || ga.waiting == 0
 }
 
-func (ga *Gate) admit(cl *class) *Ticket {
+func (ga *Gate) admit(cl *class, rq Request) *Ticket {
 	ga.running++
 	cl.running++
-	return &Ticket{ga: ga, cl: cl, since: time.Now()}
+	ga.count(&rq, 1)
+	return &Ticket{ga: ga, cl: cl, rq: rq, since: time.Now()}
 }
 
-// hopeless refuses a request that would not be served in time if it waited
-// behind ahead others of its class; ga.mu is held.
-func (ga *Gate) hopeless(ctx context.Context, cl *class, rq Request, ahead int) *result.Refusal {
-	wait := ga.expectedWait(cl, ahead)
-	last := ahead >= len(cl.queue)
-	// One of each priority may wait as long as the most urgent, or nobody less
-	// urgent would ever be there when slots become free.
-	favoured := rq.Returned || cl.alone(rq.Priority)
-	if last && len(cl.queue) >= cl.Queue || rq.Objective != 0 && wait > rq.patient(ga.service, favoured) {
-		return refuse(result.ReasonFull, wait)
+// count counts a request that runs; ga.mu is held.
+func (ga *Gate) count(rq *Request, n int) {
+	if !rq.Final {
+		ga.doing[step(rq.Priority)] += n
 	}
-	if at, ok := ctx.Deadline(); ok && time.Until(at) < wait+ga.service {
+}
+
+// hopeless refuses a request whose turn would come too late if it waited at a place
+// of its class's queue; ga.mu is held.
+func (ga *Gate) hopeless(ctx context.Context, cl *class, wt *waiter, at int) *result.Refusal {
+	wait := ga.expectedWait(cl, wt, at)
+	if left, ok := ctx.Deadline(); ok && time.Until(left) < wait+wt.service {
 		return refuse(result.ReasonTooLate, wait)
 	}
+	last := at >= len(cl.queue)
+	if last && len(cl.queue) >= cl.Queue || wait > wt.patient() {
+		return refuse(result.ReasonFull, wait)
+	}
 	return nil
 }
 
-// expectedWait estimates when a slot would come to a request behind so many of
-// its class, from the rate at which slots really become free. ga.mu is held.
-func (ga *Gate) expectedWait(cl *class, ahead int) time.Duration {
-	slots := ga.slots
+// expectedWait estimates when a slot would come to a request at a place of its
+// class's queue, from the time for which those before it will hold theirs; ga.mu is
+// held.
+func (ga *Gate) expectedWait(cl *class, wt *waiter, at int) time.Duration {
+	slots, sum := ga.slots, ga.service.value+cl.before(wt, at)
 	if cl.own > 0 {
 		// Its own slots serve its own queue first.
 		slots = cl.own
 	} else {
-		ahead += ga.waiting - len(cl.queue)
+		sum += ga.service.value * time.Duration(ga.waiting-len(cl.queue))
 	}
 	if slots <= 0 {
 		return time.Second
 	}
-	return ga.service * time.Duration(ahead+1) / time.Duration(slots)
+	return sum / time.Duration(slots)
 }
 
 func (ga *Gate) wait(ctx context.Context, cl *class, wt *waiter) (*Ticket, *result.Refusal) {
+	tm := time.NewTimer(wt.giveUp())
+	defer tm.Stop()
 	select {
 	case <-wt.ready:
 	case <-ctx.Done():
+	case <-tm.C:
 	}
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
 	if wt.granted {
 		// Granted and given up at the same moment counts as granted; the
 		// caller sees its ended context next and leaves the slot.
-		return &Ticket{ga: ga, cl: cl, since: time.Now()}, nil
+		return &Ticket{ga: ga, cl: cl, rq: wt.Request, since: time.Now()}, nil
 	}
+	after := ga.expectedWait(cl, wt, len(cl.queue))
 	if !wt.gone {
 		wt.gone = true
 		ga.waiting--
@@ -257,9 +230,9 @@
 	case ga.draining:
 		return nil, refuse(result.ReasonDraining, 0)
 	case ctx.Err() == nil:
-		return nil, refuse(result.ReasonFull, ga.expectedWait(cl, len(cl.queue)))
+		return nil, refuse(result.ReasonFull, after)
 	}
-	return nil, refuse(result.ReasonDeadline, ga.expectedWait(cl, len(cl.queue)))
+	return nil, refuse(result.ReasonDeadline, after)
 }
 
 // displace refuses the last of a full queue for one that goes before it, as long as
@@ -267,28 +240,13 @@
 // that, calls of backend servers were refused behind a queue of less urgent
 // requests, and the work of their callers was lost. ga.mu is held.
 func (ga *Gate) displace(cl *class) {
-	victim := cl.queue[len(cl.queue)-1]
-	for _, wt := range slices.Backward(cl.queue) {
-		if !cl.single(wt) {
-			victim = wt
-			break
-		}
-	}
+	victim := cl.victim()
 	cl.remove(victim)
 	ga.waiting--
 	victim.gone = true
 	close(victim.ready)
 }
 
-func (cl *class) remove(wt *waiter) {
-	for i, w := range cl.queue {
-		if w == wt {
-			cl.queue = append(cl.queue[:i], cl.queue[i+1:]...)
-			return
-		}
-	}
-}
-
 // Since returns when the slot was given.
 func (tk *Ticket) Since() time.Time { return tk.since }
 
@@ -302,10 +260,10 @@
 	held := time.Since(tk.since)
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	// The first ones count by their number, or one odd first would stand for
-	// long.
-	ga.measured = min(ga.measured+1, serviceWeight)
-	ga.service += (held - ga.service) / time.Duration(ga.measured)
+	ga.service.add(held)
+	ga.kinds.add(tk.rq.Kind, held)
+	ga.worth.add(&tk.rq, held)
+	ga.count(&tk.rq, -1)
 	ga.running--
 	tk.cl.running--
 	ga.handOver()
@@ -324,46 +282,17 @@
 		if cl == nil {
 			return
 		}
-		wt := cl.next()
+		wt := cl.next(time.Now())
 		cl.remove(wt)
 		ga.waiting--
 		wt.granted, wt.gone = true, true
 		ga.running++
 		cl.running++
+		ga.count(&wt.Request, 1)
 		close(wt.ready)
 	}
 }
 
-// oldestEvery is how many slots go to the first in the queue before one goes to
-// the one that has waited longest. Without it, documents got nothing at servers
-// that urgent lookups and calls keep busy: 10 in 100 of what was owed to them on a
-// day of high load.
-const oldestEvery = 16
-
-// next returns the waiter that gets the next slot.
-func (cl *class) next() *waiter {
-	cl.grants++
-	wt := cl.queue[0]
-	if cl.grants%oldestEvery == 0 {
-		for _, one := range cl.queue[1:] {
-			if one.since.Before(wt.since) {
-				wt = one
-			}
-		}
-	}
-	return wt
-}
-
-// alone tells whether no other request of the same priority waits.
-func (cl *class) alone(priority int) bool {
-	return !slices.ContainsFunc(cl.queue, func(wt *waiter) bool { return wt.Priority == priority })
-}
-
-// single tells whether a waiter is the only one of its priority.
-func (cl *class) single(wt *waiter) bool {
-	return !slices.ContainsFunc(cl.queue, func(one *waiter) bool { return one != wt && one.Priority == wt.Priority })
-}
-
 func (ga *Gate) nextClass() *class {
 	var best *class
 	for _, cl := range ga.order {
@@ -417,9 +346,36 @@
 	ga.draining = false
 }
 
-// Load returns how many requests run and wait, and the slots.
+// Running returns how many requests run, and of which priority most of them are.
+func (ga *Gate) Running() (n, priority int) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	for pr, count := range ga.doing {
+		if count >= ga.doing[priority] {
+			priority = pr
+		}
+	}
+	return ga.running, priority
+}
+
+// Load returns how many requests run and wait, the slots, and what waits are to be
+// expected.
 func (ga *Gate) Load() result.Load {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
-	return result.Load{Running: ga.running, Waiting: ga.waiting, Slots: ga.slots, Service: ga.service.Truncate(time.Millisecond)}
+	ld := result.Load{Running: ga.running, Waiting: ga.waiting, Slots: ga.slots, Service: ga.service.value.Truncate(time.Millisecond)}
+	if ga.running < ga.slots || ga.slots <= 0 {
+		return ld
+	}
+	now := time.Now()
+	for i := range ld.Waits {
+		ld.Waits[i] = ga.service.value
+	}
+	for _, cl := range ga.order {
+		cl.addWaits(&ld.Waits, ga.worth.final, now)
+	}
+	for i := range ld.Waits {
+		ld.Waits[i] = (ld.Waits[i] / time.Duration(ga.slots)).Truncate(time.Millisecond)
+	}
+	return ld
 }
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -184,7 +184,8 @@
 	out.Header[result.ServiceHeader] = []string{rq.sv.Name}
 	out.Header[result.SentHeader] = []string{lapse.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
-	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.elapsed, time.Since(rq.start), rq.further)}
+	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.priority, rq.elapsed, time.Since(rq.start), rq.final)}
+	out.Header[result.RouteHeader] = []string{rq.route.Name}
 	if size := rq.kn.expected(); pick.Large(size) {
 		out.Header[result.SizeHeader] = []string{strconv.FormatInt(size, 10)}
 		// This one is counted among them.
--- a/internal/path/outlet/known.go
+++ b/internal/path/outlet/known.go
@@ -47,13 +47,13 @@
 // urgency returns the header that ranks a request at an inlet: its priority, what
 // is left of its objective, 0 where that has passed, and whether its caller came
 // back. Spent is how long the request has been here.
-func urgency(rt *snap.Route, elapsed, spent time.Duration, further bool) string {
-	text := strconv.Itoa(rt.Priority)
+func urgency(rt *snap.Route, priority int, elapsed, spent time.Duration, final bool) string {
+	text := strconv.Itoa(priority)
 	if rt.Objective > 0 {
 		text += "/" + strconv.FormatInt(max(1, (rt.Objective-elapsed-spent).Milliseconds()), 10)
 	}
-	if further {
-		text += result.Again
+	if final {
+		text += result.Final
 	}
 	return text
 }
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -29,6 +29,7 @@
 	token   string
 	names   result.Names
 	service string
+	running func() (n, priority int)
 	sample  atomic.Uint64 // bits of the share of requests that are logged
 	routing atomic.Pointer[routing]
 	// life ends with Close.
@@ -65,6 +66,9 @@
 	Names result.Names
 	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
 	Link float64
+	// Running returns how many requests the VM's own backend server runs and of which
+	// priority most of them are; nil where there is none.
+	Running func() (n, priority int)
 	// Service is the service that runs on this VM, which backend servers are
 	// told as the one that calls.
 	Service string
@@ -72,7 +76,10 @@
 
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link}
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link, running: op.Running}
+	if ou.running == nil {
+		ou.running = func() (n, priority int) { return 0, 0 }
+	}
 	ou.life, ou.end = context.WithCancel(context.Background())
 	ou.SetSample(op.Sample)
 	ou.requests.Most, ou.bodies.Most = maxRequests, maxBodies
@@ -178,16 +185,21 @@
 	limit := route.Deadline
 	kn := rt.known[route.Index]
 	given, ok := ou.timeout(r.Header)
+	short := ok && given <= limit
 	if ok {
 		limit = min(limit, given)
 	}
 	try, further := ou.memory.Came(r, start, given, &kn.back)
+	final, priority := false, route.Priority
+	if n, parents := ou.running(); kn.back.Came(start, short && !further, n > 0) {
+		final, priority = true, parents
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(limit))
 	defer cancel()
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: start.Sub(try.First), further: further, try: try,
+		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: start.Sub(try.First), further: further, try: try, final: final, priority: priority,
 	}
 	undo := guardTimes(w, start.Add(limit))
 	defer func() {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -35,6 +35,10 @@
 	start time.Time
 	// elapsed is how long the caller had been at it before it came here.
 	elapsed time.Duration
+	// final is set where the caller cannot come back after a refusal.
+	final bool
+	// priority is the route's, or for a call that of the request it is made for.
+	priority int
 	// try is this one of its caller, further says that there was one before it.
 	try     *again.Try
 	further bool
@@ -58,11 +62,11 @@
 	}
 	// One that came back is offered in any case: held back, it would be turned away
 	// twice for nothing.
-	if !rq.further && !rq.th.Offer(rq.route.Priority, rq.start, rand.Float64()) {
+	if !rq.final && !rq.further && !rq.th.Offer(rq.priority, rq.start, rand.Float64()) {
 		rq.end(&result.Refusal{Outcome: result.NotRun, Reason: result.ReasonFull})
 		return
 	}
-	rq.th.Done(rq.route.Priority, time.Now(), rq.send())
+	rq.th.Done(rq.priority, time.Now(), rq.send())
 }
 
 // send sends the request until it is answered or given up on, and tells whether
@@ -132,7 +136,7 @@
 
 // maxBusy returns how many servers without room the request tries.
 func (rq *request) maxBusy() int {
-	if rq.th.Refused(rq.route.Priority, rq.start) > pressed {
+	if rq.th.Refused(rq.priority, rq.start) > pressed {
 		if rq.gp.Len() >= manyServers {
 			return leastBusy + 1
 		}
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -88,10 +88,12 @@
 	ServiceHeader = Prefix + "Service"
 	ClassHeader   = Prefix + "Class"
 	// UrgencyHeader ranks the request: its priority and, where an objective is
-	// declared, how many milliseconds of it are left, joined by a slash. Again
-	// ends it where the caller came back after a refusal.
+	// declared, how many milliseconds of it are left, joined by a slash. Final
+	// ends it where the caller cannot come back after a refusal.
 	UrgencyHeader = Prefix + "Urgency"
-	Again         = "/again"
+	Final         = "/final"
+	// RouteHeader names the route.
+	RouteHeader = Prefix + "Route"
 	// SizeHeader is how many bytes the answer is expected to have, where that is
 	// large.
 	SizeHeader = Prefix + "Size"
@@ -297,44 +299,65 @@
 	// Backlog is how long the VM's link takes for what waits to be sent, in whole
 	// milliseconds.
 	Backlog time.Duration
+	// Waits is how long a request of each rank would wait for a slot, in whole
+	// milliseconds.
+	Waits [Ranks]time.Duration
+}
+
+// Ranks is how many ranks of requests are told apart: those whose callers cannot come
+// back, then by priority.
+const Ranks = 4
+
+// Rank returns the rank of a request.
+func Rank(priority int, final bool) int {
+	if final {
+		return 0
+	}
+	return min(max(0, priority)+1, Ranks-1)
 }
 
 // String returns the form that ParseLoad reads.
 func (ld Load) String() string {
-	var buf [32]byte
-	b := strconv.AppendInt(buf[:0], int64(ld.Running), 10)
-	b = append(b, '/')
-	b = strconv.AppendInt(b, int64(ld.Waiting), 10)
-	b = append(b, '/')
-	b = strconv.AppendInt(b, int64(ld.Slots), 10)
-	if ld.Service > 0 || ld.Backlog > 0 {
-		b = append(b, '/')
-		b = strconv.AppendInt(b, ld.Service.Milliseconds(), 10)
+	fields := [5 + Ranks]int64{
+		int64(ld.Running), int64(ld.Waiting), int64(ld.Slots), ld.Service.Milliseconds(), ld.Backlog.Milliseconds(),
+	}
+	for i, wait := range ld.Waits {
+		fields[5+i] = wait.Milliseconds()
 	}
-	if ld.Backlog > 0 {
-		b = append(b, '/')
-		b = strconv.AppendInt(b, ld.Backlog.Milliseconds(), 10)
+	last := len(fields)
+	for last > 3 && fields[last-1] == 0 {
+		last--
+	}
+	var buf [48]byte
+	b := buf[:0]
+	for i, v := range fields[:last] {
+		if i > 0 {
+			b = append(b, '/')
+		}
+		b = strconv.AppendInt(b, v, 10)
 	}
 	return string(b)
 }
 
 // ParseLoad reads what String returns. An older release leaves out the times.
 func ParseLoad(s string) (ld Load, ok bool) {
-	var ms [2]int
-	fields := []*int{&ld.Running, &ld.Waiting, &ld.Slots, &ms[0], &ms[1]}
-	n, last := 0, 0
+	var fields [5 + Ranks]int
+	n := 0
 	for part := range strings.SplitSeq(s, "/") {
 		v, err := strconv.ParseUint(part, 10, 24)
 		if err != nil || n == len(fields) {
 			return Load{}, false
 		}
-		last = int(v)
-		*fields[n] = last
+		fields[n] = int(v)
 		n++
 	}
-	if n > 3 && last == 0 {
+	if n < 3 || n > 3 && fields[n-1] == 0 {
 		return Load{}, false
 	}
-	ld.Service, ld.Backlog = time.Duration(ms[0])*time.Millisecond, time.Duration(ms[1])*time.Millisecond
-	return ld, n >= 3
+	ms := func(i int) time.Duration { return time.Duration(fields[i]) * time.Millisecond }
+	ld = Load{Running: fields[0], Waiting: fields[1], Slots: fields[2], Service: ms(3), Backlog: ms(4)}
+	for i := range ld.Waits {
+		ld.Waits[i] = ms(5 + i)
+	}
+	return ld, true
 }
