path/pick: servers are compared by the time of the route and their own speed

Cause: the cost of a server was its mean time a slot, over all kinds. And one load for all: a call was kept away from a server whose queue holds records that it would go before.

Now an outlet keeps the mean time of each route and, for each server, how its answers compare with it; inlets tell with each answer what a request of each rank would wait.

--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -21,8 +21,7 @@
 func (rq *request) attempt(ep *pick.Endpoint) *result.Refusal {
 	rq.tries++
 	rq.vm = ep.VM
-	began := time.Now()
-	ep.Begin(began)
+	ep.Begin(time.Now())
 	if pick.Large(rq.kn.expected()) {
 		rq.ou.large.Add(1)
 		defer rq.ou.large.Add(-1)
@@ -39,7 +38,7 @@
 		ep.SetLoad(ld, time.Now(), rq.gp)
 	}
 	if rf := result.FromAnswer(at.Response); rf != nil {
-		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
+		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		// A short body is read to its end, so that the connection is kept.
 		_, _ = io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10))
 		return rf
@@ -49,10 +48,12 @@
 		vd = pick.Bad
 		rq.ou.memory.Failed(rq.try, time.Now(), false, &rq.kn.back)
 	}
-	took := time.Since(began)
 	rq.spent = result.ParseSpent(at.Response.Header.Get(result.SpentHeader))
+	if vd == pick.Good {
+		ep.Measured(rq.spent.Held, rq.kn.ran(rq.spent.Held))
+	}
 	if rf := rq.readSmall(at); rf != nil {
-		ep.End(time.Now(), verdictOf(rf), 0, rq.gp)
+		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		return rf
 	}
 	rq.kn.answered(headBytes + bodyBytes(rq.r) + max(0, at.Response.ContentLength))
@@ -62,7 +63,7 @@
 	if errors.As(err, &ce) && ce.Reading && rq.ctx.Err() == nil {
 		vd = pick.Bad
 	}
-	ep.End(time.Now(), vd, took, rq.gp)
+	ep.End(time.Now(), vd, rq.gp)
 	if err != nil {
 		rq.count(result.Ended, result.ReasonBroken)
 		panic(http.ErrAbortHandler)
@@ -75,7 +76,7 @@
 func (rq *request) ended(ep *pick.Endpoint, vd pick.Verdict) {
 	now := time.Now()
 	wasOut := ep.Out(now)
-	ep.End(now, vd, 0, rq.gp)
+	ep.End(now, vd, rq.gp)
 	if vd == pick.Unreachable && !wasOut {
 		go rq.ou.awaitReturn(ep)
 	}
--- a/internal/path/outlet/known.go
+++ b/internal/path/outlet/known.go
@@ -16,6 +16,8 @@
 type known struct {
 	// size is the weighted mean of the bytes that an answer has, with its head.
 	size atomic.Int64
+	// held is the weighted mean time for which its requests hold a slot.
+	held atomic.Int64
 	// back learns whether callers come back after a refusal.
 	back again.Route
 }
@@ -36,6 +38,20 @@
 	kn.size.Store(old + (n-old)/sizeWeight)
 }
 
+// heldWeight is how many answers make the mean time of a route.
+const heldWeight = 32
+
+// ran notes for how long a request held a slot and returns what is typical.
+func (kn *known) ran(held time.Duration) time.Duration {
+	old := time.Duration(kn.held.Load())
+	if old == 0 {
+		old = held
+	}
+	next := old + (held-old)/heldWeight
+	kn.held.Store(int64(next))
+	return next
+}
+
 // expected returns the bytes that a request and its answer are expected to have.
 func (kn *known) expected() int64 {
 	if n := kn.size.Load(); n > 0 {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -74,7 +74,7 @@
 func (rq *request) send() (taken bool) {
 	var last *result.Refusal
 	for {
-		ep := rq.gp.Pick(time.Now(), pick.Want{Size: rq.kn.expected(), Stay: pacer.Narrow(rq.ou.link)}, &rq.tried, rand.IntN)
+		ep := rq.gp.Pick(time.Now(), rq.want(), &rq.tried, rand.IntN)
 		if ep == nil {
 			if last == nil {
 				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
@@ -99,6 +99,14 @@
 	}
 }
 
+// want returns what the request asks of a server.
+func (rq *request) want() pick.Want {
+	return pick.Want{
+		Size: rq.kn.expected(), Stay: pacer.Narrow(rq.ou.link),
+		Rank: result.Rank(rq.priority, rq.final), Held: time.Duration(rq.kn.held.Load()),
+	}
+}
+
 // staleConn tells whether a request met a kept connection that could not take
 // it. That says nothing of the server, which may be tried again.
 func staleConn(rf *result.Refusal) bool {
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -12,8 +12,9 @@
 const (
 	// loadAge is how long a reported load counts; it fades over that time.
 	loadAge = time.Second
-	// latencyAge is the time after which a latency counts half.
-	latencyAge = 5 * time.Second
+	// slowAge is the time without an answer after which a server is taken to be twice as
+	// fast as it was, so that one whose last answers were slow is tried again.
+	slowAge = 5 * time.Second
 	// stuckAfter is how long a server with requests may answer nothing before
 	// others are preferred to it. A frozen process accepts connections and
 	// requests; only its lack of answers shows it.
@@ -31,9 +32,9 @@
 	startShare = 0.05
 	// coldFactor is how many times as long a server takes that says it is cold.
 	coldFactor = 2
-	// guessService is the time for which servers are taken to hold a slot while
+	// guessHeld is the time for which servers are taken to hold a slot while
 	// none of them has answered.
-	guessService = 100 * time.Millisecond
+	guessHeld = 100 * time.Millisecond
 )
 
 // Endpoint is a backend server as one outlet sees it. Its counters are shared
@@ -63,7 +64,9 @@
 	failing  atomic.Int32  // weighted share of failures, in 1/one
 	ejected  atomic.Int64  // until when it is left out
 	times    atomic.Int32  // how often in a row it was left out
-	latency  atomic.Int64  // weighted mean time of an answer, 0 for unknown
+	speed    atomic.Uint64 // bits of the time of its answers against typical ones, 0 for unknown
+	measured atomic.Int32  // how many answers made it
+	waits    atomic.Uint64 // reported waits in ms by rank, 16 bits each
 	linkFree atomic.Int64  // when the VM's link will have sent what waits
 }
 
@@ -106,8 +109,8 @@
 	Unreachable
 )
 
-// End counts a request as ended that took as long as took.
-func (ep *Endpoint) End(now time.Time, vd Verdict, took time.Duration, gp *Group) {
+// End counts a request as ended.
+func (ep *Endpoint) End(now time.Time, vd Verdict, gp *Group) {
 	ep.live.running.Add(-1)
 	if vd != Unreachable {
 		ep.live.answered.Store(now.UnixNano())
@@ -127,9 +130,6 @@
 		if ep.weigh(one) > failShare && gp.mayEject(ep, now) {
 			ep.eject(now)
 		}
-	case Good:
-		ep.setLatency(took)
-		fallthrough
 	default:
 		if ep.weigh(0) < one/4 {
 			ep.live.times.Store(0)
@@ -137,22 +137,50 @@
 	}
 }
 
-// setLatency adds the time of an answer to the mean.
-func (ep *Endpoint) setLatency(took time.Duration) {
-	old := ep.live.latency.Load()
+// The measure of a server's speed.
+const (
+	// speedWeight is how many answers make it. With 16, the one of six equal servers
+	// that is lucky gets a quarter of the requests.
+	speedWeight = 32
+	// firstWeight is how many answers a server is taken to have given as the others do
+	// before its first one. Without it, one that is slow by chance with its first
+	// answer gets nothing for seconds.
+	firstWeight = 4
+	// mostSpeed bounds what one answer counts: one of a long tail says little of the
+	// server.
+	mostSpeed = 4
+)
+
+// Measured takes the time for which an answer held a slot, and what is typical of its
+// route over all servers. A mean time of the server alone would tell what it was asked
+// rather than how fast it is: one that has run calls of 30 ms looks five times as fast
+// as another that has run records of 160 ms, and draws what all outlets send.
+func (ep *Endpoint) Measured(held, typical time.Duration) {
+	if held <= 0 || typical <= 0 {
+		return
+	}
+	n := float64(min(firstWeight+ep.live.measured.Add(1), speedWeight))
+	old := math.Float64frombits(ep.live.speed.Load())
 	if old == 0 {
-		old = int64(took)
+		old = 1
 	}
-	ep.live.latency.Store(old + (int64(took)-old)/8)
+	now := min(float64(held)/float64(typical), mostSpeed)
+	ep.live.speed.Store(math.Float64bits(old + (now-old)/n))
 }
 
-// expectedLatency returns the mean time of an answer, which fades while the
-// server answers nothing, so that one that was slow is tried again; 0 for a
-// server that is not known.
-func (ep *Endpoint) expectedLatency(now time.Time) float64 {
-	lat := float64(ep.live.latency.Load())
-	idle := float64(now.UnixNano() - ep.live.answered.Load())
-	return lat / (1 + max(0, idle)/float64(latencyAge))
+// held returns for how long a request that takes others as long as typical is
+// expected to hold a slot. A server of which nothing is known is taken to be like the
+// others; were it taken to be slow, it would never show.
+func (ep *Endpoint) held(now time.Time, typical time.Duration) time.Duration {
+	speed := math.Float64frombits(ep.live.speed.Load())
+	if speed == 0 {
+		if now.Before(ep.ColdUntil) {
+			return coldFactor * typical
+		}
+		return typical
+	}
+	idle := max(0, float64(now.UnixNano()-ep.live.answered.Load())) / float64(slowAge)
+	return time.Duration(float64(typical) * speed / (1 + idle))
 }
 
 // weigh adds an outcome to the share of failures and returns it.
@@ -193,6 +221,11 @@
 	ep.live.linkFree.Store(now.Add(ld.Backlog).UnixNano())
 	load := uint64(min(ld.Running+ld.Waiting, math.MaxUint16))
 	service := uint64(min(ld.Service.Milliseconds(), math.MaxUint16))
+	var waits uint64
+	for i, wait := range ld.Waits {
+		waits |= uint64(min(wait.Milliseconds(), math.MaxUint16)) << (16 * i)
+	}
+	ep.live.waits.Store(waits)
 	ep.live.ownThen.Store(ep.live.running.Load())
 	ep.live.reported.Store(load<<48 | service<<32 | uint64(uint32(now.UnixMilli())))
 }
@@ -225,18 +258,6 @@
 	return ep.load(now, 0), time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
 }
 
-// service returns the time for which the server holds a slot: as its inlet
-// measures it, else as its answers took; 0 while neither tells. What is old
-// fades, so that a server of which the last was bad is tried again.
-func (ep *Endpoint) service(now time.Time) time.Duration {
-	rep := ep.live.reported.Load()
-	if ms := rep >> 32 & math.MaxUint16; ms > 0 {
-		age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
-		return time.Duration(float64(ms) * float64(time.Millisecond) / (1 + float64(age)/float64(latencyAge)))
-	}
-	return time.Duration(ep.expectedLatency(now))
-}
-
 // starting tells whether a new server is to be passed over this time, so that
 // its share grows over its slow start.
 func (ep *Endpoint) starting(now time.Time, rnd Random) bool {
@@ -257,22 +278,13 @@
 // here: the wait for a slot, and the time for which it is held. Servers of one
 // service differ in speed by more than two, so their free slots do not tell
 // which of them answers first. A server that fails part of its requests is
-// taken to need them again, and one that is nearly full to slow down. A server
-// of which nothing is known is taken to be like the others, which hold a slot
-// for the time others; were it taken to be slow, it would never show.
-func (ep *Endpoint) cost(now time.Time, others time.Duration, typical float64) time.Duration {
+// taken to need them again, and one that is nearly full to slow down.
+func (ep *Endpoint) cost(now time.Time, wa *Want, typical float64) time.Duration {
 	slots := float64(max(1, ep.Slots))
 	load := ep.load(now, typical)
-	service := float64(ep.service(now))
-	if service == 0 {
-		service = float64(others)
-		if now.Before(ep.ColdUntil) {
-			service *= coldFactor
-		}
-	}
-	wait := max(0, load+1-slots) * service / slots
+	held := float64(ep.held(now, wa.Held))
 	use := min(1, load/slots)
-	cost := waitWeight*wait + service*(1+fullSlowdown*use)
+	cost := waitWeight*ep.wait(now, wa.Rank, load, held) + held*(1+fullSlowdown*use)
 	cost *= 1 + failWeight*ep.failShareNow()
 	if ep.live.running.Load() > 0 && now.UnixNano()-ep.live.answered.Load() > int64(stuckAfter) {
 		cost += float64(stuckCost)
@@ -280,6 +292,27 @@
 	return time.Duration(cost)
 }
 
+// wait estimates the wait for a slot: what the inlet said last, and what this outlet
+// has sent since then. With age that gives way to what the load tells.
+func (ep *Endpoint) wait(now time.Time, rank int, load, held float64) float64 {
+	slots := float64(max(1, ep.Slots))
+	byLoad := max(0, load+1-slots) * held / slots
+	rep := ep.live.reported.Load()
+	age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	if rep == 0 || age >= loadAge {
+		return byLoad
+	}
+	told := float64(ep.live.waits.Load()>>(16*rank)&math.MaxUint16) * float64(time.Millisecond)
+	since := float64(ep.live.running.Load() - ep.live.ownThen.Load())
+	free := max(0, slots-float64(rep>>48))
+	over := max(0, since-free)
+	if free > 0 {
+		over = max(0, since+1-free)
+	}
+	old := float64(age) / float64(loadAge)
+	return (told+over*held/slots)*(1-old) + byLoad*old
+}
+
 // linkWait returns how long the VM's link has to send before it is free for an
 // answer of size bytes. Small answers go before the others.
 func (ep *Endpoint) linkWait(now time.Time, size int64) time.Duration {
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -227,23 +227,29 @@
 	// alive. It is for narrow links: those behind the border are as busy, so that
 	// a large answer which finds no room here takes it from others there.
 	Stay bool
+	// Rank is the request's among those that wait, Held for how long those of its
+	// route hold a slot as a rule.
+	Rank int
+	Held time.Duration
 }
 
 // Pick returns the server for a request, or nil when the group has none that was
-// not tried. Each tier stands
-// for the best of some drawn at random. The cheapest one wins, where a server
-// behind more borders costs more. Where the rules do not let requests spill,
+// not tried. Each tier stands for the best of some drawn at random. The cheapest one
+// wins, where a server behind more borders costs more. Where the rules do not let requests spill,
 // only the first tier with a server counts.
 func (gp *Group) Pick(now time.Time, wa Want, tried *Tried, rnd Random) *Endpoint {
+	if wa.Held <= 0 {
+		wa.Held = guessHeld
+	}
 	var best *Endpoint
 	var bestCost time.Duration
 	for i := range gp.tiers {
 		for j, pl := range [2]*pool{&gp.tiers[i].strong, &gp.tiers[i].weak} {
-			ep, cost, held := pl.cheapest(now, wa.Size, gp.typical.share(), tried, rnd)
+			ep, cost := pl.cheapest(now, &wa, gp.typical.share(), tried, rnd)
 			if ep == nil {
 				continue
 			}
-			border := borderHop + time.Duration(wa.Size)*borderByte + time.Duration(borderPart*float64(held))
+			border := borderHop + time.Duration(wa.Size)*borderByte + time.Duration(borderPart*float64(wa.Held))
 			cost += time.Duration(i)*border + time.Duration(j)*weakCost
 			if best == nil || cost < bestCost {
 				best, bestCost = ep, cost
@@ -280,28 +286,27 @@
 // the one that reported last.
 const draws = 5
 
-// cheapest returns the server of a pool that costs least among some drawn, its
-// cost and the time for which they hold a slot.
-func (pl *pool) cheapest(now time.Time, size int64, use float64, tried *Tried, rnd Random) (*Endpoint, time.Duration, time.Duration) {
+// cheapest returns the server of a pool that costs least among some drawn, and its
+// cost.
+func (pl *pool) cheapest(now time.Time, wa *Want, use float64, tried *Tried, rnd Random) (*Endpoint, time.Duration) {
 	if len(pl.list) == 0 {
-		return nil, 0, 0
+		return nil, 0
 	}
 	var drawn [draws]*Endpoint
 	n := draw(&drawn, pl.list[:pl.near], now, tried, rnd)
 	if n == 0 && pl.near < len(pl.list) {
 		n = draw(&drawn, pl.list[pl.near:], now, tried, rnd)
 	}
-	others := typical(drawn[:n], now)
 	var best *Endpoint
 	var bestCost, bestNoisy time.Duration
 	for _, ep := range drawn[:n] {
-		cost := ep.cost(now, others, use) + ep.linkWait(now, size)
+		cost := ep.cost(now, wa, use) + ep.linkWait(now, wa.Size)
 		noisy := cost + cost*time.Duration(rnd(costNoise))/100
 		if best == nil || noisy < bestNoisy {
 			best, bestCost, bestNoisy = ep, cost, noisy
 		}
 	}
-	return best, bestCost, others
+	return best, bestCost
 }
 
 // costNoise is the most, in percent, that is added to a cost by chance. Without it
@@ -335,22 +340,6 @@
 	return n
 }
 
-// typical returns the mean time for which the servers hold a slot, as far as it
-// is known.
-func typical(list []*Endpoint, now time.Time) time.Duration {
-	sum, n := time.Duration(0), time.Duration(0)
-	for _, ep := range list {
-		if sv := ep.service(now); sv > 0 {
-			sum += sv
-			n++
-		}
-	}
-	if n == 0 {
-		return guessService
-	}
-	return sum / n
-}
-
 // lastResort returns a server that is left out, when there is no other: an
 // attempt may succeed, and a refusal without one certainly helps nobody.
 func (gp *Group) lastResort(_ time.Time, tried *Tried, rnd Random) *Endpoint {
