path/pick: no request hangs on a server that is known to be out of reach

Cause: with a failure domain cut off, a request whose own servers were full went on to those behind the cut, 400 ms each, up to two of them, and was refused then; calls did so too, and held the slots of their parents.

Now a refusal for want of room within reach ends the request, and a server that no connection can be made to is no last resort: it is probed beside requests already.

TestCut has eight cases, four of which fail without the change; TestReturn.

--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -103,7 +103,7 @@
 func (rq *request) want() pick.Want {
 	return pick.Want{
 		Size: rq.kn.expected(), Stay: pacer.Narrow(rq.ou.link),
-		Rank: result.Rank(rq.priority, rq.final), Held: time.Duration(rq.kn.held.Load()),
+		Rank: result.Rank(rq.priority, rq.final), Held: time.Duration(rq.kn.held.Load()), Reached: rq.busy > 0,
 	}
 }
 
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -64,6 +64,7 @@
 	failing  atomic.Int32  // weighted share of failures, in 1/one
 	ejected  atomic.Int64  // until when it is left out
 	times    atomic.Int32  // how often in a row it was left out
+	cut      atomic.Bool   // no connection can be made, which is tried again beside requests
 	speed    atomic.Uint64 // bits of the time of its answers against typical ones, 0 for unknown
 	measured atomic.Int32  // how many answers made it
 	waits    atomic.Uint64 // reported waits in ms by rank, 16 bits each
@@ -114,12 +115,14 @@
 	ep.live.running.Add(-1)
 	if vd != Unreachable {
 		ep.live.answered.Store(now.UnixNano())
+		ep.live.cut.Store(false)
 	}
 	switch vd {
 	case Unreachable:
 		// No connection: the daemon or its VM is gone, and no request was lost
 		// to find out. It is left out at once.
 		ep.eject(now)
+		ep.live.cut.Store(true)
 	case Shed:
 		// It has few requests and would draw more and more of them.
 		ep.weigh(one)
@@ -210,7 +213,10 @@
 
 // Return ends the time for which an unreachable server is left out, once a
 // connection was made again.
-func (ep *Endpoint) Return() { ep.live.ejected.Store(0) }
+func (ep *Endpoint) Return() {
+	ep.live.cut.Store(false)
+	ep.live.ejected.Store(0)
+}
 
 // failShareNow returns the weighted share of failures.
 func (ep *Endpoint) failShareNow() float64 { return float64(ep.live.failing.Load()) / one }
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -231,6 +231,9 @@
 	// route hold a slot as a rule.
 	Rank int
 	Held time.Duration
+	// Reached says that a server within reach had no room for it. It is not sent to one
+	// that may be out of reach then: the answer that there is no room is known.
+	Reached bool
 }
 
 // Pick returns the server for a request, or nil when the group has none that was
@@ -245,6 +248,9 @@
 	var bestCost time.Duration
 	for i := range gp.tiers {
 		for j, pl := range [2]*pool{&gp.tiers[i].strong, &gp.tiers[i].weak} {
+			if j > 0 && wa.Reached {
+				break
+			}
 			ep, cost := pl.cheapest(now, &wa, gp.typical.share(), tried, rnd)
 			if ep == nil {
 				continue
@@ -262,7 +268,7 @@
 			return best
 		}
 	}
-	if best != nil {
+	if best != nil || wa.Reached {
 		return best
 	}
 	return gp.lastResort(now, tried, rnd)
@@ -341,14 +347,17 @@
 }
 
 // lastResort returns a server that is left out, when there is no other: an
-// attempt may succeed, and a refusal without one certainly helps nobody.
-func (gp *Group) lastResort(_ time.Time, tried *Tried, rnd Random) *Endpoint {
+// attempt may succeed, and a refusal without one certainly helps nobody. One that no
+// connection can be made to is tried beside requests: each that went there would hang
+// for 400 ms, and the slot of its parent with it.
+func (gp *Group) lastResort(now time.Time, tried *Tried, rnd Random) *Endpoint {
 	if len(gp.all) == 0 {
 		return nil
 	}
 	start := rnd(len(gp.all))
 	for i := range gp.all {
-		if ep := gp.all[(start+i)%len(gp.all)]; !tried.has(ep) {
+		ep := gp.all[(start+i)%len(gp.all)]
+		if !tried.has(ep) && !(ep.live.cut.Load() && ep.Out(now)) {
 			return ep
 		}
 	}
