path/limit: a refusal names the full queue before the deadline

TestExplain asks why a request was refused by servers without slots: the change of the gate said deadline-too-near, since the wait that is assumed there is a second. The order of the checks is the former one again; what is refused is the same.

--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -178,13 +178,13 @@
 // of its class's queue; ga.mu is held.
 func (ga *Gate) hopeless(ctx context.Context, cl *class, wt *waiter, at int) *result.Refusal {
 	wait := ga.expectedWait(cl, wt, at)
-	if left, ok := ctx.Deadline(); ok && time.Until(left) < wait+wt.service {
-		return refuse(result.ReasonTooLate, wait)
-	}
 	last := at >= len(cl.queue)
 	if last && len(cl.queue) >= cl.Queue || wait > wt.patient() {
 		return refuse(result.ReasonFull, wait)
 	}
+	if left, ok := ctx.Deadline(); ok && time.Until(left) < wait+wt.service {
+		return refuse(result.ReasonTooLate, wait)
+	}
 	return nil
 }
 
