node/probe: a daemon that starts asks its backend server whether it serves

Cause: a backend server that outlives its daemon announces itself at its next turn, up to 1.5 s later, and gets no request until then though it waits for some.

Ways weighed: peers tell what the forerunner's server was (nothing after a kill of all; stale); the store keeps it (a write for each, stale too); ask the server.

--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -141,6 +141,9 @@
 			ck.within(sv.Pos, of, "slots", sv.Slots, 1, maxSlots)
 		}
 		ck.within(sv.Pos, of, "connections", sv.Connections, 0, maxConns)
+		if sv.Health != "" && !strings.HasPrefix(sv.Health, "/") {
+			ck.add(sv.Pos, "begin it with \"/\"", "%s has the health path %q", of, sv.Health)
+		}
 		if sv.Connections > 0 && sv.Connections < sv.Slots {
 			ck.add(sv.Pos, "give it as many connections as slots or more", "%s has %d connections for %d slots", of, sv.Connections, sv.Slots)
 		}
--- a/internal/conf/decl/decl.go
+++ b/internal/conf/decl/decl.go
@@ -63,6 +63,9 @@
 	Slots int `json:"slots"`
 	// Connections is the most connections kept to one backend server.
 	Connections int `json:"connections,omitempty"`
+	// Health is the path at which a backend server says whether it serves; empty for
+	// none.
+	Health string `json:"health,omitempty"`
 	// Class is taken for requests whose route names none.
 	Class string `json:"class,omitempty"`
 	// Deadline is taken for requests whose route and caller give none.
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -107,6 +107,7 @@
 func New(se setup.Settings, op Options) *Daemon {
 	dm := &Daemon{se: se, log: op.Log, drained: make(chan struct{}), ad: op.Adapter}
 	dm.drainTimeout.Store(int64(se.DrainTimeout))
+	dm.local.known = make(chan struct{})
 	if dm.log == nil {
 		dm.log = slog.New(slog.DiscardHandler)
 	}
@@ -195,7 +196,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg conc.WaitGroup
-	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runLeaving, dm.runRecall} {
+	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runLeaving, dm.runRecall, dm.runProbe} {
 		wg.Go(func() { fn(life) })
 	}
 	servers := dm.servers()
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -23,7 +23,9 @@
 	// recalled is set once it is known what a former process acknowledged;
 	// until then requests are refused.
 	recalled bool
-	kick     chan struct{}
+	// known is closed once recalled is set.
+	known chan struct{}
+	kick  chan struct{}
 }
 
 // poke lets runLocal look again.
--- /dev/null
+++ b/internal/node/daemon/probe.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/node/probe"
+	"github.com/flamingomast/flamingomast/internal/node/server"
+)
+
+// The asking of the backend server at a start.
+const (
+	// probeAgain is the pause between two questions.
+	probeAgain = 150 * time.Millisecond
+	// probeFor is how long it is asked: by then it has announced itself, which it
+	// does every 1.5 s.
+	probeFor = 1500 * time.Millisecond
+	// probeTTL is for how long an answer holds: three intervals of announcements.
+	probeTTL = 4500 * time.Millisecond
+)
+
+// runProbe asks the VM's own backend server whether it serves, as long as it has not
+// announced itself to this process. A server that outlives its daemon announces itself
+// up to 1.5 s after the next one has started; until then it would get no request,
+// though it waits for some: after a kill of all daemons 0.4 s on average, and 2 s for
+// the last of a service.
+func (dm *Daemon) runProbe(ctx context.Context) {
+	path := dm.healthPath(ctx)
+	if path == "" {
+		return
+	}
+	ask := probe.Asker{Lifetime: dm.ad.Names.Lifetime, Load: dm.ad.Names.Load}
+	for end := time.Now().Add(probeFor); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, probeAgain) {
+		if !dm.awaitsServer() {
+			return
+		}
+		an, err := ask.Ask(ctx, dm.se.Server, path)
+		if err != nil {
+			dm.log.Info("probe-failed", slog.Any("error", err))
+			continue
+		}
+		dm.assume(an)
+		return
+	}
+}
+
+// healthPath waits for a configuration and for what a former process acknowledged, and
+// returns the path at which the VM's own backend server is asked, empty for none.
+func (dm *Daemon) healthPath(ctx context.Context) string {
+	if dm.se.Server == "" || dm.se.Service == "" || dm.ad.Names.Lifetime == "" {
+		return ""
+	}
+	select {
+	case <-dm.local.known:
+	case <-ctx.Done():
+		return ""
+	}
+	for ctx.Err() == nil {
+		sn, changed := dm.Node.Board.Held.Watch()
+		if sn != nil {
+			if sv := sn.Services[dm.se.Service]; sv != nil {
+				return sv.Health
+			}
+			return ""
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return ""
+}
+
+// awaitsServer tells whether no backend server has announced itself yet.
+func (dm *Daemon) awaitsServer() bool {
+	st, _ := dm.local.watch(time.Now())
+	return st.Announcement == nil
+}
+
+func (dm *Daemon) assume(an probe.Answer) {
+	taken := false
+	dm.local.update(func(tr *server.Tracker) {
+		taken = tr.Assume(admin.Announcement{
+			Service: dm.se.Service, Address: dm.se.Server, Slots: an.Slots, Lifetime: an.Lifetime, TTLMs: int(probeTTL.Milliseconds()),
+		}, time.Now())
+	})
+	dm.log.Info("server-found", slog.String("lifetime", an.Lifetime), slog.Int("slots", an.Slots), slog.Bool("taken", taken))
+}
--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -138,6 +138,7 @@
 	dm.local.mu.Lock()
 	dm.local.recalled = true
 	dm.local.mu.Unlock()
+	close(dm.local.known)
 	dm.local.poke()
 	dm.log.Info("recalled", slog.Duration("took", time.Since(began)))
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/node/probe/doc.go
@@ -0,0 +1,2 @@
+// Package probe asks a backend server once whether it serves.
+package probe
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -39,6 +39,8 @@
 	// leaving is set for good once it said that it drains or leaves. gone is
 	// set when it was taken out.
 	leaving, gone bool
+	// assumed is set while it was only found to serve and has not announced itself.
+	assumed bool
 }
 
 // Status is what the daemon goes by.
@@ -84,6 +86,7 @@
 	if !now.Before(lf.until) && !lf.heard.IsZero() {
 		lf.since = now
 	}
+	lf.assumed = false
 	lf.an, lf.number, lf.heard, lf.until = an, an.Number, now, now.Add(an.TTL())
 	lf.leaving = lf.leaving || an.Draining()
 	if lf.leaving {
@@ -97,7 +100,7 @@
 	if an.Lifetime == "" {
 		return false
 	}
-	return an.Number <= lf.number || lf.gone
+	return an.Number <= lf.number && !lf.assumed || lf.gone
 }
 
 // displaces tells whether an announcement of another lifetime would displace a
@@ -125,6 +128,22 @@
 	tr.lives[lifetime] = lf
 }
 
+// Assume takes a server that was found to serve before it has announced itself, and
+// tells whether it did. One that left, as far as is known, is not taken; nor is any once
+// a server has announced itself.
+func (tr *Tracker) Assume(an admin.Announcement, now time.Time) bool {
+	if tr.cur != nil {
+		return false
+	}
+	if lf := tr.lives[an.Lifetime]; lf != nil {
+		return false
+	}
+	lf := &life{an: an, since: now, heard: now, until: now.Add(an.TTL()), assumed: true}
+	tr.keep(an.Lifetime, lf)
+	tr.cur = lf
+	return true
+}
+
 // Withdraw takes a lifetime out for good. One that is not known is remembered,
 // so that an announcement which it sent before and which comes later does not
 // bring it back.
--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -10,7 +10,7 @@
 // step is one thing that a tracker hears, and what it must say afterwards.
 type step struct {
 	at       time.Duration
-	do       string // announce, drain, withdraw, recall or lost
+	do       string // announce, drain, withdraw, recall, lost or assume
 	lifetime string
 	number   uint64
 	// want is the lifetime that serves or, with a "-", that leaves.
@@ -68,6 +68,32 @@
 		"a lost one comes back with its next announcement": {
 			{0, "announce", "a", 1, "a"}, {s, "lost", "", 0, ""}, {2 * s, "announce", "a", 2, "a"},
 		},
+		"found before it announces itself": {
+			{0, "assume", "a", 0, "a"}, {s, "announce", "a", 7, "a"}, {2 * s, "announce", "a", 6, "a"}, {3 * s, "drain", "a", 8, "-a"},
+		},
+		"found, and its first announcement has the number 0": {
+			{0, "assume", "a", 0, "a"}, {s, "announce", "a", 0, "a"}, {2 * s, "drain", "a", 1, "-a"},
+		},
+		// The daemon was replaced after it had acknowledged that the server leaves; the
+		// server goes on for some seconds and may still say that it is well.
+		"found, though it said that it leaves": {
+			{0, "recall", "a", 5, ""}, {s, "assume", "a", 0, ""}, {2 * s, "drain", "a", 6, "-a"},
+		},
+		"found, though it was taken out": {
+			{0, "withdraw", "a", 0, ""}, {s, "assume", "a", 0, ""},
+		},
+		"found after another has announced itself": {
+			{0, "announce", "a", 3, "a"}, {s, "assume", "b", 0, "a"},
+		},
+		"a late announcement of a forerunner does not displace the one that was found": {
+			{0, "assume", "b", 0, "b"}, {s, "announce", "a", 9, "b"}, {2 * s, "announce", "b", 4, "b"},
+		},
+		"a new one displaces the one that was found": {
+			{0, "assume", "a", 0, "a"}, {s, "announce", "b", 1, "b"},
+		},
+		"found, and never heard": {
+			{0, "assume", "a", 0, "a"}, {7 * s, "recall", "", 0, ""},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var tr Tracker
@@ -87,6 +113,8 @@
 					tr.Recall(st.lifetime, st.number, now)
 				case "lost":
 					tr.Lost(now)
+				case "assume":
+					tr.Assume(an, now)
 				}
 				got := tr.Status(now)
 				text := got.Lifetime()
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -41,6 +41,9 @@
 	// Service is the service that runs on this VM, where it is known
 	// beforehand.
 	Service string
+	// Server is the address of the backend server on this VM, where it is known
+	// beforehand. A daemon that starts asks it whether it serves.
+	Server string
 	// Domains are all failure domains with their regions, for platforms whose
 	// configurations do not declare them.
 	Domains map[string]string
@@ -75,7 +78,7 @@
 	vm, domain, outlet, inlet, control, admin string
 	platform, seeds, token, level             string
 	ready, announce, adapter                  string
-	service, domains                          string
+	service, server, domains                  string
 	sample                                    string
 	drain                                     string
 	memory, link                              string
@@ -94,6 +97,7 @@
 	fs.StringVar(&rw.announce, "announce", "", "another address for announcements of the backend server, IP:PORT")
 	fs.StringVar(&rw.adapter, "adapter", "", "platform that the daemon is joined to; empty for flamingomast's own interface")
 	fs.StringVar(&rw.service, "service", "", "service that runs on this VM, told to the backend servers that it calls")
+	fs.StringVar(&rw.server, "server", "", "address of the backend server on this VM, which is asked at the start whether it serves, IP:PORT")
 	fs.StringVar(&rw.domains, "failure-domains", "", "all failure domains with their regions, where the platform does not declare them, NAME=REGION,…")
 	fs.StringVar(&rw.seeds, "seeds", "", "control addresses of other daemons to try before the platform is asked, IP:PORT,…")
 	fs.StringVar(&rw.token, "mesh-token", "", "secret that all daemons share; empty for none")
@@ -259,7 +263,7 @@
 	for _, it := range []struct {
 		name, value string
 		to          *string
-	}{{"ready", rw.ready, &se.Ready}, {"announce", rw.announce, &se.Announce}} {
+	}{{"ready", rw.ready, &se.Ready}, {"announce", rw.announce, &se.Announce}, {"server", rw.server, &se.Server}} {
 		if it.value != "" {
 			*it.to = rd.addr(it.name, it.value)
 		}
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -134,6 +134,10 @@
 	// NotRun on a backend server's refusal says that it has not begun to run
 	// the request.
 	NotRun string
+	// Lifetime is the header in which a backend server names its lifetime when it is
+	// asked whether it serves, Load the one in which it gives its running and waiting
+	// requests and its slots.
+	Lifetime, Load string
 	// Fractions lets Retry-After bear fractions of a second.
 	Fractions bool
 }
