path/outlet: at a start requests wait for the first servers

Now a request that comes in the first second of an outlet waits up to 200 ms for a configuration and a server.

TestStartWait fails without the change; a service without servers is refused at once after the first second, and after 200 ms in it.

--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/path/again"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/piping"
@@ -31,7 +32,9 @@
 	service string
 	running func() (n, priority int)
 	sample  atomic.Uint64 // bits of the share of requests that are logged
-	routing atomic.Pointer[routing]
+	routing board.Cell[routing]
+	// started is when the outlet was made.
+	started time.Time
 	// life ends with Close.
 	life context.Context
 	end  context.CancelFunc
@@ -76,7 +79,7 @@
 
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link, running: op.Running}
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link, running: op.Running, started: time.Now()}
 	if ou.running == nil {
 		ou.running = func() (n, priority int) { return 0, 0 }
 	}
@@ -100,9 +103,9 @@
 
 // SetTable replaces the table. Requests under way keep the one they have.
 func (ou *Outlet) SetTable(tb *pick.Table) {
-	old := ou.routing.Load()
+	old := ou.routing.Get()
 	if old != nil && old.tb.Snap == tb.Snap {
-		ou.routing.Store(&routing{tb: tb, budgets: old.budgets, known: old.known, throttles: old.throttles})
+		ou.routing.Set(&routing{tb: tb, budgets: old.budgets, known: old.known, throttles: old.throttles})
 		return
 	}
 	budgets, throttles, routes := map[string]*retry.Budget{}, map[[2]string]*shed.Throttle{}, map[string]*known{}
@@ -139,7 +142,7 @@
 		}
 		next.known = append(next.known, kn)
 	}
-	ou.routing.Store(next)
+	ou.routing.Set(next)
 }
 
 // Close ends the kept connections and what the outlet does beside requests.
@@ -150,7 +153,7 @@
 
 // Table returns the table in use, nil for none.
 func (ou *Outlet) Table() *pick.Table {
-	if rt := ou.routing.Load(); rt != nil {
+	if rt := ou.routing.Get(); rt != nil {
 		return rt.tb
 	}
 	return nil
@@ -172,12 +175,11 @@
 		return
 	}
 	defer ou.requests.Give(1)
-	rt := ou.routing.Load()
+	rt, route := ou.lookUp(r)
 	if rt == nil {
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoConfig, RetryAfter: time.Second})
 		return
 	}
-	route := rt.tb.Snap.Match(r.Method, r.Host, r.URL.Path, r.Header)
 	if route == nil {
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoRoute})
 		return
@@ -190,7 +192,8 @@
 		limit = min(limit, given)
 	}
 	try, further := ou.memory.Came(r, start, given, &kn.back)
-	final, priority := false, route.Priority
+	elapsed, final := start.Sub(try.First), false
+	priority := route.Priority
 	if n, parents := ou.running(); kn.back.Came(start, short && !further, n > 0) {
 		final, priority = true, parents
 	}
@@ -199,7 +202,7 @@
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: start.Sub(try.First), further: further, try: try, final: final, priority: priority,
+		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed, final: final, priority: priority, further: further, try: try,
 	}
 	undo := guardTimes(w, start.Add(limit))
 	defer func() {
@@ -224,11 +227,7 @@
 // Repeatable tells whether a request may be run again if its answer is lost, and
 // begun before those that its caller sent before it are answered.
 func (ou *Outlet) Repeatable(r *http.Request) bool {
-	rt := ou.routing.Load()
-	if rt == nil {
-		return false
-	}
-	route := rt.tb.Snap.Match(r.Method, r.Host, r.URL.Path, r.Header)
+	_, route := ou.match(r)
 	return route != nil && retry.Allowed(result.MayHaveRun, route.Repeat, r.Method)
 }
 
--- /dev/null
+++ b/internal/path/outlet/start_test.go
@@ -0,0 +1,44 @@
+package outlet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+)
+
+// TestStartWait: all daemons were killed, and their callers are back as soon as the first
+// of them listens, some 100 ms before it knows of the others. Refused for want of a
+// server, they come back when their objective has passed. Here they wait for the first
+// servers; later, a service without servers is refused at once.
+func TestStartWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lr := newLoadRig(t, 2, anyDomain)
+		defer lr.close()
+		vw, sn := lr.view()
+		late := outlet.New(outlet.Options{Forwarder: lr.forwarder()})
+		lr.front = late
+		began := time.Now()
+		time.AfterFunc(50*time.Millisecond, func() { late.SetTable(pick.Build(sn, &member.View{}, nil, "outlet", nil)) })
+		time.AfterFunc(100*time.Millisecond, func() { late.SetTable(pick.Build(sn, vw, nil, "outlet", late.Table())) })
+		ta := &tally{}
+		lr.send("/lookup", ta)
+		if took := time.Since(began); ta.good != 1 || took < 100*time.Millisecond || took > 200*time.Millisecond {
+			t.Errorf("%d answered after %v", ta.good, took)
+		}
+		empty := outlet.New(outlet.Options{Forwarder: lr.forwarder()})
+		empty.SetTable(pick.Build(sn, &member.View{}, nil, "outlet", nil))
+		lr.front = empty
+		for _, want := range []time.Duration{200 * time.Millisecond, 0} {
+			ta, began = &tally{}, time.Now()
+			lr.send("/lookup", ta)
+			if took := time.Since(began); ta.notRun != 1 || took != want {
+				t.Errorf("%d refused after %v, want %v", ta.notRun, took, want)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
