--- a/internal/path/limit/worth.go
+++ b/internal/path/limit/worth.go
@@ -6,10 +6,6 @@
 	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
-// stepWorth is how many times as much a request is taken to be worth as one of the next
-// priority.
-const stepWorth = 2
-
 // worths tells which requests are worth most for the time of a slot, where calls of
 // backend servers compete with requests of callers. The zero value knows nothing.
 type worths struct {
@@ -29,7 +25,7 @@
 }
 
 // density is what a request of a priority is worth for the time of its slot, in units
-// that only compare.
+// that only compare: each priority is taken to be worth twice as much as the next one.
 func density(priority int, held time.Duration) float64 {
 	return 1 / (float64(uint(1)<<step(priority)) * max(1, float64(held)))
 }
