node/server, platform: a backend server may start again under the lifetime that it had

Cause: a lifetime was an id. A server that crashes and starts again under its id numbers its announcements anew: all it said was taken for late until its numbers had passed the former ones, and one that had drained or been taken out stayed out for good. Now a start is the id with the time of the start, in announcements, records of peers, the welcome of a new process and the store. A later start takes over at once, whatever its number; what the former one said and comes late changes nothing. Starts under different ids are ordered by their time as well, where both tell it.

Where only the removal of a start came, a later one is known by its first numbers; where the clock of the VM was set back, by ten seconds of silence of the other.

An inlet closes the connections it keeps to the start before, and an outlet keeps no counters of it.

Ruled out: taking any low number for a new start (a late first announcement would bring back a server that left).

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -36,17 +36,10 @@
 	Replaced Cell[member.Record]
 }
 
-// Leaver is a lifetime of a backend server that said it leaves.
-type Leaver struct {
-	Lifetime string
-	// At is the number of the announcement by which it did.
-	At uint64
-}
-
 // Forerunner is what peers keep of a VM's former process.
 type Forerunner struct {
 	// Leaver is empty as long as none of them knows of one.
-	Leaver
+	member.Leaver
 	// Peers names those that have answered.
 	Peers []string
 }
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -113,7 +113,7 @@
 	reached   map[string]time.Time
 	// leavers has the last lifetime of each VM's backend server that said it
 	// leaves.
-	leavers map[string]board.Leaver
+	leavers map[string]member.Leaver
 	expiry  *expire.Watch
 	// through has the VMs that are heard through daemons that are no relays.
 	through map[string]time.Time
@@ -161,7 +161,7 @@
 		holds:     map[string]hold{},
 		summaries: map[string]*wirepb.Summary{},
 		reached:   map[string]time.Time{},
-		leavers:   map[string]board.Leaver{},
+		leavers:   map[string]member.Leaver{},
 		expiry:    expire.New(),
 		through:   map[string]time.Time{},
 		started:   time.Now(),
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -116,7 +116,7 @@
 		if known != nil {
 			wc.Incarnation, wc.Nonce = known.Incarnation, known.Nonce
 		}
-		wc.Leaving, wc.LeftAt = leaving.Lifetime, leaving.At
+		wc.Leaving, wc.LeavingStartedMs, wc.LeftAt = leaving.Lifetime, leaving.StartedMs, leaving.At
 		if !pr.Outgoing {
 			nd.sayHello(pr)
 		}
@@ -194,7 +194,7 @@
 // Only relays keep what members hold, so only their word settles the floor.
 func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
-	nd.learnForerunner(pr.Record.VM, board.Leaver{Lifetime: wc.Leaving, At: wc.LeftAt})
+	nd.learnForerunner(pr.Record.VM, member.Leaver{Lifetime: wc.Leaving, StartedMs: wc.LeavingStartedMs, At: wc.LeftAt})
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
 		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
@@ -203,7 +203,7 @@
 
 // learnForerunner puts on the board what a peer keeps of the VM's former
 // process; a peer that knows of nothing says so too.
-func (nd *Node) learnForerunner(peer string, lv board.Leaver) {
+func (nd *Node) learnForerunner(peer string, lv member.Leaver) {
 	nd.Board.Forerunner.Update(func(cur *board.Forerunner) *board.Forerunner {
 		next := &board.Forerunner{Leaver: lv, Peers: []string{peer}}
 		if cur == nil {
@@ -228,12 +228,12 @@
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	for _, rc := range recs {
-		if rc.Leaving != "" {
-			nd.leavers[rc.VM] = board.Leaver{Lifetime: rc.Leaving, At: rc.LeftAt}
+		if rc.Leaving.Lifetime != "" {
+			nd.leavers[rc.VM] = rc.Leaving
 		}
 	}
 	if len(nd.leavers) > maxLeavers {
-		nd.leavers = map[string]board.Leaver{}
+		nd.leavers = map[string]member.Leaver{}
 	}
 }
 
--- a/internal/mesh/ctrl/replace_test.go
+++ b/internal/mesh/ctrl/replace_test.go
@@ -232,17 +232,17 @@
 func TestLeaverOutlivesRecord(t *testing.T) {
 	nd := New(Config{VM: "a", Domain: "d"})
 	defer nd.end()
-	old := &member.Record{VM: "b", Domain: "d", Incarnation: 1, Sequence: 3, Leaving: "i-1", LeftAt: 5}
+	old := &member.Record{VM: "b", Domain: "d", Incarnation: 1, Sequence: 3, Leaving: member.Leaver{Lifetime: "i-1", At: 5}}
 	next := &member.Record{VM: "b", Domain: "d", Incarnation: 2, Sequence: 1}
 	nd.merge([]*member.Record{old})
 	nd.merge([]*member.Record{next})
-	want := board.Leaver{Lifetime: "i-1", At: 5}
+	want := member.Leaver{Lifetime: "i-1", At: 5}
 	if got := nd.leavers["b"]; got != want {
 		t.Errorf("the peer remembers %+v, want %+v", got, want)
 	}
 	var fresh Node
 	fresh.Board = &board.Board{}
-	for i, lv := range []board.Leaver{{}, want, {}} {
+	for i, lv := range []member.Leaver{{}, want, {}} {
 		fresh.learnForerunner([]string{"p", "q", "q"}[i], lv)
 	}
 	if got := fresh.Board.Forerunner.Get(); got == nil || got.Leaver != want || len(got.Peers) != 2 {
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -32,10 +32,8 @@
 	Since time.Time
 	// Lifetime names the start of the backend server.
 	Lifetime string
-	// Leaving is the last lifetime that said it leaves, and LeftAt the number of
-	// the announcement by which it did.
-	Leaving string
-	LeftAt  uint64
+	// Leaving is the last start of the backend server that said it leaves.
+	Leaving Leaver
 	// ColdUntil is until when it is slow after its start, by the wall clock of
 	// the VM.
 	ColdUntil time.Time
@@ -43,6 +41,16 @@
 	Capacity uint32
 }
 
+// Leaver is a start of a backend server that said it leaves. The zero value is none.
+type Leaver struct {
+	Lifetime string
+	// StartedMs is the Unix time in milliseconds of the start, 0 where the server
+	// did not tell. A server may start again under the name that it had.
+	StartedMs int64
+	// At is the number of the announcement by which it said so.
+	At uint64
+}
+
 // Mark is what a relay adds to a record.
 type Mark int
 
@@ -123,7 +131,8 @@
 	pb := &wirepb.Record{
 		Vm: rc.VM, Domain: rc.Domain, Incarnation: rc.Incarnation, Sequence: rc.Sequence, Nonce: rc.Nonce,
 		Mark: wirepb.Mark(rc.Mark), State: wirepb.State(rc.State), Service: rc.Service, Slots: uint32(rc.Slots),
-		Inlet: rc.Inlet, Control: rc.Control, Lifetime: rc.Lifetime, Leaving: rc.Leaving, LeftAt: rc.LeftAt, Capacity: rc.Capacity,
+		Inlet: rc.Inlet, Control: rc.Control, Lifetime: rc.Lifetime, Capacity: rc.Capacity,
+		Leaving: rc.Leaving.Lifetime, LeavingStartedMs: rc.Leaving.StartedMs, LeftAt: rc.Leaving.At,
 	}
 	if !rc.Since.IsZero() {
 		pb.SinceMs = uint64(rc.Since.UnixMilli())
@@ -139,7 +148,8 @@
 	rc := &Record{
 		VM: pb.GetVm(), Domain: pb.GetDomain(), Incarnation: pb.GetIncarnation(), Sequence: pb.GetSequence(), Nonce: pb.GetNonce(),
 		Mark: Mark(pb.GetMark()), State: State(pb.GetState()), Service: pb.GetService(), Slots: int(pb.GetSlots()),
-		Inlet: pb.GetInlet(), Control: pb.GetControl(), Lifetime: pb.GetLifetime(), Leaving: pb.GetLeaving(), LeftAt: pb.GetLeftAt(), Capacity: pb.GetCapacity(),
+		Inlet: pb.GetInlet(), Control: pb.GetControl(), Lifetime: pb.GetLifetime(), Capacity: pb.GetCapacity(),
+		Leaving: Leaver{Lifetime: pb.GetLeaving(), StartedMs: pb.GetLeavingStartedMs(), At: pb.GetLeftAt()},
 	}
 	if ms := pb.GetColdUntilMs(); ms > 0 {
 		rc.ColdUntil = time.UnixMilli(int64(ms))
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -29,6 +29,10 @@
 	// announcement, so that one that comes late is known as such.
 	Lifetime string `json:"lifetime,omitempty"`
 	Number   uint64 `json:"number,omitempty"`
+	// StartedMs is the Unix time in milliseconds of the start. A server may start
+	// again under the same lifetime, and number its announcements anew; 0 where it
+	// does not tell.
+	StartedMs int64 `json:"started-ms,omitempty"`
 	// State is StateServing, which the empty string stands for, or
 	// StateDraining: it takes no new requests and will leave.
 	State string `json:"state,omitempty"`
@@ -36,6 +40,15 @@
 	ColdMs int `json:"cold-ms,omitempty"`
 }
 
+// Withdrawal is how a backend server tells its own daemon that it is to get no more
+// requests.
+type Withdrawal struct {
+	// Lifetime and StartedMs are those of the announcements, each empty where the
+	// server does not tell.
+	Lifetime  string
+	StartedMs int64
+}
+
 // The states of an announcement.
 const (
 	StateServing  = "serving"
@@ -65,6 +78,8 @@
 	switch {
 	case an.State != "" && an.State != StateServing && an.State != StateDraining:
 		return fmt.Errorf("state is %q; set it to %s or %s, or leave it out", an.State, StateServing, StateDraining)
+	case an.StartedMs < 0:
+		return fmt.Errorf("started-ms is %d; leave it out or set it above 0", an.StartedMs)
 	case an.ColdMs < 0:
 		return fmt.Errorf("cold-ms is %d; leave it out or set it above 0", an.ColdMs)
 	case an.Service == "":
@@ -86,9 +101,9 @@
 type Handlers struct {
 	// Announce and Withdraw take a backend server in and out.
 	Announce func(context.Context, Announcement) error
-	// Withdraw takes out the server of a lifetime, which is empty where the
-	// server names none.
-	Withdraw func(ctx context.Context, lifetime string)
+	Withdraw func(context.Context, Withdrawal)
+	// Refused notes what was announced for a lifetime and cannot be read or is wrong.
+	Refused func(lifetime string, err error)
 	// Ready returns why the daemon is not ready, nil when it is.
 	Ready func() error
 	// Status returns what is known of the fleet.
@@ -140,7 +155,7 @@
 }
 
 func (hs *Handlers) withdraw(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	hs.Withdraw(r.Context(), r.URL.Query().Get("lifetime"))
+	hs.Withdraw(r.Context(), Withdrawal{Lifetime: r.URL.Query().Get("lifetime")})
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/node/admin/admin_test.go
+++ b/internal/node/admin/admin_test.go
@@ -14,7 +14,7 @@
 	share := -1.0
 	hs := Handlers{
 		Announce: func(context.Context, Announcement) error { return nil },
-		Withdraw: func(context.Context, string) {},
+		Withdraw: func(context.Context, Withdrawal) {},
 		Ready:    func() error { return nil },
 		Status:   func(context.Context) Status { return Status{VM: "v"} },
 		Drain:    func(context.Context, string) (int, error) { return 3, nil },
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -432,7 +432,7 @@
 
 func (dm *Daemon) handlers() admin.Handlers {
 	return admin.Handlers{
-		Announce: dm.announce, Withdraw: dm.withdraw, Ready: dm.ready, Status: dm.Status, Drain: dm.drainVM,
+		Announce: dm.announce, Withdraw: dm.withdraw, Refused: dm.announcementRefused, Ready: dm.ready, Status: dm.Status, Drain: dm.drainVM,
 		Sample: dm.Outlet.SetSample, Vars: dm.vars(),
 	}
 }
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -64,16 +64,9 @@
 // service than the inventory has for this VM would get no requests. The answer
 // acknowledges it, so a drain is in force and written down when it returns.
 func (dm *Daemon) announce(ctx context.Context, an admin.Announcement) error {
-	if sn := dm.Node.Board.Held.Get(); sn != nil && len(sn.VMs) > 0 {
-		vm, ok := sn.VMs[dm.se.VM]
-		switch {
-		case !ok:
-			return fmt.Errorf("version %d of the inventory has no VM %q; declare it first", sn.Version, dm.se.VM)
-		case vm.Service != an.Service:
-			return fmt.Errorf("version %d of the inventory says that VM %q runs %q, not %q", sn.Version, dm.se.VM, vm.Service, an.Service)
-		case vm.Domain != dm.se.Domain:
-			return fmt.Errorf("version %d of the inventory has VM %q in failure domain %q, this daemon is in %q", sn.Version, dm.se.VM, vm.Domain, dm.se.Domain)
-		}
+	if err := dm.checkAnnouncement(an); err != nil {
+		dm.announcementRefused(an.Lifetime, err)
+		return err
 	}
 	var was, is server.Status
 	now := time.Now()
@@ -85,21 +78,57 @@
 	})
 	if !taken {
 		dm.log.Info("announcement-late", slog.String("lifetime", an.Lifetime), slog.Uint64("number", an.Number),
-			slog.String("state", an.State), slog.String("present", is.Lifetime()))
+			slog.String("state", an.State), slog.Int64("started", an.StartedMs), slog.String("present", is.Lifetime()),
+			slog.Int64("present-started", is.StartedMs()))
 	}
-	if is.Leaving && !(was.Leaving && was.Lifetime() == is.Lifetime()) {
-		dm.recordLeaving(ctx, is.Lifetime(), an.Number)
+	if is.Leaving && !(was.Leaving && was.SameStart(is)) {
+		dm.recordLeaving(ctx, member.Leaver{Lifetime: is.Lifetime(), StartedMs: is.StartedMs(), At: an.Number})
 	}
 	return nil
 }
 
+// checkAnnouncement returns what is wrong with an announcement by the configuration that
+// is held. One that names a service which there is not comes from something else than a
+// backend server of this VM, and must not displace the one that serves.
+func (dm *Daemon) checkAnnouncement(an admin.Announcement) error {
+	sn := dm.Node.Board.Held.Get()
+	if sn == nil {
+		return nil
+	}
+	if len(sn.VMs) == 0 {
+		if sn.Services[an.Service] == nil && an.Service != dm.se.Service {
+			return fmt.Errorf("version %d of the configuration has no service %q", sn.Version, an.Service)
+		}
+		return nil
+	}
+	vm, ok := sn.VMs[dm.se.VM]
+	switch {
+	case !ok:
+		return fmt.Errorf("version %d of the inventory has no VM %q; declare it first", sn.Version, dm.se.VM)
+	case vm.Service != an.Service:
+		return fmt.Errorf("version %d of the inventory says that VM %q runs %q, not %q", sn.Version, dm.se.VM, vm.Service, an.Service)
+	case vm.Domain != dm.se.Domain:
+		return fmt.Errorf("version %d of the inventory has VM %q in failure domain %q, this daemon is in %q", sn.Version, dm.se.VM, vm.Domain, dm.se.Domain)
+	}
+	return nil
+}
+
+// announcementRefused logs an announcement that names no backend server.
+func (dm *Daemon) announcementRefused(lifetime string, err error) {
+	dm.log.Warn("announcement-refused", slog.String("lifetime", lifetime), slog.Any("error", err))
+}
+
 // withdraw takes the backend server out.
-func (dm *Daemon) withdraw(ctx context.Context, lifetime string) {
-	dm.log.Info("server-withdrawn", slog.String("lifetime", lifetime))
+func (dm *Daemon) withdraw(ctx context.Context, wd admin.Withdrawal) {
 	now := time.Now()
-	dm.local.update(func(tr *server.Tracker) { tr.Withdraw(lifetime, now) })
-	if lifetime != "" {
-		dm.recordLeaving(ctx, lifetime, 0)
+	var left member.Leaver
+	dm.local.update(func(tr *server.Tracker) {
+		tr.Withdraw(wd, now)
+		left = tr.Left()
+	})
+	dm.log.Info("server-withdrawn", slog.String("lifetime", wd.Lifetime), slog.Int64("started", wd.StartedMs))
+	if wd.Lifetime != "" && left.Lifetime == wd.Lifetime && (wd.StartedMs == 0 || wd.StartedMs == left.StartedMs) {
+		dm.recordLeaving(ctx, left)
 	}
 }
 
@@ -172,7 +201,7 @@
 	self := dm.Node.Board.Self.Get()
 	tg := inlet.Target{VM: self.VM, Process: pick.Process(self)}
 	if an != nil {
-		tg.Service, tg.Addr, tg.Lifetime = an.Service, an.Address, an.Lifetime
+		tg.Service, tg.Addr, tg.Lifetime, tg.StartedMs = an.Service, an.Address, an.Lifetime, an.StartedMs
 		if tg.Addr == "" && sn != nil && sn.Services[an.Service] != nil {
 			tg.Addr = fmt.Sprintf("127.0.0.1:%d", sn.Services[an.Service].Port)
 		}
@@ -197,7 +226,7 @@
 		next.State = member.StateDraining
 	}
 	dm.local.mu.Lock()
-	next.Leaving, next.LeftAt = dm.local.tr.Left()
+	next.Leaving = dm.local.tr.Left()
 	dm.local.mu.Unlock()
 	select {
 	case <-dm.drained:
@@ -214,6 +243,6 @@
 		slog.String("lifetime", next.Lifetime))
 	dm.Node.Announce(func(rc *member.Record) {
 		rc.State, rc.Service, rc.Slots, rc.Since = next.State, next.Service, next.Slots, next.Since
-		rc.Lifetime, rc.Leaving, rc.LeftAt, rc.ColdUntil = next.Lifetime, next.Leaving, next.LeftAt, next.ColdUntil
+		rc.Lifetime, rc.Leaving, rc.ColdUntil = next.Lifetime, next.Leaving, next.ColdUntil
 	})
 }
--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/server"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
@@ -35,10 +36,11 @@
 	recordTime = 400 * time.Millisecond
 )
 
-// leaving is what the store keeps of a lifetime that leaves.
+// leaving is what the store keeps of a start of the backend server that leaves.
 type leaving struct {
-	Lifetime string `json:"lifetime"`
-	Number   uint64 `json:"number"`
+	Lifetime  string `json:"lifetime"`
+	StartedMs int64  `json:"started-ms,omitempty"`
+	Number    uint64 `json:"number"`
 	// stored is closed once it was written.
 	stored chan struct{}
 }
@@ -52,9 +54,9 @@
 // once in the daemon's record; the store is for a herd that ends together, and
 // for a peer that has not heard of it. A write that takes longer than the
 // acknowledgement may wait goes on after it.
-func (dm *Daemon) recordLeaving(ctx context.Context, lifetime string, number uint64) {
+func (dm *Daemon) recordLeaving(ctx context.Context, left member.Leaver) {
 	dm.setGate(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
-	lv := &leaving{Lifetime: lifetime, Number: number, stored: make(chan struct{})}
+	lv := &leaving{Lifetime: left.Lifetime, StartedMs: left.StartedMs, Number: left.At, stored: make(chan struct{})}
 	dm.leaver.Set(lv)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
 	defer cancel()
@@ -64,7 +66,8 @@
 		stored = true
 	case <-ctx.Done():
 	}
-	dm.log.Info("server-leaves", slog.String("lifetime", lifetime), slog.Uint64("number", number), slog.Bool("stored", stored))
+	dm.log.Info("server-leaves", slog.String("lifetime", left.Lifetime), slog.Int64("started", left.StartedMs),
+		slog.Uint64("number", left.At), slog.Bool("stored", stored))
 }
 
 // runLeaving writes down the newest lifetime that leaves, again until the store
@@ -156,7 +159,7 @@
 	if fo == nil || fo.Lifetime == "" {
 		return
 	}
-	dm.local.update(func(tr *server.Tracker) { tr.Recall(fo.Lifetime, fo.At, time.Now()) })
+	dm.local.update(func(tr *server.Tracker) { tr.Recall(fo.Leaver, time.Now()) })
 }
 
 // waitForerunner waits for the peers' word on the former process, until the
@@ -207,7 +210,9 @@
 				dm.log.Error("recall-unreadable", slog.Any("error", err))
 			}
 		}
-		dm.local.update(func(tr *server.Tracker) { tr.Recall(lv.Lifetime, lv.Number, time.Now()) })
+		dm.local.update(func(tr *server.Tracker) {
+			tr.Recall(member.Leaver{Lifetime: lv.Lifetime, StartedMs: lv.StartedMs, At: lv.Number}, time.Now())
+		})
 		return
 	}
 }
--- a/internal/node/daemon/recall_test.go
+++ b/internal/node/daemon/recall_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
@@ -19,7 +20,7 @@
 type heard struct {
 	at   time.Duration
 	peer string
-	lv   board.Leaver
+	lv   member.Leaver
 }
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -42,18 +43,18 @@
 // the server must get no request, and callers saw one at a server that had left.
 // A process of which nobody knows anything must not keep its server waiting.
 func TestForerunnerLearned(t *testing.T) {
-	left := board.Leaver{Lifetime: "i-1", At: 5}
+	left := member.Leaver{Lifetime: "i-1", At: 5}
 	for name, tc := range map[string]struct {
 		heard []heard
 		// after is when the server serves, 0 for never.
 		after time.Duration
 	}{
 		"the first peer knows":           {[]heard{{ms(50), "p", left}}, 0},
-		"the second peer knows":          {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "q", left}}, 0},
-		"two peers know of nothing":      {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "q", board.Leaver{}}}, ms(300)},
-		"the only peer answers twice":    {[]heard{{ms(50), "p", board.Leaver{}}, {ms(300), "p", board.Leaver{}}}, ms(450)},
+		"the second peer knows":          {[]heard{{ms(50), "p", member.Leaver{}}, {ms(300), "q", left}}, 0},
+		"two peers know of nothing":      {[]heard{{ms(50), "p", member.Leaver{}}, {ms(300), "q", member.Leaver{}}}, ms(300)},
+		"the only peer answers twice":    {[]heard{{ms(50), "p", member.Leaver{}}, {ms(300), "p", member.Leaver{}}}, ms(450)},
 		"nobody answers":                 {nil, recallPeers},
-		"the only peer knows of nothing": {[]heard{{ms(50), "p", board.Leaver{}}}, ms(450)},
+		"the only peer knows of nothing": {[]heard{{ms(50), "p", member.Leaver{}}}, ms(450)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 )
 
@@ -17,6 +18,10 @@
 	// firstNumbers are the numbers by which a lifetime that is not known yet is
 	// taken for a new one, and not for a forerunner whose announcement is late.
 	firstNumbers = 2
+	// lateFor is how long after the last word of a start an announcement of an
+	// earlier one may still be on its way. One that comes later is of a server that
+	// runs: its clock was set back before it started again.
+	lateFor = 10 * time.Second
 )
 
 // Tracker follows the lifetimes of one backend server. The zero value knows
@@ -31,6 +36,9 @@
 // life is what is known of one start of the server.
 type life struct {
 	an admin.Announcement
+	// startedMs is the Unix time in milliseconds at which it started, 0 where it is
+	// not known.
+	startedMs int64
 	// number is the highest one of its announcements that was taken.
 	number uint64
 	// since is when it was first heard, heard when it was last, until how long
@@ -62,17 +70,35 @@
 	return st.Announcement.Lifetime
 }
 
+// StartedMs returns when the server started, as it tells, and 0 where it does not.
+func (st Status) StartedMs() int64 {
+	if st.Announcement == nil {
+		return 0
+	}
+	return st.Announcement.StartedMs
+}
+
+// SameStart tells whether both are of one start of the server.
+func (st Status) SameStart(other Status) bool {
+	return st.Lifetime() == other.Lifetime() && st.StartedMs() == other.StartedMs()
+}
+
 // Announce takes an announcement and tells whether it was news.
 //
-// Three of them are late and change nothing. One with a number that is not
-// above the newest of its lifetime was overtaken. One of a lifetime that left
-// would bring back a server that takes no requests. And one of another lifetime
-// than the present, which is not among the first of its kind, was sent by a
-// forerunner that has ended: taking it would send requests to a server that is
-// not there until the present one speaks again. It is taken once the present
-// one has been silent.
+// Four of them are late and change nothing. One with a number that is not above the
+// newest of its start was overtaken. One of a start before the newest of the same
+// lifetime is of a server that has ended. One of a start that left would bring back a
+// server that takes no requests. And one of another lifetime than the present, which
+// is not among the first of its kind, was sent by a forerunner that has ended: taking
+// it would send requests to a server that is not there until the present one speaks
+// again. It is taken once the present one has been silent.
 func (tr *Tracker) Announce(an admin.Announcement, now time.Time) bool {
 	lf := tr.lives[an.Lifetime]
+	if lf != nil && lf.precedes(&an, now) {
+		// Nothing of the former start holds for this one: not its number, nor that
+		// it left.
+		lf = nil
+	}
 	switch {
 	case lf != nil && lf.late(&an):
 		return false
@@ -88,6 +114,7 @@
 	}
 	lf.assumed = false
 	lf.an, lf.number, lf.heard, lf.until = an, an.Number, now, now.Add(an.TTL())
+	lf.startedMs = max(lf.startedMs, an.StartedMs)
 	lf.leaving = lf.leaving || an.Draining()
 	if lf.leaving {
 		tr.left = an.Lifetime
@@ -96,11 +123,29 @@
 	return true
 }
 
+// precedes tells whether an announcement is of a later start of the same lifetime.
+//
+// The times of both starts decide. Where that of a start which was taken out is not
+// known, as when only its removal came, a later one is known by its first numbers. And
+// where the clock of the VM was set back in between, it seems the earlier one, until
+// nothing of the other can be on its way any more.
+func (lf *life) precedes(an *admin.Announcement, now time.Time) bool {
+	switch {
+	case an.StartedMs == 0:
+		return false
+	case lf.startedMs == 0:
+		return lf.gone && an.Number <= firstNumbers
+	case an.StartedMs < lf.startedMs:
+		return now.Sub(lf.heard) > lateFor
+	}
+	return an.StartedMs > lf.startedMs
+}
+
 func (lf *life) late(an *admin.Announcement) bool {
 	if an.Lifetime == "" {
 		return false
 	}
-	return an.Number <= lf.number && !lf.assumed || lf.gone
+	return an.StartedMs != 0 && an.StartedMs < lf.startedMs || an.Number <= lf.number && !lf.assumed || lf.gone
 }
 
 // displaces tells whether an announcement of another lifetime would displace a
@@ -109,6 +154,9 @@
 	if tr.cur == nil || tr.cur == lf || tr.cur.gone || now.Sub(tr.cur.heard) > freshFor {
 		return false
 	}
+	if an.StartedMs != 0 && tr.cur.startedMs != 0 {
+		return an.StartedMs < tr.cur.startedMs
+	}
 	return lf != nil || an.Number > firstNumbers
 }
 
@@ -144,26 +192,45 @@
 	return true
 }
 
-// Withdraw takes a lifetime out for good. One that is not known is remembered,
-// so that an announcement which it sent before and which comes later does not
-// bring it back.
-func (tr *Tracker) Withdraw(lifetime string, now time.Time) {
-	lf := tr.lives[lifetime]
-	if lf == nil {
-		lf = &life{since: now}
-		tr.keep(lifetime, lf)
+// Withdraw takes a start of the server out for good. One that is not known is
+// remembered, so that an announcement which it sent before and which comes later does
+// not bring it back. A removal of a start before the newest is late and changes nothing.
+func (tr *Tracker) Withdraw(wd admin.Withdrawal, now time.Time) {
+	lf := tr.leave(member.Leaver{Lifetime: wd.Lifetime, StartedMs: wd.StartedMs}, now)
+	if lf != nil {
+		lf.heard, lf.gone = now, true
+	}
+}
+
+// leave notes that a start of the server leaves, and returns what is known of it, nil
+// where a later one is known.
+func (tr *Tracker) leave(lv member.Leaver, now time.Time) *life {
+	lf := tr.lives[lv.Lifetime]
+	switch {
+	case lf != nil && lv.StartedMs != 0 && lv.StartedMs < lf.startedMs:
+		return nil
+	case lf == nil, lf.startedMs != 0 && lv.StartedMs > lf.startedMs:
+		next := &life{since: now, heard: now}
+		if lf != nil && tr.cur == lf {
+			tr.cur = next
+		}
+		lf = next
+		tr.keep(lv.Lifetime, lf)
 	}
-	lf.heard, lf.leaving, lf.gone = now, true, true
-	tr.left = lifetime
+	lf.leaving = true
+	lf.startedMs = max(lf.startedMs, lv.StartedMs)
+	lf.number = max(lf.number, lv.At)
+	tr.left = lv.Lifetime
+	return lf
 }
 
-// Left returns the last lifetime that said it leaves, empty for none, and the
-// number of its newest announcement.
-func (tr *Tracker) Left() (lifetime string, number uint64) {
-	if lf := tr.lives[tr.left]; lf != nil {
-		return tr.left, lf.number
+// Left returns the last start of the server that said it leaves, with the number of
+// its newest announcement; empty for none.
+func (tr *Tracker) Left() member.Leaver {
+	if lf := tr.lives[tr.left]; lf != nil && lf.leaving {
+		return member.Leaver{Lifetime: tr.left, StartedMs: lf.startedMs, At: lf.number}
 	}
-	return "", 0
+	return member.Leaver{}
 }
 
 // Lost takes the present server out until it announces itself again.
@@ -173,20 +240,12 @@
 	}
 }
 
-// Recall takes what a former process of the VM acknowledged: the lifetime
+// Recall takes what a former process of the VM acknowledged: that start of the server
 // leaves, and its announcements up to the number are late.
-func (tr *Tracker) Recall(lifetime string, number uint64, now time.Time) {
-	if lifetime == "" {
-		return
+func (tr *Tracker) Recall(lv member.Leaver, now time.Time) {
+	if lv.Lifetime != "" {
+		tr.leave(lv, now)
 	}
-	lf := tr.lives[lifetime]
-	if lf == nil {
-		lf = &life{since: now}
-		tr.keep(lifetime, lf)
-	}
-	lf.leaving = true
-	tr.left = lifetime
-	lf.number = max(lf.number, number)
 }
 
 // Status returns what the daemon should go by now.
--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 )
 
@@ -15,6 +16,8 @@
 	number   uint64
 	// want is the lifetime that serves or, with a "-", that leaves.
 	want string
+	// started is the time of the start, 0 where the server does not tell.
+	started int64
 }
 
 const s = time.Second
@@ -24,75 +27,125 @@
 func TestOrders(t *testing.T) {
 	for name, steps := range map[string][]step{
 		"an overtaken ready does not end a drain": {
-			{0, "announce", "a", 1, "a"}, {s, "drain", "a", 3, "-a"}, {2 * s, "announce", "a", 2, "-a"},
+			{0, "announce", "a", 1, "a", 0}, {s, "drain", "a", 3, "-a", 0}, {2 * s, "announce", "a", 2, "-a", 0},
 		},
 		"a ready with a higher number does not end a drain": {
-			{0, "announce", "a", 1, "a"}, {s, "drain", "a", 2, "-a"}, {2 * s, "announce", "a", 3, "-a"},
+			{0, "announce", "a", 1, "a", 0}, {s, "drain", "a", 2, "-a", 0}, {2 * s, "announce", "a", 3, "-a", 0},
 		},
 		// A user's request was sent to a server that had left: its daemon was
 		// killed after the drain, and the first that the new one heard was an
 		// announcement from before.
 		"a late ready after the daemon was replaced": {
-			{0, "recall", "a", 5, ""}, {s, "announce", "a", 4, ""}, {2 * s, "drain", "a", 6, "-a"},
+			{0, "recall", "a", 5, "", 0}, {s, "announce", "a", 4, "", 0}, {2 * s, "drain", "a", 6, "-a", 0},
 		},
 		"a ready of a lifetime that a forerunner saw leave": {
-			{0, "recall", "a", 5, ""}, {s, "announce", "a", 6, "-a"},
+			{0, "recall", "a", 5, "", 0}, {s, "announce", "a", 6, "-a", 0},
 		},
 		"a removal holds against a late announcement": {
-			{0, "announce", "a", 1, "a"}, {s, "withdraw", "a", 0, ""}, {2 * s, "announce", "a", 9, ""},
+			{0, "announce", "a", 1, "a", 0}, {s, "withdraw", "a", 0, "", 0}, {2 * s, "announce", "a", 9, "", 0},
 		},
 		"a removal that comes before the announcement": {
-			{0, "withdraw", "a", 0, ""}, {s, "announce", "a", 9, ""},
+			{0, "withdraw", "a", 0, "", 0}, {s, "announce", "a", 9, "", 0},
 		},
 		"a new lifetime after a removal": {
-			{0, "announce", "a", 1, "a"}, {s, "withdraw", "a", 0, ""}, {2 * s, "announce", "b", 1, "b"},
+			{0, "announce", "a", 1, "a", 0}, {s, "withdraw", "a", 0, "", 0}, {2 * s, "announce", "b", 1, "b", 0},
 		},
 		"a new lifetime after a crash": {
-			{0, "announce", "a", 7, "a"}, {s, "announce", "b", 1, "b"},
+			{0, "announce", "a", 7, "a", 0}, {s, "announce", "b", 1, "b", 0},
 		},
 		"an announcement of the crashed lifetime comes late": {
-			{0, "announce", "a", 7, "a"}, {s, "announce", "b", 1, "b"}, {2 * s, "announce", "a", 8, "b"},
+			{0, "announce", "a", 7, "a", 0}, {s, "announce", "b", 1, "b", 0}, {2 * s, "announce", "a", 8, "b", 0},
 		},
 		"one of a lifetime from before the daemon's time": {
-			{0, "announce", "b", 1, "b"}, {s, "announce", "a", 8, "b"},
+			{0, "announce", "b", 1, "b", 0}, {s, "announce", "a", 8, "b", 0},
 		},
 		"a lifetime that was taken by mistake gives way when it is silent": {
-			{0, "announce", "a", 8, "a"}, {5 * s, "announce", "b", 5, "b"},
+			{0, "announce", "a", 8, "a", 0}, {5 * s, "announce", "b", 5, "b", 0},
 		},
 		"the present one goes on after an interval without news": {
-			{0, "announce", "a", 8, "a"}, {5 * s, "announce", "a", 9, "a"}, {12 * s, "announce", "a", 10, "a"},
+			{0, "announce", "a", 8, "a", 0}, {5 * s, "announce", "a", 9, "a", 0}, {12 * s, "announce", "a", 10, "a", 0},
 		},
 		"silence ends it": {
-			{0, "announce", "a", 1, "a"}, {7 * s, "recall", "", 0, ""},
+			{0, "announce", "a", 1, "a", 0}, {7 * s, "recall", "", 0, "", 0},
 		},
 		"a lost one comes back with its next announcement": {
-			{0, "announce", "a", 1, "a"}, {s, "lost", "", 0, ""}, {2 * s, "announce", "a", 2, "a"},
+			{0, "announce", "a", 1, "a", 0}, {s, "lost", "", 0, "", 0}, {2 * s, "announce", "a", 2, "a", 0},
 		},
 		"found before it announces itself": {
-			{0, "assume", "a", 0, "a"}, {s, "announce", "a", 7, "a"}, {2 * s, "announce", "a", 6, "a"}, {3 * s, "drain", "a", 8, "-a"},
+			{0, "assume", "a", 0, "a", 0}, {s, "announce", "a", 7, "a", 0}, {2 * s, "announce", "a", 6, "a", 0}, {3 * s, "drain", "a", 8, "-a", 0},
 		},
 		"found, and its first announcement has the number 0": {
-			{0, "assume", "a", 0, "a"}, {s, "announce", "a", 0, "a"}, {2 * s, "drain", "a", 1, "-a"},
+			{0, "assume", "a", 0, "a", 0}, {s, "announce", "a", 0, "a", 0}, {2 * s, "drain", "a", 1, "-a", 0},
 		},
 		// The daemon was replaced after it had acknowledged that the server leaves; the
 		// server goes on for some seconds and may still say that it is well.
 		"found, though it said that it leaves": {
-			{0, "recall", "a", 5, ""}, {s, "assume", "a", 0, ""}, {2 * s, "drain", "a", 6, "-a"},
+			{0, "recall", "a", 5, "", 0}, {s, "assume", "a", 0, "", 0}, {2 * s, "drain", "a", 6, "-a", 0},
 		},
 		"found, though it was taken out": {
-			{0, "withdraw", "a", 0, ""}, {s, "assume", "a", 0, ""},
+			{0, "withdraw", "a", 0, "", 0}, {s, "assume", "a", 0, "", 0},
 		},
 		"found after another has announced itself": {
-			{0, "announce", "a", 3, "a"}, {s, "assume", "b", 0, "a"},
+			{0, "announce", "a", 3, "a", 0}, {s, "assume", "b", 0, "a", 0},
 		},
 		"a late announcement of a forerunner does not displace the one that was found": {
-			{0, "assume", "b", 0, "b"}, {s, "announce", "a", 9, "b"}, {2 * s, "announce", "b", 4, "b"},
+			{0, "assume", "b", 0, "b", 0}, {s, "announce", "a", 9, "b", 0}, {2 * s, "announce", "b", 4, "b", 0},
 		},
 		"a new one displaces the one that was found": {
-			{0, "assume", "a", 0, "a"}, {s, "announce", "b", 1, "b"},
+			{0, "assume", "a", 0, "a", 0}, {s, "announce", "b", 1, "b", 0},
 		},
 		"found, and never heard": {
-			{0, "assume", "a", 0, "a"}, {7 * s, "recall", "", 0, ""},
+			{0, "assume", "a", 0, "a", 0}, {7 * s, "recall", "", 0, "", 0},
+		},
+		// A server crashes and starts again under its name; its numbers start anew.
+		"another start of the same lifetime": {
+			{0, "announce", "a", 7, "a", 100}, {s, "announce", "a", 1, "a", 200}, {2 * s, "announce", "a", 2, "a", 200},
+		},
+		"of another start the first announcements were lost": {
+			{0, "announce", "a", 7, "a", 100}, {s, "announce", "a", 5, "a", 200},
+		},
+		"an announcement of the former start comes late": {
+			{0, "announce", "a", 1, "a", 200}, {s, "drain", "a", 9, "a", 100}, {2 * s, "announce", "a", 2, "a", 200},
+		},
+		"a former start that drained, and the next one": {
+			{0, "drain", "a", 7, "-a", 100}, {s, "announce", "a", 1, "a", 200}, {2 * s, "announce", "a", 8, "a", 100},
+		},
+		"a former start that was taken out, and the next one": {
+			{0, "announce", "a", 7, "a", 100}, {s, "withdraw", "a", 0, "", 0}, {2 * s, "announce", "a", 1, "a", 200},
+		},
+		"a removal of the former start comes late": {
+			{0, "announce", "a", 1, "a", 200}, {s, "withdraw", "a", 0, "a", 100}, {2 * s, "announce", "a", 2, "a", 200},
+		},
+		"a removal of a start that was not heard": {
+			{0, "announce", "a", 4, "a", 100}, {s, "withdraw", "a", 0, "", 200}, {2 * s, "announce", "a", 5, "", 100},
+		},
+		"a removal that names no start, before any announcement": {
+			{0, "withdraw", "a", 0, "", 0}, {s, "announce", "a", 9, "", 100}, {2 * s, "announce", "a", 1, "a", 200},
+		},
+		"a daemon was replaced after the former start drained": {
+			{0, "recall", "a", 5, "", 100}, {s, "announce", "a", 4, "", 100}, {2 * s, "announce", "a", 1, "a", 200},
+		},
+		"the next start was heard before what the forerunner knew": {
+			{0, "announce", "a", 1, "a", 200}, {s, "recall", "a", 5, "a", 100},
+		},
+		"a forerunner knew of a drain of the next start": {
+			{0, "announce", "a", 9, "a", 100}, {s, "recall", "a", 2, "", 200}, {2 * s, "announce", "a", 10, "", 100}, {3 * s, "drain", "a", 3, "-a", 200},
+		},
+		"another start of a lifetime that drains": {
+			{0, "announce", "a", 1, "a", 100}, {s, "drain", "a", 2, "-a", 100}, {2 * s, "drain", "a", 1, "-a", 200}, {3 * s, "announce", "a", 2, "-a", 200},
+		},
+		// The clock of the VM was set back between two starts.
+		"a start that seems earlier is taken once the other is long silent": {
+			{0, "announce", "a", 7, "a", 200}, {4 * s, "announce", "a", 3, "a", 100}, {11 * s, "announce", "a", 8, "a", 100}, {12 * s, "announce", "a", 9, "a", 100},
+		},
+		"an earlier start under another name does not displace the present one": {
+			{0, "announce", "b", 4, "b", 200}, {s, "announce", "a", 1, "b", 100},
+		},
+		"a later start under another name displaces the present one": {
+			{0, "announce", "a", 4, "a", 100}, {s, "announce", "b", 6, "b", 200},
+		},
+		"found before it announces itself, with its start": {
+			{0, "assume", "a", 0, "a", 0}, {s, "announce", "a", 3, "a", 100}, {2 * s, "announce", "a", 1, "a", 200},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -100,7 +153,7 @@
 			start := time.Unix(1000, 0)
 			for i, st := range steps {
 				now := start.Add(st.at)
-				an := admin.Announcement{Service: "x", Lifetime: st.lifetime, Number: st.number}
+				an := admin.Announcement{Service: "x", Lifetime: st.lifetime, Number: st.number, StartedMs: st.started}
 				switch st.do {
 				case "announce":
 					tr.Announce(an, now)
@@ -108,9 +161,9 @@
 					an.State = admin.StateDraining
 					tr.Announce(an, now)
 				case "withdraw":
-					tr.Withdraw(st.lifetime, now)
+					tr.Withdraw(admin.Withdrawal{Lifetime: st.lifetime, StartedMs: st.started}, now)
 				case "recall":
-					tr.Recall(st.lifetime, st.number, now)
+					tr.Recall(member.Leaver{Lifetime: st.lifetime, StartedMs: st.started, At: st.number}, now)
 				case "lost":
 					tr.Lost(now)
 				case "assume":
@@ -140,7 +193,7 @@
 	if st := tr.Status(now); st.Announcement == nil || st.Leaving {
 		t.Errorf("announced twice: %+v", st)
 	}
-	tr.Withdraw("", now)
+	tr.Withdraw(admin.Withdrawal{}, now)
 	if st := tr.Status(now); st.Announcement != nil {
 		t.Errorf("withdrawn: %+v", st)
 	}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -25,8 +25,10 @@
 	// Addr is the backend server's address (host:port), empty while there is
 	// none.
 	Addr string
-	// Lifetime names the start of the backend server, where it tells.
-	Lifetime string
+	// Lifetime names the start of the backend server, where it tells, and StartedMs
+	// is the Unix time in milliseconds of it.
+	Lifetime  string
+	StartedMs int64
 }
 
 // Inlet serves outlets.
@@ -79,8 +81,15 @@
 // Close ends the kept connections.
 func (in *Inlet) Close() { in.fw.Load().Close() }
 
-// SetTarget replaces the target. Requests that are running stay where they are.
-func (in *Inlet) SetTarget(tg Target) { in.target.Store(&tg) }
+// SetTarget replaces the target. Requests that are running stay where they are;
+// connections that are kept to another start of the backend server are closed, since a
+// request that may run once only is lost on one that nobody reads.
+func (in *Inlet) SetTarget(tg Target) {
+	old := in.target.Swap(&tg)
+	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
+		in.fw.Load().Close()
+	}
+}
 
 // ServeHTTP serves one request of an outlet.
 func (in *Inlet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -63,7 +63,7 @@
 }
 
 // Build returns the table for a snapshot and the members. Endpoints that prev
-// knows keep their counters, as long as the same process serves. Self is the
+// knows keep their counters, as long as the same start of them serves. Self is the
 // outlet's VM.
 func Build(sn *snap.Snapshot, vw *member.View, cut *board.CutSet, self string, prev *Table) *Table {
 	known, uses := map[string]*Endpoint{}, map[string]*use{}
@@ -117,7 +117,9 @@
 		VM: rc.VM, Domain: rc.Domain, Inlet: rc.Inlet, Process: Process(rc), Slots: slots,
 		Since: rc.Since, SlowStart: time.Duration(sv.SlowStart), ColdUntil: rc.ColdUntil,
 	}
-	if known != nil && known.Process == ep.Process {
+	// A server that starts anew has nothing of what is known of the one before: its
+	// speed and load are its own, and it was not the one that failed.
+	if known != nil && known.Process == ep.Process && known.Since.Equal(ep.Since) {
 		return known.With(ep)
 	}
 	return NewEndpoint(ep)
