mesh/ctrl: a directory entry that cannot be read is left out

Cause: any bytes under the keys of the directory were taken for the address of a relay; a daemon that started dialled them, and took the failure domain for one whose relay is registered. Now the key must name a failure domain and a VM, and the value be host:port; what is not is logged with its key and the reason, and the others hold.

--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -71,8 +74,12 @@
 	}
 	found := map[string][]string{}
 	for _, it := range items {
-		domain, _, ok := strings.Cut(strings.TrimPrefix(it.Key, directoryPrefix), "/")
-		if addr := string(it.Value); ok && addr != nd.cf.Control {
+		domain, addr, err := readEntry(it.Key, it.Value)
+		if err != nil {
+			nd.log.Warn("directory-entry-unreadable", slog.Any("error", err))
+			continue
+		}
+		if addr != nd.cf.Control {
 			found[domain] = append(found[domain], addr)
 		}
 	}
@@ -81,6 +88,24 @@
 	return found, nil
 }
 
+// readEntry returns the failure domain and the control address of a directory entry.
+// One that cannot be read was written by something else; a daemon that took it for a
+// relay would wait for it to answer.
+func readEntry(key string, value []byte) (domain, addr string, err error) {
+	domain, vm, _ := strings.Cut(strings.TrimPrefix(key, directoryPrefix), "/")
+	if domain == "" || vm == "" {
+		return "", "", fmt.Errorf("key %q: name a failure domain and a VM", key)
+	}
+	host, port, err := net.SplitHostPort(string(value))
+	if err != nil {
+		return "", "", fmt.Errorf("key %q: %w", key, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return "", "", fmt.Errorf("key %q: the address is %.64q; write host:port", key, value)
+	}
+	return domain, string(value), nil
+}
+
 // runDirectory registers a relay, and looks up others while links are missing.
 func (nd *Node) runDirectory(ctx context.Context) {
 	reg := &registration{nd: nd}
