plat/steady: what is compared with the clock later is kept on the steady clock

Cause: times in atomics were Unix times. Where the time of day of a VM jumps back by seconds, servers that were left out for half a second stay out that much longer, and a throttle counts the past as now; where it jumps forward, reports of load seem old and a server with requests seems stuck.

--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -52,7 +52,7 @@
 	// Addr is where the peer was reached, for an outgoing link.
 	Addr string
 
-	heard  atomic.Int64 // Unix time in nanoseconds of the last packet
+	heard  atomic.Pointer[time.Time] // when the last packet came
 	offer  func(pr *Peer, base pack.Digest) *wirepb.Version
 	stream Stream
 	wake   chan struct{}
@@ -96,15 +96,21 @@
 			break
 		}
 		silent.Reset(Silence)
-		pr.heard.Store(time.Now().UnixNano())
+		now := time.Now()
+		pr.heard.Store(&now)
 		handle(pr, pk)
 	}
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
-// Heard returns when the last packet came, the Unix epoch for none.
-func (pr *Peer) Heard() time.Time { return time.Unix(0, pr.heard.Load()) }
+// Heard returns when the last packet came, the zero time for none.
+func (pr *Peer) Heard() time.Time {
+	if at := pr.heard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
 
 func (pr *Peer) sendAll(ctx context.Context) error {
 	beat := time.NewTimer(Beat)
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/steady"
 )
 
 // The times and shares that picking goes by.
@@ -89,7 +90,7 @@
 // Begin counts a request as sent.
 func (ep *Endpoint) Begin(now time.Time) {
 	if ep.live.running.Add(1) == 1 {
-		ep.live.answered.Store(now.UnixNano())
+		ep.live.answered.Store(steady.Nanos(now))
 	}
 }
 
@@ -114,7 +115,7 @@
 func (ep *Endpoint) End(now time.Time, vd Verdict, gp *Group) {
 	ep.live.running.Add(-1)
 	if vd != Unreachable {
-		ep.live.answered.Store(now.UnixNano())
+		ep.live.answered.Store(steady.Nanos(now))
 		ep.live.cut.Store(false)
 	}
 	switch vd {
@@ -127,7 +128,7 @@
 		// It has few requests and would draw more and more of them.
 		ep.weigh(one)
 		if gp.mayEject(ep, now) {
-			ep.live.ejected.Store(now.Add(shedRest).UnixNano())
+			ep.live.ejected.Store(steady.Nanos(now.Add(shedRest)))
 		}
 	case Bad:
 		if ep.weigh(one) > failShare && gp.mayEject(ep, now) {
@@ -182,7 +183,7 @@
 		}
 		return typical
 	}
-	idle := max(0, float64(now.UnixNano()-ep.live.answered.Load())) / float64(slowAge)
+	idle := max(0, float64(steady.Nanos(now)-ep.live.answered.Load())) / float64(slowAge)
 	return time.Duration(float64(typical) * speed / (1 + idle))
 }
 
@@ -200,16 +201,16 @@
 func (ep *Endpoint) eject(now time.Time) {
 	times := ep.live.times.Add(1)
 	rest := min(firstEject<<min(times-1, 6), mostEject)
-	ep.live.ejected.Store(now.Add(rest).UnixNano())
+	ep.live.ejected.Store(steady.Nanos(now.Add(rest)))
 	// Once it is back, a few failures leave it out again.
 	ep.live.failing.Store(failShare * 3 / 4)
 }
 
 // Out tells whether the server is left out for its failures.
-func (ep *Endpoint) Out(now time.Time) bool { return ep.live.ejected.Load() > now.UnixNano() }
+func (ep *Endpoint) Out(now time.Time) bool { return ep.live.ejected.Load() > steady.Nanos(now) }
 
 // KeepOut prolongs the time for which an unreachable server is left out.
-func (ep *Endpoint) KeepOut(now time.Time) { ep.live.ejected.Store(now.Add(firstEject).UnixNano()) }
+func (ep *Endpoint) KeepOut(now time.Time) { ep.live.ejected.Store(steady.Nanos(now.Add(firstEject))) }
 
 // Return ends the time for which an unreachable server is left out, once a
 // connection was made again.
@@ -224,7 +225,7 @@
 // SetLoad takes the load that an inlet reported.
 func (ep *Endpoint) SetLoad(ld result.Load, now time.Time, gp *Group) {
 	gp.typical.add(ld)
-	ep.live.linkFree.Store(now.Add(ld.Backlog).UnixNano())
+	ep.live.linkFree.Store(steady.Nanos(now.Add(ld.Backlog)))
 	load := uint64(min(ld.Running+ld.Waiting, math.MaxUint16))
 	service := uint64(min(ld.Service.Milliseconds(), math.MaxUint16))
 	var waits uint64
@@ -233,7 +234,7 @@
 	}
 	ep.live.waits.Store(waits)
 	ep.live.ownThen.Store(ep.live.running.Load())
-	ep.live.reported.Store(load<<48 | service<<32 | uint64(uint32(now.UnixMilli())))
+	ep.live.reported.Store(load<<48 | service<<32 | uint64(uint32(steady.Millis(now))))
 }
 
 // load estimates the requests at the server: those of this outlet for certain,
@@ -248,7 +249,7 @@
 	if rep == 0 {
 		return max(own, usual)
 	}
-	age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	age := time.Duration(uint32(steady.Millis(now))-uint32(rep)) * time.Millisecond
 	if age >= loadAge {
 		return max(own, usual)
 	}
@@ -261,7 +262,7 @@
 // report is, for the log.
 func (ep *Endpoint) Believed(now time.Time) (load float64, age time.Duration) {
 	rep := ep.live.reported.Load()
-	return ep.load(now, 0), time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	return ep.load(now, 0), time.Duration(uint32(steady.Millis(now))-uint32(rep)) * time.Millisecond
 }
 
 // starting tells whether a new server is to be passed over this time, so that
@@ -292,7 +293,7 @@
 	use := min(1, load/slots)
 	cost := waitWeight*ep.wait(now, wa.Rank, load, held) + held*(1+fullSlowdown*use)
 	cost *= 1 + failWeight*ep.failShareNow()
-	if ep.live.running.Load() > 0 && now.UnixNano()-ep.live.answered.Load() > int64(stuckAfter) {
+	if ep.live.running.Load() > 0 && steady.Nanos(now)-ep.live.answered.Load() > int64(stuckAfter) {
 		cost += float64(stuckCost)
 	}
 	return time.Duration(cost)
@@ -304,7 +305,7 @@
 	slots := float64(max(1, ep.Slots))
 	byLoad := max(0, load+1-slots) * held / slots
 	rep := ep.live.reported.Load()
-	age := time.Duration(uint32(now.UnixMilli())-uint32(rep)) * time.Millisecond
+	age := time.Duration(uint32(steady.Millis(now))-uint32(rep)) * time.Millisecond
 	if rep == 0 || age >= loadAge {
 		return byLoad
 	}
@@ -325,7 +326,7 @@
 	if !Large(size) {
 		return 0
 	}
-	return max(0, time.Duration(ep.live.linkFree.Load()-now.UnixNano()))
+	return max(0, time.Duration(ep.live.linkFree.Load()-steady.Nanos(now)))
 }
 
 // Large tells whether an answer that is expected to have size bytes is large, so
--- a/internal/path/pick/pick_test.go
+++ b/internal/path/pick/pick_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/steady"
 )
 
 // TestStay: the links of a failure domain are full of documents. A document that
@@ -35,7 +37,7 @@
 	} {
 		near.live.ejected.Store(0)
 		if tc.out {
-			near.live.ejected.Store(now.Add(time.Second).UnixNano())
+			near.live.ejected.Store(steady.Nanos(now.Add(time.Second)))
 		}
 		if got := gp.Pick(now, tc.wa, &tc.tried, first); got != tc.want {
 			t.Errorf("%s goes to %+v, want %+v", tc.name, got, tc.want)
@@ -87,7 +89,7 @@
 func TestLinkWait(t *testing.T) {
 	now := time.Now()
 	ep := NewEndpoint(Endpoint{VM: "a", Slots: 4})
-	ep.live.linkFree.Store(now.Add(300 * time.Millisecond).UnixNano())
+	ep.live.linkFree.Store(steady.Nanos(now.Add(300 * time.Millisecond)))
 	for size, want := range map[int64]time.Duration{1000: 0, 90_000: 300 * time.Millisecond} {
 		if got := ep.linkWait(now, size); got != want {
 			t.Errorf("an answer of %d bytes waits %v for the link, want %v", size, got, want)
--- a/internal/path/shed/shed.go
+++ b/internal/path/shed/shed.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/steady"
 )
 
 // The measures of a throttle.
@@ -46,11 +48,11 @@
 )
 
 func (co *counter) read(now time.Time) (asked, taken float64, tick uint64) {
-	tick = uint64(now.UnixMilli()/timeOf) & timeMax
+	tick = uint64(steady.Millis(now)/timeOf) & timeMax
 	pk := co.packed.Load()
 	age := (tick - pk&timeMax) & timeMax
 	if age > timeMax/2 {
-		// The clock went back.
+		// Another request has written a later time.
 		age = 0
 	}
 	fade := math.Exp2(-float64(age) * timeOf / float64(window.Milliseconds()))
