node/daemon: a drain is stored only once its own write has taken effect

Cause: the write that notes that a backend server leaves is a compare-and-swap with one second try. A second one that found yet another revision, as when late writes of the VM's former process come between, counted as done, and a process that replaced this one did not learn of the drain from the store. It is tried again now like any failed write.

TestLeavingOverwritten fails without the change: the store holds {"lifetime":"i-0"}.

--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -119,11 +120,17 @@
 	ok, cur, err := kv.Swap(ctx, ch)
 	if err == nil && !ok {
 		ch.Revision = cur.Revision
-		_, _, err = kv.Swap(ctx, ch)
+		ok, _, err = kv.Swap(ctx, ch)
+	}
+	if err == nil && !ok {
+		// A late write of a former process came between, twice.
+		return errOverwritten
 	}
 	return err
 }
 
+var errOverwritten = errors.New("the key was written by another process")
+
 // runRecall learns what a former process of the VM acknowledged, from the store
 // and from peers, and then lets the backend server take requests. It goes on
 // listening to peers: one may be linked late.
--- a/internal/node/daemon/recall_test.go
+++ b/internal/node/daemon/recall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"slices"
 	"testing"
@@ -133,3 +134,38 @@
 		})
 	}
 }
+
+// TestLeavingOverwritten: a backend server says that it drains just as writes of the
+// VM's former process, which the store executes late, come in between. The write that
+// found another revision was taken for done, and a process that replaced this one sent
+// requests to the server.
+func TestLeavingOverwritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := stand.New().Store()
+		swap, late := kv.Swap, 2
+		kv.Swap = func(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
+			if late--; late >= 0 {
+				if _, _, err := swap(ctx, store.Change{Key: "leaving/vm-0", Value: []byte(`{"lifetime":"i-0"}`), Revision: ch.Revision}); err != nil {
+					t.Error(err)
+				}
+			}
+			return swap(ctx, ch)
+		}
+		dm := New(setup.Settings{VM: "vm-0", Domain: "d"}, Options{Store: &kv})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go dm.runLeaving(ctx)
+		if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 4, State: "draining", TTLMs: 60_000}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		ent, err := kv.Get(ctx, dm.leavingKey())
+		var lv leaving
+		if err == nil {
+			err = json.Unmarshal(ent.Value, &lv)
+		}
+		if err != nil || lv.Lifetime != "i-1" {
+			t.Errorf("the store holds %s, %v", ent.Value, err)
+		}
+	})
+}
