node/daemon: a note of a leaving server that cannot be read names none

Cause: what the store keeps of a lifetime that leaves was decoded into a struct and used even where decoding failed halfway, so that {"lifetime":"i-1","number":1e99}, written by something else, kept the server of that lifetime from serving until the note ran out. FuzzLeaving holds the rule for any bytes.

--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -211,15 +211,25 @@
 			}
 			continue
 		}
-		var lv leaving
-		if ent.Revision != 0 {
-			if err := json.Unmarshal(ent.Value, &lv); err != nil {
-				dm.log.Error("recall-unreadable", slog.Any("error", err))
-			}
+		left, err := readLeaving(ent.Value)
+		if err != nil {
+			dm.log.Error("recall-unreadable", slog.String("key", dm.leavingKey()), slog.Any("error", err))
 		}
-		dm.local.update(func(tr *server.Tracker) {
-			tr.Recall(member.Leaver{Lifetime: lv.Lifetime, StartedMs: lv.StartedMs, At: lv.Number}, time.Now())
-		})
+		dm.local.update(func(tr *server.Tracker) { tr.Recall(left, time.Now()) })
 		return
 	}
 }
+
+// readLeaving reads what the store keeps of a lifetime that leaves; an empty value is
+// none. Of one that cannot be read nothing is taken: half of it may name the server that
+// serves.
+func readLeaving(value []byte) (member.Leaver, error) {
+	if len(value) == 0 {
+		return member.Leaver{}, nil
+	}
+	var lv leaving
+	if err := json.Unmarshal(value, &lv); err != nil {
+		return member.Leaver{}, err
+	}
+	return member.Leaver{Lifetime: lv.Lifetime, StartedMs: lv.StartedMs, At: lv.Number}, nil
+}
--- a/internal/node/daemon/recall_test.go
+++ b/internal/node/daemon/recall_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,3 +170,45 @@
 		}
 	})
 }
+
+// TestForeignLeaving: something else has written under the key where a daemon notes that
+// its backend server leaves. A daemon that starts must neither end over it nor take the
+// server that announces itself for one that left.
+func TestForeignLeaving(t *testing.T) {
+	for name, value := range map[string]string{
+		"empty": ``, "null": `null`, "another type": `[]`, "a number": `5`, "not JSON": "\xff\x00", "cut short": `{"lifetime":"i-1`,
+		"a lifetime of another type": `{"lifetime":5,"number":9}`, "a number that overflows": `{"lifetime":"i-1","number":1e99}`,
+		"no lifetime": `{"number":9}`, "deep nesting": strings.Repeat("[", 1<<16), "a megabyte": strings.Repeat("x", 1<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kv := stand.New().Store()
+				if _, _, err := kv.Swap(t.Context(), store.Change{Key: "leaving/vm-0", Value: []byte(value)}); err != nil {
+					t.Fatal(err)
+				}
+				dm := New(setup.Settings{VM: "vm-0", Domain: "d"}, Options{Store: &kv})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go dm.runRecall(ctx)
+				if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 1, TTLMs: 60_000}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(recallTime)
+				if st, _ := dm.local.watch(time.Now()); st.Announcement == nil || st.Leaving {
+					t.Errorf("the server does not serve: %+v", st)
+				}
+			})
+		})
+	}
+}
+
+// FuzzLeaving: what cannot be read names no lifetime.
+func FuzzLeaving(f *testing.F) {
+	f.Add([]byte(`{"lifetime":"i-1","started-ms":5,"number":7}`))
+	f.Add([]byte(`{"lifetime":"i-1","number":1e99}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		if left, err := readLeaving(value); err != nil && left.Lifetime != "" {
+			t.Errorf("%q was taken as %+v", value, left)
+		}
+	})
+}
