path/retry: the budgets of all outlets add up to what operators allow the fleet

Weighed: equal shares of the spare with the ratio of each one's own requests (taken: it adds up under any split of traffic without a message); unused shares handed on through relays (messages each second for repeats that are wanted everywhere at once as a rule); a lease of allowance in the store (calls, and none while it is away). Now: a repeat for each five requests and an equal part of the spare are saved up; what a process starts with its first requests pay back; calls of repeated runs are charged where they are made, by the share of the server's runs that are repeats, told from outlet to inlet. TestFleet failed with the former numbers at 9 to 790 outlets.

path/limit: a request that waits is refused while its outlet can still hear it

TestReachedNoServer failed with 504. Not mended: connections into a failure domain that is cut off, where the outlet cannot know whether the request arrived.

--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -187,6 +187,18 @@
 	return len(vw.byVM)
 }
 
+// LiveLen returns how many live records there are.
+func (vw *View) LiveLen() int {
+	if vw == nil {
+		return 0
+	}
+	n := 0
+	for _, live := range vw.Domains {
+		n += len(live)
+	}
+	return n
+}
+
 // All calls yield for each record, in no order.
 func (vw *View) All(yield func(*Record) bool) {
 	if vw == nil {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/setup"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/outlet"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
@@ -130,7 +131,7 @@
 	})
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service, Link: se.Link,
-		Running:   func() (n, priority int) { return dm.Inlet.Gate.Running() },
+		Work: func() limit.Work { return dm.Inlet.Gate.Work() }, Repeats: &se.Repeats,
 		Forwarder: proxy.New(proxy.Options{Dial: dm.pathBytes.Dialer(dialer.Dial)}),
 	})
 	dm.Inlet = inlet.New(proxy.Options{}, link)
--- a/internal/node/daemon/routing.go
+++ b/internal/node/daemon/routing.go
@@ -10,20 +10,40 @@
 // gather bounds how often the routing table is built while records pour in.
 const gather = 20 * time.Millisecond
 
+// The number of outlets that a process reckons with while it does not know them yet:
+// each takes its part of what the fleet may do, and a herd that starts at once would
+// take the whole for each of its processes.
+const (
+	// membersKnown is the time after which a process knows all members; of 790 that
+	// come back at once the last one does after 2.4 s.
+	membersKnown = 5 * time.Second
+	// unknownOutlets is above the number of VMs of a large fleet.
+	unknownOutlets = 1000
+)
+
 // runRouting builds the outlet's table from the configuration in force, the
 // members and the failure domains that are cut off.
 func (dm *Daemon) runRouting(ctx context.Context) {
 	bd := dm.Node.Board
+	known := time.After(membersKnown)
+	young := true
 	for {
 		sn, held := bd.Held.Watch()
 		vw, members := bd.Members.Watch()
 		cut, reach := bd.Cut.Watch()
 		if sn != nil {
-			dm.Outlet.SetTable(pick.Build(sn, vw, cut, dm.se.VM, dm.Outlet.Table()))
+			tb := pick.Build(sn, vw, cut, dm.se.VM, dm.Outlet.Table())
+			if young {
+				tb.Outlets = max(tb.Outlets, unknownOutlets)
+			}
+			dm.Outlet.SetTable(tb)
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-known:
+			young = false
+			continue
 		case <-held:
 			continue
 		case <-members:
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -17,6 +17,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/flamingomast/flamingomast/internal/conf/strict"
+	"github.com/flamingomast/flamingomast/internal/path/retry"
 )
 
 // EnvPrefix begins the names of the environment variables: the setting
@@ -58,6 +59,8 @@
 	Memory int64
 	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
 	Link float64
+	// Repeats bounds the repeats of all daemons together, for each service.
+	Repeats retry.Bound
 }
 
 // String returns the settings without secrets.
@@ -82,6 +85,7 @@
 	sample                                    string
 	drain                                     string
 	memory, link                              string
+	ratio, spare                              string
 }
 
 // flags declares the settings; the text of each is the help a person sees.
@@ -106,6 +110,8 @@
 	fs.StringVar(&rw.drain, "drain-timeout", "30s", "how long a shutdown waits for running requests")
 	fs.StringVar(&rw.memory, "memory-mb", "32", "how many megabytes the process may take in all")
 	fs.StringVar(&rw.link, "link-mbps", "0", "rate of the VM's link in Mbit/s, by which large answers are paced; 0 for no pacing")
+	fs.StringVar(&rw.ratio, "retry-ratio", "", "how many repeats there may be for each request of a service, over all daemons; 0.2 unless set, 0 for none")
+	fs.StringVar(&rw.spare, "retry-spare", "", "how many more repeats of a service all daemons together may send in some seconds; 50 unless set")
 	fs.String("config", "", "YAML file with any of these settings")
 }
 
@@ -295,6 +301,8 @@
 		rd.add("link-mbps", fmt.Sprintf("link-mbps is %q", rw.link), fmt.Sprintf("set it to a number from 0 to %d", maxLink))
 	}
 	se.Link = mbps * 1e6
+	se.Repeats.Ratio = rd.number("retry-ratio", rw.ratio, retry.Default.Ratio, 1)
+	se.Repeats.Spare = rd.number("retry-spare", rw.spare, retry.Default.Spare, maxSpare)
 	se.DrainTimeout, err = time.ParseDuration(rw.drain)
 	if err != nil || se.DrainTimeout < 0 {
 		rd.add("drain-timeout", fmt.Sprintf("drain-timeout is %q", rw.drain), "set it to a duration such as 30s")
@@ -302,6 +310,21 @@
 	return se
 }
 
+// maxSpare is the highest number of repeats beyond the ratio.
+const maxSpare = 1_000_000
+
+// number reads a number from 0 to most, or returns the default where none is set.
+func (rd *Reader) number(setting, value string, unset, most float64) float64 {
+	if value == "" {
+		return unset
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= 0 && n <= most) {
+		rd.add(setting, fmt.Sprintf("%s is %q", setting, value), fmt.Sprintf("set it to a number from 0 to %.0f", most))
+	}
+	return n
+}
+
 // maxLink is the highest rate of a link, in Mbit/s.
 const maxLink = 1_000_000
 
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -184,7 +184,7 @@
 func rank(hdr http.Header, class string) limit.Request {
 	rq := limit.Request{Class: class, Priority: lastPriority}
 	text, final := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.Final)
-	rq.Final, rq.Kind = final, hdr.Get(result.RouteHeader)
+	rq.Final, rq.Kind, rq.Repeat = final, hdr.Get(result.RouteHeader), result.ParseShare(hdr.Get(result.RepeatHeader))
 	prio, left, objective := strings.Cut(text, "/")
 	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
 		rq.Priority = min(n, lastPriority)
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -34,7 +34,9 @@
 	worth   worths
 	// doing counts the requests that run by priority, without calls.
 	doing [result.Ranks - 1]int
-	idle  chan struct{}
+	// repeats is how many of those that run are repeats.
+	repeats float64
+	idle    chan struct{}
 }
 
 type class struct {
@@ -59,6 +61,18 @@
 	Objective time.Duration
 	// Final says that its caller cannot come back after a refusal.
 	Final bool
+	// Repeat is how likely it has been sent to a backend server before, 0 to 1.
+	Repeat float64
+}
+
+// Work is what a backend server is doing.
+type Work struct {
+	// Running is how many requests run.
+	Running int
+	// Priority is the one that most of them have.
+	Priority int
+	// Repeats is the part of them that are repeats, 0 to 1.
+	Repeats float64
 }
 
 // New returns a gate without slots; Configure gives it some.
@@ -167,8 +181,10 @@
 	return &Ticket{ga: ga, cl: cl, rq: rq, since: time.Now()}
 }
 
-// count counts a request that runs; ga.mu is held.
+// count counts a request that runs, or with n below zero one that has ended; ga.mu is
+// held.
 func (ga *Gate) count(rq *Request, n int) {
+	ga.repeats += float64(n) * rq.Repeat
 	if !rq.Final {
 		ga.doing[step(rq.Priority)] += n
 	}
@@ -206,7 +222,11 @@
 }
 
 func (ga *Gate) wait(ctx context.Context, cl *class, wt *waiter) (*Ticket, *result.Refusal) {
-	tm := time.NewTimer(wt.giveUp())
+	patient, late := wt.giveUp(), false
+	if left := wt.untilTooLate(ctx); left < patient {
+		patient, late = left, true
+	}
+	tm := time.NewTimer(patient)
 	defer tm.Stop()
 	select {
 	case <-wt.ready:
@@ -229,10 +249,12 @@
 	switch {
 	case ga.draining:
 		return nil, refuse(result.ReasonDraining, 0)
-	case ctx.Err() == nil:
-		return nil, refuse(result.ReasonFull, after)
+	case ctx.Err() != nil:
+		return nil, refuse(result.ReasonDeadline, after)
+	case late:
+		return nil, refuse(result.ReasonTooLate, after)
 	}
-	return nil, refuse(result.ReasonDeadline, after)
+	return nil, refuse(result.ReasonFull, after)
 }
 
 // displace refuses the last of a full queue for one that goes before it, as long as
@@ -346,16 +368,20 @@
 	ga.draining = false
 }
 
-// Running returns how many requests run, and of which priority most of them are.
-func (ga *Gate) Running() (n, priority int) {
+// Work returns what the backend server is doing.
+func (ga *Gate) Work() Work {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
+	wk := Work{Running: ga.running}
 	for pr, count := range ga.doing {
-		if count >= ga.doing[priority] {
-			priority = pr
+		if count >= ga.doing[wk.Priority] {
+			wk.Priority = pr
 		}
 	}
-	return ga.running, priority
+	if ga.running > 0 {
+		wk.Repeats = min(1, max(0, ga.repeats/float64(ga.running)))
+	}
+	return wk
 }
 
 // Load returns how many requests run and wait, the slots, and what waits are to be
--- a/internal/path/limit/queue.go
+++ b/internal/path/limit/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math"
 	"slices"
 	"time"
@@ -71,6 +72,23 @@
 	return max(0, wt.Objective-wt.service) + latePatience
 }
 
+// heard is the time in which a refusal reaches the outlet that waits for it: a hop
+// between failure domains, and the turn of two daemons on a sixth of a core.
+const heard = 25 * time.Millisecond
+
+// untilTooLate returns after which time the request could not be answered any more
+// before its deadline, if it has one. A request that waited until its deadline was
+// given up on by its outlet at the same moment, which could not know then whether it
+// had run: callers were told 504, after which they may not repeat what may run only
+// once. Begun with less time than it takes, it would use a slot for nothing.
+func (wt *waiter) untilTooLate(ctx context.Context) time.Duration {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return time.Until(at) - max(wt.service, heard)
+}
+
 // place returns where a request stands among those of its class that wait: by rank, and
 // by when the answer is due.
 func (cl *class) place(wt *waiter) int {
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -187,6 +187,9 @@
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
 	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.priority, rq.elapsed, time.Since(rq.start), rq.final)}
 	out.Header[result.RouteHeader] = []string{rq.route.Name}
+	if share := rq.repeated(); share > 0 {
+		out.Header[result.RepeatHeader] = []string{result.Share(share)}
+	}
 	if size := rq.kn.expected(); pick.Large(size) {
 		out.Header[result.SizeHeader] = []string{strconv.FormatInt(size, 10)}
 		// This one is counted among them.
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -12,6 +12,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/path/again"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/piping"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
@@ -30,7 +31,8 @@
 	token   string
 	names   result.Names
 	service string
-	running func() (n, priority int)
+	work    func() limit.Work
+	repeats retry.Bound
 	sample  atomic.Uint64 // bits of the share of requests that are logged
 	routing board.Cell[routing]
 	// started is when the outlet was made.
@@ -69,9 +71,11 @@
 	Names result.Names
 	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
 	Link float64
-	// Running returns how many requests the VM's own backend server runs and of which
-	// priority most of them are; nil where there is none.
-	Running func() (n, priority int)
+	// Work returns what the VM's own backend server is doing; nil where there is none.
+	Work func() limit.Work
+	// Repeats bounds the repeats of all outlets together, for each service; nil stands
+	// for retry.Default.
+	Repeats *retry.Bound
 	// Service is the service that runs on this VM, which backend servers are
 	// told as the one that calls.
 	Service string
@@ -79,9 +83,12 @@
 
 // New returns an outlet without a table; it refuses requests until SetTable.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link, running: op.Running, started: time.Now()}
-	if ou.running == nil {
-		ou.running = func() (n, priority int) { return 0, 0 }
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.Or(), service: op.Service, link: op.Link, work: op.Work, repeats: retry.Default, started: time.Now()}
+	if op.Repeats != nil {
+		ou.repeats = *op.Repeats
+	}
+	if ou.work == nil {
+		ou.work = func() limit.Work { return limit.Work{} }
 	}
 	ou.life, ou.end = context.WithCancel(context.Background())
 	ou.SetSample(op.Sample)
@@ -104,6 +111,11 @@
 // SetTable replaces the table. Requests under way keep the one they have.
 func (ou *Outlet) SetTable(tb *pick.Table) {
 	old := ou.routing.Get()
+	if old != nil {
+		for _, bu := range old.budgets {
+			bu.Limit(ou.repeats, tb.Outlets)
+		}
+	}
 	if old != nil && old.tb.Snap == tb.Snap {
 		ou.routing.Set(&routing{tb: tb, budgets: old.budgets, known: old.known, throttles: old.throttles})
 		return
@@ -124,7 +136,7 @@
 	for _, sv := range tb.Snap.ServiceList {
 		bu := budgets[sv.Name]
 		if bu == nil {
-			bu = retry.New()
+			bu = retry.New(ou.repeats, tb.Outlets)
 		}
 		next.budgets = append(next.budgets, bu)
 		ths := make([]*shed.Throttle, len(tb.Snap.Classes))
@@ -193,16 +205,16 @@
 	}
 	try, further := ou.memory.Came(r, start, given, &kn.back)
 	elapsed, final := start.Sub(try.First), false
-	priority := route.Priority
-	if n, parents := ou.running(); kn.back.Came(start, short && !further, n > 0) {
-		final, priority = true, parents
+	priority, repeat := route.Priority, 0.0
+	if wk := ou.work(); kn.back.Came(start, short && !further, wk.Running > 0) {
+		final, priority, repeat = true, wk.Priority, wk.Repeats
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(limit))
 	defer cancel()
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, gp: rt.tb.Group(sv), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed, final: final, priority: priority, further: further, try: try,
+		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed, final: final, priority: priority, repeat: repeat, further: further, try: try,
 	}
 	undo := guardTimes(w, start.Add(limit))
 	defer func() {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -39,6 +39,8 @@
 	final bool
 	// priority is the route's, or for a call that of the request it is made for.
 	priority int
+	// repeat is how likely a call is made for a request that was run before.
+	repeat float64
 	// try is this one of its caller, further says that there was one before it.
 	try     *again.Try
 	further bool
@@ -55,6 +57,9 @@
 
 func (rq *request) serve() {
 	rq.bu.Request()
+	if rq.repeat > 0 {
+		rq.bu.Charge(rq.repeat)
+	}
 	defer rq.src.release(&rq.ou.bodies)
 	if rf := rq.src.fill(rq.w, rq.r, &rq.ou.bodies); rf != nil {
 		rq.end(rf)
@@ -152,6 +157,11 @@
 	if rq.route.Attempts > 0 && rq.sent >= rq.route.Attempts {
 		return false
 	}
+	if at, ok := rq.ctx.Deadline(); ok && rf.Outcome == result.NotRun && time.Until(at) < time.Duration(rq.kn.held.Load()) {
+		// It could not be answered in time by any server. Sent again, it would wait
+		// until its deadline and be lost without a word whether it had run.
+		return false
+	}
 	if rf.Reason.NoRoom() || rf.Reason == result.ReasonShed {
 		if rq.busy++; rq.busy >= rq.maxBusy() {
 			return false
@@ -164,6 +174,15 @@
 	return !reached(rf) || rq.bu.Take()
 }
 
+// repeated returns how likely a backend server gets the request, or the one that it is
+// a call for, not for the first time.
+func (rq *request) repeated() float64 {
+	if rq.sent > 0 {
+		return 1
+	}
+	return rq.repeat
+}
+
 // reached tells whether a refused request may have reached a backend server,
 // which then had the work of it.
 func reached(rf *result.Refusal) bool {
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -16,8 +16,10 @@
 // the backend servers that it allows. It never changes; a request keeps one
 // for its whole life.
 type Table struct {
-	Snap   *snap.Snapshot
-	groups []*Group // by the index of the service
+	Snap *snap.Snapshot
+	// Outlets is how many live daemons there are, each of which has an outlet.
+	Outlets int
+	groups  []*Group // by the index of the service
 }
 
 // Group has the backend servers of one service.
@@ -88,7 +90,7 @@
 		ep.Weak = rc.Mark != member.MarkNone || cut != nil && (*cut)[rc.Domain]
 		byService[sv.Index][rc.Domain] = append(byService[sv.Index][rc.Domain], ep)
 	}
-	tb := &Table{Snap: sn, groups: make([]*Group, len(sn.ServiceList))}
+	tb := &Table{Snap: sn, Outlets: vw.LiveLen(), groups: make([]*Group, len(sn.ServiceList))}
 	for i, sv := range sn.ServiceList {
 		tb.groups[i] = group(sv, byService[i], self)
 		if tb.groups[i].typical = uses[sv.Name]; tb.groups[i].typical == nil {
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -100,6 +100,9 @@
 	// SentHeader is the sender's process and its steady clock in milliseconds,
 	// joined by a slash: the time that TimeoutMs gives counts from then.
 	SentHeader = Prefix + "Sent"
+	// RepeatHeader is how likely the request has been sent to a backend server before,
+	// 0 to 1; it is left out where it certainly has not.
+	RepeatHeader = Prefix + "Repeat"
 	// TokenHeader bears the mesh token, the outlet's proof to the inlet.
 	TokenHeader = Prefix + "Token"
 	// RateHeader on a request is how many bytes a second of its answer the sender
@@ -271,6 +274,18 @@
 // maxRetryAfter is the longest Retry-After that is believed.
 const maxRetryAfter = time.Hour
 
+// Share returns the form of a share from 0 to 1 that ParseShare reads.
+func Share(share float64) string { return strconv.FormatFloat(share, 'f', 2, 64) }
+
+// ParseShare reads what Share returns; 0 for what cannot be read.
+func ParseShare(s string) float64 {
+	share, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(share >= 0 && share <= 1) {
+		return 0
+	}
+	return share
+}
+
 // Spent is the time that a request spent at an inlet.
 type Spent struct {
 	// Wait is for a slot, Held the time of the slot until the answer was read.
--- a/internal/path/retry/retry.go
+++ b/internal/path/retry/retry.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/path/result"
@@ -12,17 +11,6 @@
 // three more that cannot be reached or whose kept connections break.
 const MaxAttempts = 6
 
-// The budget, in units of one thousandth of a retry.
-const (
-	perRetry = 1000
-	// perRequest is what each request adds: retries stay below a fifth of the
-	// requests, whatever fails. Retries do not multiply over hops, since an
-	// answer that a farther service failed is an answer here.
-	perRequest = 150
-	// most is what a quiet outlet may save up.
-	most = 20 * perRetry
-)
-
 // Allowed tells whether a request with this outcome may be sent again.
 //
 // What has not run may always be. What may have run may be only where that
@@ -46,35 +34,3 @@
 	}
 	return false
 }
-
-// Budget bounds the retries of one service at one outlet.
-type Budget struct {
-	saved atomic.Int64
-}
-
-// New returns a budget that allows a few retries from the start.
-func New() *Budget {
-	var bu Budget
-	bu.saved.Store(most / 2)
-	return &bu
-}
-
-// Request adds what a new request brings.
-func (bu *Budget) Request() {
-	if bu.saved.Load() < most {
-		bu.saved.Add(perRequest)
-	}
-}
-
-// Take takes one retry out of the budget, if there is one.
-func (bu *Budget) Take() bool {
-	for {
-		old := bu.saved.Load()
-		if old < perRetry {
-			return false
-		}
-		if bu.saved.CompareAndSwap(old, old-perRetry) {
-			return true
-		}
-	}
-}
