mesh/ctrl: two relays follow the store, and a herd that starts reads it a few times

Causes and mends, one by one: - Each daemon that starts opened a link to every address of the directory, and each link carries every record. At a first start nothing is asked about a former process (setting first-start, TestFirstStart).

--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,8 +17,9 @@
 
 // The times of the directory.
 const (
-	leaseTTL    = 15 * time.Second
-	renewEvery  = 5 * time.Second
+	leaseTTL = 15 * time.Second
+	// renewEvery leaves time for one renewal that fails.
+	renewEvery  = 8 * time.Second
 	searchEvery = 2 * time.Second
 	// spread is the time over which the first look-ups of a herd that starts at
 	// once are spread, so that the later ones find the keys of the earlier ones
@@ -39,7 +39,8 @@
 // outlives its daemon, or one written by a daemon that was paused past its
 // lease, costs a failed connection and nothing else.
 type directory struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// found has the addresses of others by failure domain; it is replaced as a whole.
 	found map[string][]string
 }
 
@@ -49,15 +50,16 @@
 	dr.found = found
 }
 
-func (dr *directory) addresses() []string {
+// addresses calls yield for each failure domain with the addresses found there.
+func (dr *directory) addresses(yield func(domain string, addrs []string) bool) {
 	dr.mu.Lock()
-	defer dr.mu.Unlock()
-	var list []string
-	for _, addrs := range dr.found {
-		list = append(list, addrs...)
+	found := dr.found
+	dr.mu.Unlock()
+	for domain, addrs := range found {
+		if !yield(domain, addrs) {
+			return
+		}
 	}
-	slices.Sort(list)
-	return list
 }
 
 // directoryPrefix begins the keys of the directory: relays/DOMAIN/VM.
@@ -73,16 +75,20 @@
 		return nil, err
 	}
 	found := map[string][]string{}
+	own := false
 	for _, it := range items {
 		domain, addr, err := readEntry(it.Key, it.Value)
 		if err != nil {
 			nd.log.Warn("directory-entry-unreadable", slog.Any("error", err))
 			continue
 		}
-		if addr != nd.cf.Control {
-			found[domain] = append(found[domain], addr)
+		if addr == nd.cf.Control {
+			own = true
+			continue
 		}
+		found[domain] = append(found[domain], addr)
 	}
+	nd.setStance(stanceOf(found[nd.cf.Domain], own))
 	nd.linker.dirs.set(found)
 	nd.poke()
 	return found, nil
@@ -203,6 +209,7 @@
 	if store.Is(err, store.Gone) {
 		rg.nd.log.Warn("directory-lease-lapsed")
 		rg.lease = 0
+		rg.nd.registered.Store(false)
 	}
 	return rg.lease != 0
 }
@@ -225,6 +232,7 @@
 		return err
 	}
 	rg.lease = id
+	rg.nd.registered.Store(true)
 	return nil
 }
 
@@ -239,4 +247,5 @@
 		rg.nd.log.Info("directory-lease-left", slog.Any("error", err))
 	}
 	rg.lease = 0
+	rg.nd.registered.Store(false)
 }
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -32,10 +32,21 @@
 	nodes map[string]*testNode
 	// noPlatform names the failure domains that are cut off from the platform.
 	noPlatform atomic.Pointer[map[string]bool]
-	versions   map[string]*uint64
-	submitted  int
+	// spoilt says what the platform does to single VMs.
+	spoilt    atomic.Pointer[map[string]spoil]
+	versions  map[string]*uint64
+	submitted int
 }
 
+// spoil is what the platform does to a VM.
+type spoil int
+
+const (
+	// refuses answers each call with an error, hangs answers none.
+	refuses spoil = iota + 1
+	hangs
+)
+
 // testNode is one process of a VM.
 type testNode struct {
 	*Node
@@ -70,25 +81,40 @@
 		return betweenRegions
 	}
 	fl.noPlatform.Store(&map[string]bool{})
+	fl.spoilt.Store(&map[string]spoil{})
 	fl.st.SetFaults(stand.Faults{Delay: toPlatform})
 	return fl
 }
 
-// store returns the platform as a failure domain sees it.
-func (fl *fleet) store(domain string) store.Store {
-	return store.Wrap(fl.st.Store(), func(_ context.Context, op, key string, call func() error) error {
+// store returns the platform as a VM sees it.
+func (fl *fleet) store(vm decl.VM) store.Store {
+	return store.Wrap(fl.st.Store(), func(ctx context.Context, op, key string, call func() error) error {
 		cut := &store.Error{Kind: store.Unavailable, Op: op, Key: key}
-		if (*fl.noPlatform.Load())[domain] {
+		bad := func() bool {
+			switch (*fl.spoilt.Load())[vm.Name] {
+			case hangs:
+				// The client of the platform gives up after the wait and some slack.
+				_ = pause(ctx, hangTime)
+				return true
+			case refuses:
+				return true
+			}
+			return (*fl.noPlatform.Load())[vm.Domain]
+		}
+		if bad() {
 			return cut
 		}
 		err := call()
-		if (*fl.noPlatform.Load())[domain] {
+		if bad() {
 			return cut
 		}
 		return err
 	})
 }
 
+// hangTime is how long a call to a platform that does not answer takes.
+const hangTime = 1500 * time.Millisecond
+
 // seeds are the first three VMs of each failure domain: the own ones first.
 func (fl *fleet) seeds(vm decl.VM) []string {
 	var list []string
@@ -106,7 +132,7 @@
 func (fl *fleet) startNode(vm decl.VM) *testNode {
 	addr := vm.Name + ":7000"
 	ho, ln := fl.nw.Listen(addr, vm.Domain)
-	gd := guard.New(fl.store(vm.Domain))
+	gd := guard.New(fl.store(vm))
 	tn := &testNode{vm: vm, ho: ho, guard: gd, done: make(chan struct{})}
 	tn.Node = New(Config{
 		VM: vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: fl.seeds(vm), Store: gd.Store(),
--- /dev/null
+++ b/internal/mesh/ctrl/follow.go
@@ -0,0 +1,299 @@
+package ctrl
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/follow"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/relay"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+)
+
+// The times of a process that starts.
+const (
+	// lookTime is how long it waits for its first look at the directory. While the
+	// store does not answer there is nothing to follow either.
+	lookTime = time.Second
+	// bootPatience is how long it waits for a link to others that may bring the
+	// configuration, and bootLonger for the configuration once it has one: the first
+	// ones of a failure domain have read it by then. When each of 87 daemons that
+	// start together reads it by itself, the store sends 23 MB.
+	bootPatience = 1200 * time.Millisecond
+	bootLonger   = 2 * time.Second
+	// bootRelay is how long one that holds a configuration waits for its failure
+	// domain to have relays.
+	bootRelay = 4 * time.Second
+)
+
+// stance is what a process that starts has seen in the directory.
+type stance int
+
+// The stances of a process that starts.
+const (
+	// looking: it has not seen the directory yet.
+	looking stance = iota
+	// leading: its failure domain has nobody else there, or its VM was there before the
+	// process was replaced. It reads the store for the others.
+	leading
+	// waiting: others are there, who may bring the configuration.
+	waiting
+)
+
+// stanceOf returns the stance of a daemon that found the others of its failure domain,
+// and maybe its own VM, in the directory.
+func stanceOf(others []string, own bool) stance {
+	if own || len(others) == 0 {
+		return leading
+	}
+	return waiting
+}
+
+// mayFollow tells whether this daemon follows the store now: a relay when it is its
+// turn, another one while it hears no relay.
+func (wt *watcher) mayFollow(isRelay bool) bool {
+	nd, now := wt.nd, time.Now()
+	if isRelay {
+		order := wt.relayOrder()
+		nd.mu.Lock()
+		defer nd.mu.Unlock()
+		return wt.turn.Due(nd.cf.VM, order, &nd.followers, now)
+	}
+	wt.turn = follow.Turn{}
+	return !nd.hearsRelay() && !nd.waitsForOthers(now.Sub(nd.started))
+}
+
+// waitsForOthers tells whether a process of an age leaves it to others of its failure
+// domain to read the store.
+func (nd *Node) waitsForOthers(age time.Duration) bool {
+	nd.mu.Lock()
+	st, linked := nd.starting, len(nd.peers) > 0
+	nd.mu.Unlock()
+	switch {
+	case st == leading:
+		return false
+	case st == looking && !linked:
+		return age < lookTime
+	case !linked:
+		return age < bootPatience
+	case nd.Board.Held.Get() == nil:
+		return age < bootLonger
+	}
+	return age < bootRelay
+}
+
+// relayOrder returns the relays of all failure domains in the order in which they
+// follow the store.
+func (wt *watcher) relayOrder() []string {
+	vw := wt.nd.Board.Members.Get()
+	if wt.orderOf == vw {
+		return wt.order
+	}
+	var domains []string
+	for dm := range vw.Domains {
+		domains = append(domains, dm)
+	}
+	slices.Sort(domains)
+	var relays [][]string
+	for _, dm := range domains {
+		var own []string
+		for _, rc := range relay.Choose(vw.Live(dm)) {
+			own = append(own, rc.VM)
+		}
+		relays = append(relays, own)
+	}
+	wt.order, wt.orderOf = follow.Order(relays), vw
+	return wt.order
+}
+
+// tellFollow tells the other relays that the store answered this daemon, now and then
+// while it does, or that it no longer does.
+func (wt *watcher) tellFollow(err error) {
+	nd, now := wt.nd, time.Now()
+	fo := link.Follow{VM: nd.cf.VM, At: now, Lost: err != nil}
+	if !fo.Lost && now.Sub(wt.told) < follow.TellEvery-follow.Wait/2 {
+		return
+	}
+	wt.told = now
+	if fo.Lost {
+		wt.told = time.Time{}
+	}
+	if pl := nd.Board.Platform.Get(); pl != nil {
+		fo.Version, fo.Behind = pl.Version, pl.Behind
+	}
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.noteFollow(fo) {
+		nd.passFollow(fo, nil)
+	}
+}
+
+// passFollow sends news of a daemon that follows to the other relays. What came from
+// another failure domain is passed on within the own one, and no further: each relay has
+// a link to the others of its own, and one to each other failure domain. nd.mu is held.
+func (nd *Node) passFollow(fo link.Follow, from *link.Peer) {
+	for pr := range nd.peers {
+		if !pr.Relay || pr == from {
+			continue
+		}
+		if from == nil || from.Record.Domain != nd.cf.Domain && pr.Record.Domain == nd.cf.Domain {
+			pr.SendFollow(fo)
+		}
+	}
+}
+
+// noteFollow keeps news of a daemon that follows, and tells whether it is any; nd.mu is
+// held.
+func (nd *Node) noteFollow(fo link.Follow) bool {
+	if fo.Lost {
+		return nd.followers.Lost(fo.VM, fo.At)
+	}
+	return nd.followers.Answered(fo.VM, fo.At)
+}
+
+// takeFollow notes that a daemon follows the store, or no longer does.
+func (nd *Node) takeFollow(from *link.Peer, fo link.Follow) {
+	if !nd.isRelay() || fo.VM == nd.cf.VM {
+		return
+	}
+	nd.mu.Lock()
+	news := nd.noteFollow(fo)
+	if news {
+		nd.passFollow(fo, from)
+	}
+	nd.mu.Unlock()
+	if news && !fo.Lost && fo.Version > 0 {
+		nd.noteFollowed(fo)
+	}
+}
+
+// noteFollowed keeps what another daemon saw in the store, where this one does not look.
+func (nd *Node) noteFollowed(fo link.Follow) {
+	nd.Board.Platform.Update(func(cur *board.Platform) *board.Platform {
+		if cur != nil && cur.Err == nil && cur.Version == fo.Version && cur.Behind == fo.Behind {
+			return cur
+		}
+		return &board.Platform{Version: fo.Version, Behind: fo.Behind, Since: time.Now()}
+	})
+}
+
+// loseFollower notes that the last link to a relay broke: if it followed the store, it
+// may be gone, and those who stand in must not wait until its word is too old. The first
+// ones to stand in have links to those who follow, so nobody else is told.
+func (nd *Node) loseFollower(pr *link.Peer) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if pr.Relay && !nd.linkedToVM(pr.Record.VM) {
+		nd.followers.Lost(pr.Record.VM, time.Now())
+	}
+}
+
+// linkedToVM tells whether a link leads to a VM; nd.mu is held.
+func (nd *Node) linkedToVM(vm string) bool {
+	for pr := range nd.peers {
+		if pr.Record.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// proof is when the store was asked last for the operators' newest version and gave
+// it, for a platform whose store is never set back.
+type proof struct {
+	at      time.Time
+	version uint64
+}
+
+// noteProof keeps that a read of the store which began at a moment showed the newest
+// version, and tells the peers whose processes ran by then: they may hold that version,
+// since none that a former process of their VM held can be newer.
+func (nd *Node) noteProof(began time.Time, version uint64) {
+	if !nd.cf.Source.Newest || version == 0 {
+		return
+	}
+	nd.Board.RaiseFloor(version, true)
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.proof = proof{at: began, version: version}
+	for pr := range nd.peers {
+		nd.proveTo(pr)
+	}
+}
+
+// proveTo tells a peer the newest version, once on each link, if it was read after the
+// peer's process started; nd.mu is held.
+func (nd *Node) proveTo(pr *link.Peer) {
+	if pr.Proven || nd.proof.version == 0 || pr.Born.IsZero() || earlier(nd.proof.at, pr.Born) {
+		return
+	}
+	pr.Proven = true
+	version := nd.proof.version
+	pr.Next(func(pk *wirepb.Packet) { pk.Newest = version })
+}
+
+// earlier tells whether a time may be before another one. A process that was suspended
+// between the two takes them for closer than they are by its steady clock, which the
+// clock of the wall shows.
+func earlier(a, b time.Time) bool { return a.Before(b) || a.Round(0).Before(b.Round(0)) }
+
+// runProofs reads the store for peers that start while there is no relay to tell them
+// what they may hold. A read that finds nothing new carries no value.
+func (nd *Node) runProofs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-nd.unproven:
+		}
+		if pause(ctx, proofGather) != nil {
+			return
+		}
+		seen, version := nd.seenVersion()
+		if version == 0 {
+			// The first read is under way, and will be told to them.
+			continue
+		}
+		began := time.Now()
+		ent, err := nd.cf.Store.Watch(ctx, nd.cf.Source.Key, seen, 0)
+		if err == nil && ent.Revision == seen {
+			nd.noteProof(began, version)
+		}
+	}
+}
+
+// proofGather is how long a read for peers that start waits for more of them.
+const proofGather = 50 * time.Millisecond
+
+// wantProof asks for a read for a peer that starts.
+func (nd *Node) wantProof() {
+	select {
+	case nd.unproven <- struct{}{}:
+	default:
+	}
+}
+
+// seenVersion returns the revision that the store showed last, and its version.
+func (nd *Node) seenVersion() (store.Revision, uint64) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.seen.revision, nd.seen.version
+}
+
+// setStance notes what the first look at the directory showed.
+func (nd *Node) setStance(st stance) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	if nd.starting == looking {
+		nd.starting = st
+	}
+}
+
+// fromWireFollow reads when the store answered a daemon.
+func fromWireFollow(pb *wirepb.Follow, now time.Time) link.Follow {
+	age := time.Duration(min(pb.GetAgeMs(), uint64(time.Hour.Milliseconds()))) * time.Millisecond
+	return link.Follow{VM: pb.GetVm(), At: now.Add(-age), Lost: pb.GetLost(), Version: pb.GetVersion(), Behind: pb.GetBehind()}
+}
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -187,10 +187,16 @@
 }
 
 // ownRelays returns the relays of the own failure domain. While no link fails
-// the choice depends on the members alone, and is kept.
+// the choice depends on the members alone, and is kept. One that leaves out an address
+// which failed is not: a daemon that started before its relays kept to a plain member
+// for good, heard no relay, and followed the store by itself.
 func (lk *linker) ownRelays() []*member.Record {
 	vw := lk.nd.Board.Members.Get()
-	if lk.chosenOf != vw || len(lk.backoff) > 0 {
+	if len(lk.backoff) > 0 {
+		lk.chosenOf = nil
+		return lk.relaysOf(lk.nd.cf.Domain)
+	}
+	if lk.chosenOf != vw || vw == nil {
 		lk.chosenOf, lk.chosen = vw, lk.relaysOf(lk.nd.cf.Domain)
 	}
 	return lk.chosen
@@ -327,13 +333,40 @@
 	return false
 }
 
-// strangers adds addresses that the directory gave and whose daemons are not
-// known as members yet.
+// The links to addresses that the directory gave and whose daemons are not known yet.
+const (
+	// ownStrangers is how many a daemon opens at a time in its own failure domain.
+	// Whom they lead to makes the others known, so that no more are needed: when each
+	// of 87 daemons that started at once opened one to every address, 2,400 links
+	// carried every record, 35 MB in ten seconds. Two, so that one may be to an
+	// address where nobody answers.
+	ownStrangers = 2
+	// farStrangers is how many a daemon opens to another failure domain, if it stands
+	// for its own: as a relay, or among the first ones.
+	farStrangers = 1
+)
+
+// strangers adds addresses that the directory gave and whose daemons are not known as
+// members yet, a few at a time and in an order of this daemon's own.
 func (lk *linker) strangers(add func(string)) {
 	known := lk.nd.Board.Members.Get()
-	for _, addr := range lk.dirs.addresses() {
-		if !known.Controls[addr] {
-			add(addr)
+	stands := lk.nd.isRelay() || lk.nd.registered.Load()
+	for domain, addrs := range lk.dirs.addresses {
+		most := ownStrangers
+		if domain != lk.nd.cf.Domain {
+			if !stands {
+				continue
+			}
+			most = farStrangers
+		}
+		for _, addr := range relay.OrderAddresses(addrs, lk.nd.cf.VM) {
+			if most == 0 {
+				break
+			}
+			if !known.Controls[addr] && !lk.failing(addr) {
+				add(addr)
+				most--
+			}
 		}
 	}
 }
@@ -369,7 +402,7 @@
 			_ = bs.CloseResponse()
 		},
 	}, nd.offer)
-	pr.Outgoing, pr.Addr = true, addr
+	pr.Outgoing, pr.Addr, pr.Sent = true, addr, nd.countSent
 	nd.sayHello(pr)
 	err := pr.Run(ctx, nd.handle)
 	nd.drop(pr, err)
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"expvar"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -17,6 +19,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/expire"
+	"github.com/flamingomast/flamingomast/internal/mesh/follow"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
@@ -45,7 +48,7 @@
 	Log    *slog.Logger
 	// Dial opens a connection; nil stands for TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
-	// Compile makes the snapshot of a version; nil stands for snap.Compile.
+	// Compile makes the snapshot of a version; nil stands for a snap.Compiler.
 	Compile func(version uint64, co *pack.Content, domain string) (*snap.Snapshot, error)
 	// Drain orders the inlet to take no new work and returns how many requests
 	// are running.
@@ -62,9 +65,6 @@
 	// Newest says that a read shows every version that was ever accepted: the
 	// store is never set back. Such a read settles the floor of a new process.
 	Newest bool
-	// Wait is how long one watch waits. It is also the time after which a watch
-	// whose connection went silent is noticed.
-	Wait time.Duration
 }
 
 // headSource reads the head that accept writes, and the content beside it.
@@ -84,17 +84,20 @@
 		co, err := accept.Step(ctx, kv, base, hd.Last)
 		return hd.Last.Version, co, err
 	}
-	return Source{Key: accept.HeadKey, Read: read, Wait: watchWait}
+	return Source{Key: accept.HeadKey, Read: read}
 }
 
 // Node is the control part of one daemon.
 type Node struct {
 	Board *board.Board
-	cf    Config
-	log   *slog.Logger
-	http  *http.Client
+	// Traffic counts what links have sent, in bytes by kind.
+	Traffic *expvar.Map
+	cf      Config
+	log     *slog.Logger
+	http    *http.Client
 
-	history pack.History
+	history  pack.History
+	compiler snap.Compiler // used by runCompiler alone
 	// wholes and transfers bound the whole contents that are served; fetching
 	// is held by the one fetch that runs.
 	wholes    *rate.Limiter
@@ -119,6 +122,16 @@
 	through map[string]time.Time
 	// bumped counts how often the incarnation was raised above a forerunner's.
 	bumped int
+	// followers are the daemons that follow the store, starting is what this process saw
+	// when it started, seen what the store showed last, and proof when.
+	followers follow.Heard
+	starting  stance
+	seen      seen
+	proof     proof
+	// unproven asks for a read for peers that start.
+	unproven chan struct{}
+	// registered is set while the daemon's key is in the directory.
+	registered atomic.Bool
 	// sumDirty says that the own failure domain's summary is to be sent.
 	sumDirty bool
 	linker   *linker
@@ -151,12 +164,14 @@
 func New(cf Config) *Node {
 	nd := &Node{
 		Board:     &board.Board{},
+		Traffic:   newTraffic(),
 		cf:        cf,
 		log:       cf.Log,
 		wholes:    rate.NewLimiter(wholeRate, wholeBurst),
 		transfers: make(chan struct{}, wholeAtOnce),
 		fetching:  make(chan struct{}, 1),
 		kick:      make(chan struct{}, 1),
+		unproven:  make(chan struct{}, 1),
 		peers:     map[*link.Peer]bool{},
 		holds:     map[string]hold{},
 		summaries: map[string]*wirepb.Summary{},
@@ -173,7 +188,7 @@
 		nd.cf.Source = headSource()
 	}
 	if nd.cf.Compile == nil {
-		nd.cf.Compile = snap.Compile
+		nd.cf.Compile = nd.compiler.Compile
 	}
 	if nd.cf.Drain == nil {
 		nd.cf.Drain = func() int { return 0 }
@@ -198,7 +213,7 @@
 	stop := context.AfterFunc(ctx, nd.end)
 	defer stop()
 	for _, fn := range []func(context.Context){
-		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runDirectory,
+		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runProofs, nd.runDirectory,
 	} {
 		nd.background(func() { fn(nd.life) })
 	}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -32,7 +32,10 @@
 
 // sayHello queues a Hello for a peer.
 func (nd *Node) sayHello(pr *link.Peer) {
-	hello := &wirepb.Hello{Protocol: Protocol, Record: nd.Board.Self.Get().ToWire(), Relay: nd.isRelay()}
+	hello := &wirepb.Hello{
+		Protocol: Protocol, Record: nd.Board.Self.Get().ToWire(), Relay: nd.isRelay(),
+		AgeMs: uint64(time.Since(nd.started).Milliseconds()),
+	}
 	if cfg := nd.Board.Latest.Get(); cfg != nil {
 		hello.Latest, hello.Digest = cfg.Version, cfg.Content.Digest[:]
 	}
@@ -88,6 +91,12 @@
 	for _, re := range pk.Reach {
 		nd.takeReach(pr, re)
 	}
+	for _, fo := range pk.Follows {
+		nd.takeFollow(pr, fromWireFollow(fo, time.Now()))
+	}
+	if pk.Newest > 0 && nd.cf.Source.Newest {
+		nd.Board.RaiseFloor(pk.Newest, true)
+	}
 	if pk.Version != nil {
 		nd.takeVersion(pr, pk.Version)
 	}
@@ -102,6 +111,11 @@
 	greet := first || hello.Relay && !pr.Relay
 	pr.Record, pr.Relay, pr.Ready = rc, hello.Relay, true
 	nd.peers[pr] = true
+	if pr.Born.IsZero() && hello.AgeMs > 0 {
+		pr.Born = time.Now().Add(-time.Duration(hello.AgeMs) * time.Millisecond)
+		nd.proveTo(pr)
+	}
+	proven := pr.Proven
 	floor := nd.floorOf(rc)
 	leaving := nd.leavers[rc.VM]
 	nd.mu.Unlock()
@@ -132,6 +146,9 @@
 		nd.greet(pr)
 	}
 	pr.Offer(nd.Board.LatestVersion())
+	if first && !proven && !nd.isRelay() && nd.cf.Source.Newest {
+		nd.wantProof()
+	}
 	nd.poke()
 }
 
@@ -139,6 +156,10 @@
 func (nd *Node) greet(pr *link.Peer) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
+	if pr.Relay {
+		// One that has just become a relay would stand in for those it has not heard of.
+		nd.followers.Each(time.Now(), func(vm string, at time.Time) { pr.SendFollow(link.Follow{VM: vm, At: at}) })
+	}
 	if pr.Record.Domain != nd.cf.Domain {
 		if pr.Relay {
 			pr.SendSummary(nd.summary())
@@ -163,6 +184,7 @@
 	delete(nd.peers, pr)
 	nd.mu.Unlock()
 	if known {
+		nd.loseFollower(pr)
 		nd.log.Debug("link-down", slog.String("peer", pr.Record.VM), slog.Any("cause", err))
 		nd.showLinks()
 	}
--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -129,6 +129,7 @@
 	ab.rc, _ = ctx.Value(deadlineKey{}).(*http.ResponseController)
 	defer ab.over()
 	pr := link.New(link.Stream{Send: bs.Send, Receive: bs.Receive, Abort: ab.abort}, sr.nd.offer)
+	pr.Sent = sr.nd.countSent
 	err := pr.Run(ctx, sr.nd.handle)
 	sr.nd.drop(pr, err)
 	return nil
@@ -173,6 +174,7 @@
 	if len(req.Msg.Have) == len(dg) {
 		if body, ok := nd.history.Body(pack.Digest(req.Msg.Have), dg); ok {
 			res.Base, res.Body = req.Msg.Have, body
+			nd.Traffic.Add("fetch/deltas", int64(len(body)))
 			return connect.NewResponse(res), nil
 		}
 	}
@@ -190,6 +192,7 @@
 		return connect.NewResponse(&wirepb.FetchResponse{LaterMs: later()}), nil
 	}
 	res.Body = body
+	nd.Traffic.Add("fetch/wholes", int64(len(body)))
 	return connect.NewResponse(res), nil
 }
 
--- /dev/null
+++ b/internal/mesh/ctrl/traffic.go
@@ -0,0 +1,53 @@
+package ctrl
+
+import (
+	"expvar"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+)
+
+// countSent counts the bytes of a packet by what they say and by whether they leave the
+// failure domain. Fields of one packet share its framing, which is not counted.
+func (nd *Node) countSent(pr *link.Peer, pk *wirepb.Packet) {
+	way := "within/"
+	nd.mu.Lock()
+	if pr.Record != nil && pr.Record.Domain != nd.cf.Domain {
+		way = "across/"
+	}
+	nd.mu.Unlock()
+	add := func(kind string, n int) {
+		if n > 0 {
+			nd.Traffic.Add(way+kind, int64(n))
+		}
+	}
+	add("hello", sizeOf(pk.Hello)+sizeOf(pk.Welcome))
+	add("versions", sizeOf(pk.Version))
+	add("records", len(pk.PackedRecords)+sizeOfAll(pk.Records))
+	add("held", sizeOfAll(pk.Held))
+	add("summaries", sizeOfAll(pk.Summaries))
+	add("reach", sizeOfAll(pk.Reach)+sizeOfAll(pk.Hashes))
+	heard := 0
+	for _, vm := range pk.Heard {
+		heard += len(vm) + keyBytes
+	}
+	add("heard", heard)
+	nd.Traffic.Add(way+"packets", 1)
+}
+
+// keyBytes is what the key and the length of a short field take on the wire.
+const keyBytes = 2
+
+func sizeOf[M proto.Message](ms M) int { return proto.Size(ms) }
+
+func sizeOfAll[M proto.Message](list []M) (n int) {
+	for _, ms := range list {
+		n += proto.Size(ms) + keyBytes
+	}
+	return n
+}
+
+// newTraffic returns an empty count of bytes.
+func newTraffic() *expvar.Map { return new(expvar.Map).Init() }
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
+	"github.com/flamingomast/flamingomast/internal/mesh/follow"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
@@ -15,34 +16,49 @@
 
 // The times of the watcher.
 const (
-	// watchWait is how long one watch of the own head waits; each counts as a
-	// call.
-	watchWait = 25 * time.Second
 	// firstRetry and mostRetry bound the wait after failed calls, which doubles
 	// from the one to the other. The first is short since a watch that was cut
 	// off costs a read at once; the most keeps a daemon that the platform turns
-	// away at two calls a second.
-	firstRetry = 50 * time.Millisecond
-	mostRetry  = 500 * time.Millisecond
-	roleCheck  = 250 * time.Millisecond
-	// standIn is how long a watch of a daemon that is no relay waits: it follows
-	// the platform only until it hears a relay again.
-	standIn = 2 * time.Second
+	// away at two calls a second, and mostStandInRetry one that only stands in for
+	// others.
+	firstRetry       = 50 * time.Millisecond
+	mostRetry        = 500 * time.Millisecond
+	mostStandInRetry = 2 * time.Second
+	// roleCheck is how often a daemon that does not follow the platform looks whether
+	// it is its turn.
+	roleCheck = 100 * time.Millisecond
 	// deaf is how long a daemon may hear no relay before it follows the platform
 	// itself: a beat and a half, so that a version accepted while all its relays
 	// are frozen is still in force within two seconds.
 	deaf = link.Beat + link.Beat/2
 )
 
-// runWatcher follows the platform while the daemon is a relay or hears none.
-// Plain members do not call the platform for configurations, so its load depends
-// on the number of failure domains and not on that of VMs.
+// watcher follows the platform's store for the mesh while it is this daemon's turn.
+type watcher struct {
+	nd     *Node
+	turn   follow.Turn
+	failed int
+	// told is when the others were told last that it follows.
+	told time.Time
+	// order is that of the relays among the members orderOf.
+	order   []string
+	orderOf *member.View
+}
+
+// seen is what the store showed last, and the version of it, 0 for none.
+type seen struct {
+	revision store.Revision
+	version  uint64
+}
+
+// runWatcher follows the platform while it is this daemon's turn. Two relays of the mesh
+// do, so the platform's load depends neither on the number of VMs nor on that of failure
+// domains.
 func (nd *Node) runWatcher(ctx context.Context) {
-	var seen store.Revision
-	failed := 0
+	wt := &watcher{nd: nd}
 	for ctx.Err() == nil {
 		links, changed := nd.Board.Links.Watch()
-		if !links.Relay && nd.hearsRelay() {
+		if !wt.mayFollow(links.Relay) {
 			select {
 			case <-changed:
 			case <-ctx.Done():
@@ -50,22 +66,31 @@
 			}
 			continue
 		}
-		rev, err := nd.watchOnce(ctx, seen)
+		err := wt.watchOnce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		nd.notePlatform(err)
-		if err != nil {
-			seen = 0
-			bound := min(firstRetry<<min(failed, 10), mostRetry)
-			failed++
-			if pause(ctx, bound/2+rand.N(bound/2)) != nil {
-				return
-			}
+		wt.tellFollow(err)
+		if err == nil {
+			wt.failed = 0
 			continue
 		}
-		seen, failed = rev, 0
+		bound := min(firstRetry<<min(wt.failed, 10), wt.mostRetry(links.Relay))
+		wt.failed++
+		if pause(ctx, bound/2+rand.N(bound/2)) != nil {
+			return
+		}
+	}
+}
+
+// mostRetry returns how long the wait after failed calls may get. Those who follow the
+// store as a rule find it back soon, and tell the others.
+func (wt *watcher) mostRetry(isRelay bool) time.Duration {
+	if isRelay && follow.Position(wt.nd.cf.VM, wt.relayOrder()) >= follow.Enough {
+		return mostStandInRetry
 	}
+	return mostRetry
 }
 
 // hearsRelay tells whether a relay sent something lately.
@@ -81,35 +106,44 @@
 }
 
 // watchOnce waits for another value of the source's key and takes its version.
-func (nd *Node) watchOnce(ctx context.Context, seen store.Revision) (store.Revision, error) {
+func (wt *watcher) watchOnce(ctx context.Context) error {
+	nd := wt.nd
 	src := &nd.cf.Source
-	wait := src.Wait
-	if !nd.isRelay() {
-		wait = min(wait, standIn)
+	last, version := nd.seenVersion()
+	began := time.Now()
+	ent, err := nd.cf.Store.Watch(ctx, src.Key, last, follow.Wait)
+	if err != nil {
+		return err
 	}
-	ent, err := nd.cf.Store.Watch(ctx, src.Key, seen, wait)
-	if err != nil || ent.Revision == seen {
-		return seen, err
+	if ent.Revision == last {
+		nd.noteProof(began, version)
+		return nil
 	}
 	version, co, err := src.Read(ctx, nd.cf.Store, nd.Board.Latest.Get(), ent.Value)
 	var se *store.Error
 	switch {
 	case errors.As(err, &se):
-		return 0, err
+		return err
 	case err != nil:
 		// Reading it again would show the same; the version held stays.
 		nd.log.Error("version-unreadable", slog.Uint64("version", version), slog.Any("error", err))
 		nd.Board.Refused.Set(&board.Refusal{Version: version, Reason: err.Error()})
-		return ent.Revision, nil
+		nd.setSeen(ent.Revision, 0)
+		return nil
 	}
 	nd.notePlatformVersion(version)
 	if co != nil {
 		nd.take(version, co)
 	}
-	if src.Newest {
-		nd.Board.RaiseFloor(version, true)
-	}
-	return ent.Revision, nil
+	nd.setSeen(ent.Revision, version)
+	nd.noteProof(began, version)
+	return nil
+}
+
+func (nd *Node) setSeen(rev store.Revision, version uint64) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.seen = seen{revision: rev, version: version}
 }
 
 func (nd *Node) notePlatform(err error) {
@@ -154,10 +188,22 @@
 			return
 		case <-newer:
 		case <-raised:
+		case <-time.After(keepCompiled):
+			nd.compiler.Forget()
+			select {
+			case <-ctx.Done():
+				return
+			case <-newer:
+			case <-raised:
+			}
 		}
 	}
 }
 
+// keepCompiled is how long what speeds up the next version is kept: versions come in
+// quick succession, and 1,600 routes take 0.8 MB.
+const keepCompiled = 10 * time.Second
+
 // compile builds the whole snapshot before it swaps one pointer, so that no
 // request sees a version in part. A version that this release cannot compile
 // is refused whole, and the one held stays; it is passed on to others all the
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -51,6 +51,12 @@
 	Outgoing bool
 	// Addr is where the peer was reached, for an outgoing link.
 	Addr string
+	// Born is a moment at which the peer's process ran already, Proven that it was told
+	// the newest version. The owner of the peer guards them.
+	Born   time.Time
+	Proven bool
+	// Sent, if set, is told of each packet that was sent. It is set before Run.
+	Sent func(pr *Peer, pk *wirepb.Packet)
 
 	heard  atomic.Pointer[time.Time] // when the last packet came
 	offer  func(pr *Peer, base pack.Digest) *wirepb.Version
@@ -70,6 +76,18 @@
 	held      map[string]*wirepb.Held
 	summaries map[string]*wirepb.Summary
 	reach     map[string]*wirepb.Reach
+	follows   map[string]Follow
+}
+
+// Follow says when the store answered a daemon that follows it, or that it no longer
+// does.
+type Follow struct {
+	VM   string
+	At   time.Time
+	Lost bool
+	// Version is what the store shows, Behind that a newer one is known.
+	Version uint64
+	Behind  bool
 }
 
 // New returns a peer. The function offer makes the version packet for a peer
@@ -127,9 +145,13 @@
 				}
 			}
 		}
-		if err := pr.stream.Send(pr.compose()); err != nil {
+		pk := pr.compose()
+		if err := pr.stream.Send(pk); err != nil {
 			return err
 		}
+		if pr.Sent != nil {
+			pr.Sent(pr, pk)
+		}
 		beat.Reset(Beat)
 	}
 }
@@ -165,10 +187,15 @@
 	for _, re := range pr.reach {
 		pk.Reach = append(pk.Reach, re)
 	}
+	for _, fo := range pr.follows {
+		age := max(0, time.Since(fo.At))
+		pk.Follows = append(pk.Follows, &wirepb.Follow{Vm: fo.VM, AgeMs: uint64(age.Milliseconds()), Lost: fo.Lost, Version: fo.Version, Behind: fo.Behind})
+	}
 	clear(pr.records)
 	clear(pr.held)
 	clear(pr.summaries)
 	clear(pr.reach)
+	clear(pr.follows)
 	if pr.offerNext {
 		pr.offerNext = false
 		pk.Version = pr.offer(pr, pr.digest)
@@ -309,3 +336,21 @@
 		pr.reach[re.Domain] = re
 	})
 }
+
+// SendFollow sends who follows the store, the newest statement of each: that one no
+// longer does at once, all else with the next packet.
+func (pr *Peer) SendFollow(fo Follow) {
+	set := func() {
+		if pr.follows == nil {
+			pr.follows = map[string]Follow{}
+		}
+		pr.follows[fo.VM] = fo
+	}
+	if fo.Lost {
+		pr.change(set)
+		return
+	}
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	set()
+}
--- a/internal/mesh/relay/relay.go
+++ b/internal/mesh/relay/relay.go
@@ -30,6 +30,15 @@
 	return rank(relays, vm, len(relays))
 }
 
+// OrderAddresses returns addresses in the order in which the member vm should try them.
+func OrderAddresses(addrs []string, vm string) []string {
+	list := slices.Clone(addrs)
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(vm+"\x00"+a), xxhash.Sum64String(vm+"\x00"+b)), cmp.Compare(a, b))
+	})
+	return list
+}
+
 func rank(list []*member.Record, seed string, count int) []*member.Record {
 	type scored struct {
 		rc     *member.Record
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -195,7 +195,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var wg conc.WaitGroup
-	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runLeaving, dm.runRecall, dm.runProbe} {
+	for _, fn := range []func(context.Context){dm.Node.Run, dm.runRouting, dm.runLocal, dm.runLeaving, dm.runRecall, dm.runProbe, dm.runUsage} {
 		wg.Go(func() { fn(life) })
 	}
 	servers := dm.servers()
@@ -314,6 +314,9 @@
 	num("control-bytes-out", dm.bytes.Out.Load)
 	num("platform-calls", dm.guard.Calls.Load)
 	num("platform-calls-held", dm.guard.Held.Load)
+	m.Set("platform-calls-by-purpose", &dm.guard.Purposes)
+	m.Set("platform-bytes-by-purpose", &dm.guard.Read)
+	m.Set("link-bytes-by-kind", dm.Node.Traffic)
 	num("slots-running", func() int64 { return int64(dm.Inlet.Gate.Load().Running) })
 	num("slots-waiting", func() int64 { return int64(dm.Inlet.Gate.Load().Waiting) })
 	num("resident-bytes", func() int64 { return ownUsage().Resident })
--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -136,15 +136,9 @@
 // listening to peers: one may be linked late.
 func (dm *Daemon) runRecall(ctx context.Context) {
 	began := time.Now()
-	limit, cancel := context.WithTimeout(ctx, recallTime)
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		dm.recallStored(limit)
-	}()
-	dm.waitForerunner(limit, asked)
-	cancel()
-	<-asked
+	if !dm.se.FirstStart {
+		dm.askForerunner(ctx)
+	}
 	dm.local.mu.Lock()
 	dm.local.recalled = true
 	dm.local.mu.Unlock()
@@ -161,6 +155,21 @@
 	}
 }
 
+// askForerunner asks the store and waits for peers. At the first start of a mesh there is
+// nobody to ask about, and hundreds of calls to the store tell nothing.
+func (dm *Daemon) askForerunner(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recallTime)
+	defer cancel()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		dm.recallStored(ctx)
+	}()
+	dm.waitForerunner(ctx, asked)
+	cancel()
+	<-asked
+}
+
 // recall takes what peers keep of the former process.
 func (dm *Daemon) recall(fo *board.Forerunner) {
 	if fo == nil || fo.Lifetime == "" {
--- a/internal/node/daemon/recall_test.go
+++ b/internal/node/daemon/recall_test.go
@@ -89,6 +89,31 @@
 	}
 }
 
+// TestFirstStart: hundreds of daemons start for the first time. Each asked the store what
+// a former process of its VM had acknowledged, and kept its backend server waiting for
+// peers that could not know. At the first start nothing is asked, and the server serves
+// at once.
+func TestFirstStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := stand.New()
+		kv := st.Store()
+		dm := New(setup.Settings{VM: "vm-0", Domain: "d", FirstStart: true}, Options{Store: &kv})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go dm.runRecall(ctx)
+		if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 1, TTLMs: 60_000}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if now, _ := dm.local.watch(time.Now()); now.Announcement == nil {
+			t.Error("the server does not serve yet")
+		}
+		if n := st.Calls.Total(); n != 0 {
+			t.Errorf("%d calls to the store", n)
+		}
+	})
+}
+
 // TestLeavingStoredLate: a backend server says that it drains while the store
 // takes two seconds to answer, or answers with errors. The acknowledgement cannot
 // wait for it; the store must know of the drain all the same once it answers, or
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -59,6 +59,9 @@
 	Memory int64
 	// Link is the rate of the VM's link in bits a second, 0 where it is not known.
 	Link float64
+	// FirstStart says that the whole mesh starts for the first time, so that no former
+	// process has acknowledged anything.
+	FirstStart bool
 	// Repeats bounds the repeats of all daemons together, for each service.
 	Repeats retry.Bound
 }
@@ -86,6 +89,7 @@
 	drain                                     string
 	memory, link                              string
 	ratio, spare                              string
+	first                                     string
 }
 
 // flags declares the settings; the text of each is the help a person sees.
@@ -112,6 +116,7 @@
 	fs.StringVar(&rw.link, "link-mbps", "0", "rate of the VM's link in Mbit/s, by which large answers are paced; 0 for no pacing")
 	fs.StringVar(&rw.ratio, "retry-ratio", "", "how many repeats there may be for each request of a service, over all daemons; 0.2 unless set, 0 for none")
 	fs.StringVar(&rw.spare, "retry-spare", "", "how many more repeats of a service all daemons together may send in some seconds; 50 unless set")
+	fs.StringVar(&rw.first, "first-start", "false", "true while the whole mesh starts for the first time, so that there is nothing to ask the platform for; false at every later start")
 	fs.String("config", "", "YAML file with any of these settings")
 }
 
@@ -301,6 +306,10 @@
 		rd.add("link-mbps", fmt.Sprintf("link-mbps is %q", rw.link), fmt.Sprintf("set it to a number from 0 to %d", maxLink))
 	}
 	se.Link = mbps * 1e6
+	se.FirstStart, err = strconv.ParseBool(rw.first)
+	if err != nil {
+		rd.add("first-start", fmt.Sprintf("first-start is %q", rw.first), "set it to true or false")
+	}
 	se.Repeats.Ratio = rd.number("retry-ratio", rw.ratio, retry.Default.Ratio, 1)
 	se.Repeats.Spare = rd.number("retry-spare", rw.spare, retry.Default.Spare, maxSpare)
 	se.DrainTimeout, err = time.ParseDuration(rw.drain)
--- a/internal/plat/guard/guard.go
+++ b/internal/plat/guard/guard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"expvar"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -27,9 +29,12 @@
 type Guard struct {
 	// Calls counts the calls that were sent, Held those that were not.
 	Calls, Held atomic.Int64
-	kv          store.Store
-	lim         *rate.Limiter
-	brk         *gobreaker.CircuitBreaker[any]
+	// Purposes counts the calls that were sent by operation and the first part of the
+	// key, Read the bytes of values that came back by the same.
+	Purposes, Read expvar.Map
+	kv             store.Store
+	lim            *rate.Limiter
+	brk            *gobreaker.CircuitBreaker[any]
 }
 
 // New returns a guard around kv.
@@ -45,17 +50,42 @@
 	}
 }
 
+// purpose names what a call is for.
+func purpose(op, key string) string {
+	first, _, _ := strings.Cut(key, "/")
+	if first == "" {
+		return op
+	}
+	return op + "/" + first
+}
+
 // Store returns the guarded functions.
 func (gd *Guard) Store() store.Store {
 	kv := store.Wrap(gd.kv, gd.through)
-	watch := kv.Watch
+	get, list, watch := kv.Get, kv.List, kv.Watch
+	kv.Get = func(ctx context.Context, key string) (store.Entry, error) {
+		ent, err := get(ctx, key)
+		gd.Read.Add(purpose("get", key), int64(len(ent.Value)))
+		return ent, err
+	}
+	kv.List = func(ctx context.Context, prefix string) ([]store.Item, error) {
+		items, err := list(ctx, prefix)
+		for _, it := range items {
+			gd.Read.Add(purpose("list", prefix), int64(len(it.Value)))
+		}
+		return items, err
+	}
 	kv.Watch = func(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
 		// A half-open breaker lets one call through at a time. A watch that
 		// waits would hold back all others, so it only looks then.
 		if gd.brk.State() != gobreaker.StateClosed {
 			wait = 0
 		}
-		return watch(ctx, key, after, wait)
+		ent, err := watch(ctx, key, after, wait)
+		if ent.Revision != after {
+			gd.Read.Add(purpose("watch", key), int64(len(ent.Value)))
+		}
+		return ent, err
 	}
 	return kv
 }
@@ -69,6 +99,7 @@
 	}
 	_, err := gd.brk.Execute(func() (any, error) {
 		gd.Calls.Add(1)
+		gd.Purposes.Add(purpose(op, key), 1)
 		return nil, call()
 	})
 	if errors.Is(err, gobreaker.ErrOpenState) || errors.Is(err, gobreaker.ErrTooManyRequests) {
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -11,6 +11,14 @@
 	Refused = "inlet-refused"
 	Failed  = "inlet-failed"
 
+	// Usage is what a daemon has taken and sent since its start; Calls groups its calls
+	// to the platform's store by purpose, Read the bytes that came back, Links what its
+	// links have sent by kind.
+	Usage = "usage"
+	Calls = "calls"
+	Read  = "read"
+	Links = "links"
+
 	// ID is the caller's id of a request.
 	ID = "id"
 	// Version is the configuration that a request was routed by.
