mesh/ctrl, node/admin, conf/accept: fewer wake-ups, no error dropped without a word

A member that is no relay woke eight times a second for what relays do, and looked every 100 ms whether it should follow the store; it now sleeps until a relay would be overdue.

--- a/internal/conf/accept/submit.go
+++ b/internal/conf/accept/submit.go
@@ -32,6 +32,9 @@
 	// Resume lets the next version follow Floor when the platform has lost
 	// versions that the fleet holds.
 	Resume bool
+	// Kept, if set, is told of an old key that could not be removed. It stays until the
+	// platform's owner removes it, and harms nothing.
+	Kept func(key string, err error)
 }
 
 // Status is how a submission ended.
@@ -348,6 +351,9 @@
 func (sm *submitter) remove(ctx context.Context, key string) {
 	ent, err := sm.kv.Get(ctx, key)
 	if err == nil && ent.Revision != 0 {
-		_, _, _ = sm.kv.Swap(ctx, store.Change{Key: key, Revision: ent.Revision, Remove: true})
+		_, _, err = sm.kv.Swap(ctx, store.Change{Key: key, Revision: ent.Revision, Remove: true})
+	}
+	if err != nil && sm.sub.Kept != nil {
+		sm.sub.Kept(key, err)
 	}
 }
--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -149,6 +149,7 @@
 // held.
 func (nd *Node) noteFollow(fo link.Follow) bool {
 	if fo.Lost {
+		nd.lookSoon()
 		return nd.followers.Lost(fo.VM, fo.At)
 	}
 	return nd.followers.Answered(fo.VM, fo.At)
@@ -188,6 +189,7 @@
 	defer nd.mu.Unlock()
 	if pr.Relay && !nd.linkedToVM(pr.Record.VM) {
 		nd.followers.Lost(pr.Record.VM, time.Now())
+		nd.lookSoon()
 	}
 }
 
@@ -292,6 +294,14 @@
 	}
 }
 
+// lookSoon lets the watcher look whether it is this daemon's turn.
+func (nd *Node) lookSoon() {
+	select {
+	case nd.lookAgain <- struct{}{}:
+	default:
+	}
+}
+
 // fromWireFollow reads when the store answered a daemon.
 func fromWireFollow(pb *wirepb.Follow, now time.Time) link.Follow {
 	age := time.Duration(min(pb.GetAgeMs(), uint64(time.Hour.Milliseconds()))) * time.Millisecond
--- a/internal/mesh/ctrl/holds.go
+++ b/internal/mesh/ctrl/holds.go
@@ -223,33 +223,47 @@
 	})
 }
 
-// runHousekeeping does what a relay does at intervals.
+// runHousekeeping does what is done at intervals. A daemon that is no relay only tells
+// whom it hears: what relays do would wake it eight times a second for nothing.
 func (nd *Node) runHousekeeping(ctx context.Context) {
+	hrd := time.NewTicker(heardEvery)
+	defer hrd.Stop()
+	for ctx.Err() == nil {
+		links, changed := nd.Board.Links.Watch()
+		if links.Relay {
+			nd.keepHouse(ctx, hrd.C)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-hrd.C:
+			nd.sendHeard()
+		}
+	}
+}
+
+// keepHouse does what a relay does at intervals, until the daemon is none any more.
+func (nd *Node) keepHouse(ctx context.Context, heard <-chan time.Time) {
 	sum := time.NewTicker(summaryEvery)
 	defer sum.Stop()
 	tick := time.NewTicker(expire.Tick)
 	defer tick.Stop()
-	hrd := time.NewTicker(heardEvery)
-	defer hrd.Stop()
 	rep := time.NewTicker(repairEvery)
 	defer rep.Stop()
-	for {
+	for nd.isRelay() {
 		select {
 		case <-ctx.Done():
 			return
 		case <-sum.C:
 			nd.sendSummary()
 		case <-tick.C:
-			if nd.isRelay() {
-				nd.expireMembers()
-				nd.checkReach()
-			}
-		case <-hrd.C:
+			nd.expireMembers()
+			nd.checkReach()
+		case <-heard:
 			nd.sendHeard()
 		case <-rep.C:
-			if nd.isRelay() {
-				nd.sendHashes()
-			}
+			nd.sendHashes()
 		}
 	}
 }
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -398,8 +399,9 @@
 		Abort: func() {
 			cancel()
 			// Closing waits for the peer's answer; the context ends that.
-			_ = bs.CloseRequest()
-			_ = bs.CloseResponse()
+			if err := errors.Join(bs.CloseRequest(), bs.CloseResponse()); err != nil {
+				nd.log.Debug("link-closed", slog.String("address", addr), slog.Any("error", err))
+			}
 		},
 	}, nd.offer)
 	pr.Outgoing, pr.Addr, pr.Sent = true, addr, nd.countSent
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -130,6 +130,8 @@
 	proof     proof
 	// unproven asks for a read for peers that start.
 	unproven chan struct{}
+	// lookAgain lets the watcher look again.
+	lookAgain chan struct{}
 	// registered is set while the daemon's key is in the directory.
 	registered atomic.Bool
 	// sumDirty says that the own failure domain's summary is to be sent.
@@ -172,6 +174,7 @@
 		fetching:  make(chan struct{}, 1),
 		kick:      make(chan struct{}, 1),
 		unproven:  make(chan struct{}, 1),
+		lookAgain: make(chan struct{}, 1),
 		peers:     map[*link.Peer]bool{},
 		holds:     map[string]hold{},
 		summaries: map[string]*wirepb.Summary{},
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -24,9 +24,11 @@
 	firstRetry       = 50 * time.Millisecond
 	mostRetry        = 500 * time.Millisecond
 	mostStandInRetry = 2 * time.Second
-	// roleCheck is how often a daemon that does not follow the platform looks whether
-	// it is its turn.
-	roleCheck = 100 * time.Millisecond
+	// soonLook is how often a daemon that does not follow the platform looks whether it is
+	// its turn, while that may change from one moment to the next, and lateLook how often
+	// otherwise; news of those who follow comes in between.
+	soonLook = 50 * time.Millisecond
+	lateLook = 500 * time.Millisecond
 	// deaf is how long a daemon may hear no relay before it follows the platform
 	// itself: a beat and a half, so that a version accepted while all its relays
 	// are frozen is still in force within two seconds.
@@ -61,8 +63,9 @@
 		if !wt.mayFollow(links.Relay) {
 			select {
 			case <-changed:
+			case <-nd.lookAgain:
 			case <-ctx.Done():
-			case <-time.After(roleCheck):
+			case <-time.After(wt.nextLook(links.Relay)):
 			}
 			continue
 		}
@@ -84,6 +87,18 @@
 	}
 }
 
+// nextLook returns after which time it may be this daemon's turn.
+func (wt *watcher) nextLook(isRelay bool) time.Duration {
+	nd := wt.nd
+	switch {
+	case isRelay && wt.turn.Vacant(), !isRelay && time.Since(nd.started) < bootRelay:
+		return soonLook
+	case isRelay:
+		return lateLook
+	}
+	return max(soonLook, deaf-time.Since(nd.relayHeard()))
+}
+
 // mostRetry returns how long the wait after failed calls may get. Those who follow the
 // store as a rule find it back soon, and tell the others.
 func (wt *watcher) mostRetry(isRelay bool) time.Duration {
@@ -94,15 +109,18 @@
 }
 
 // hearsRelay tells whether a relay sent something lately.
-func (nd *Node) hearsRelay() bool {
+func (nd *Node) hearsRelay() bool { return time.Since(nd.relayHeard()) < deaf }
+
+// relayHeard returns when a relay sent something last, the zero time for none.
+func (nd *Node) relayHeard() (last time.Time) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	for pr := range nd.peers {
-		if pr.Relay && time.Since(pr.Heard()) < deaf {
-			return true
+		if at := pr.Heard(); pr.Relay && at.After(last) {
+			last = at
 		}
 	}
-	return false
+	return last
 }
 
 // watchOnce waits for another value of the source's key and takes its version.
--- a/internal/mesh/follow/follow.go
+++ b/internal/mesh/follow/follow.go
@@ -98,6 +98,9 @@
 	vacant time.Time
 }
 
+// Vacant tells whether too few followed before this one when it was asked last.
+func (tu *Turn) Vacant() bool { return !tu.vacant.IsZero() }
+
 // Due tells whether the daemon me follows the store now. Whoever stands in waits
 // for those before it in order, so that one vacancy is not filled by all at once.
 func (tu *Turn) Due(me string, order []string, he *Heard, now time.Time) bool {
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -115,6 +115,8 @@
 	Sample func(share float64)
 	// Vars are the daemon's metrics.
 	Vars *expvar.Map
+	// Unsent, if set, notes that an answer could not be sent, as when the asker has gone.
+	Unsent func(err error)
 }
 
 // New returns the handler of the pages.
@@ -122,7 +124,7 @@
 	rt := httprouter.New()
 	rt.POST("/announce", hs.announce)
 	rt.DELETE("/announce", hs.withdraw)
-	rt.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { _, _ = w.Write([]byte("ok\n")) })
+	rt.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { hs.text(w, "ok") })
 	rt.GET("/readyz", hs.ready)
 	rt.GET("/status", hs.status)
 	rt.POST("/drain/:vm", hs.drain)
@@ -144,11 +146,11 @@
 		err = an.Check()
 	}
 	if err != nil {
-		fail(w, http.StatusBadRequest, err)
+		hs.fail(w, http.StatusBadRequest, err)
 		return
 	}
 	if err := hs.Announce(r.Context(), an); err != nil {
-		fail(w, http.StatusConflict, err)
+		hs.fail(w, http.StatusConflict, err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -161,29 +163,29 @@
 
 func (hs *Handlers) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if err := hs.Ready(); err != nil {
-		fail(w, http.StatusServiceUnavailable, err)
+		hs.fail(w, http.StatusServiceUnavailable, err)
 		return
 	}
-	_, _ = w.Write([]byte("ready\n"))
+	hs.text(w, "ready")
 }
 
 func (hs *Handlers) status(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	reply(w, hs.Status(r.Context()))
+	hs.reply(w, hs.Status(r.Context()))
 }
 
 func (hs *Handlers) drain(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 	running, err := hs.Drain(r.Context(), ps.ByName("vm"))
 	if err != nil {
-		fail(w, http.StatusBadGateway, err)
+		hs.fail(w, http.StatusBadGateway, err)
 		return
 	}
-	reply(w, Drained{VM: ps.ByName("vm"), Running: running})
+	hs.reply(w, Drained{VM: ps.ByName("vm"), Running: running})
 }
 
 func (hs *Handlers) sample(w http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
 	share, err := strconv.ParseFloat(ps.ByName("share"), 64)
 	if err != nil || !(share >= 0 && share <= 1) {
-		fail(w, http.StatusBadRequest, fmt.Errorf("the share is %q; set it to a number from 0 to 1", ps.ByName("share")))
+		hs.fail(w, http.StatusBadRequest, fmt.Errorf("the share is %q; set it to a number from 0 to 1", ps.ByName("share")))
 		return
 	}
 	hs.Sample(share)
@@ -206,13 +208,25 @@
 func (hs *Handlers) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 	if err := expo.Write(w, hs.Vars); err != nil {
-		fail(w, http.StatusInternalServerError, err)
+		hs.fail(w, http.StatusInternalServerError, err)
 	}
 }
 
-func reply(w http.ResponseWriter, v any) {
+func (hs *Handlers) reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	hs.sent(json.NewEncoder(w).Encode(v))
+}
+
+func (hs *Handlers) text(w http.ResponseWriter, line string) {
+	_, err := fmt.Fprintln(w, line)
+	hs.sent(err)
+}
+
+// sent notes how sending an answer ended.
+func (hs *Handlers) sent(err error) {
+	if err != nil && hs.Unsent != nil {
+		hs.Unsent(err)
+	}
 }
 
 // Failure is the body of an answer that reports an error.
@@ -220,8 +234,8 @@
 	Error string `json:"error"`
 }
 
-func fail(w http.ResponseWriter, status int, err error) {
+func (hs *Handlers) fail(w http.ResponseWriter, status int, err error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(Failure{Error: err.Error()})
+	hs.sent(json.NewEncoder(w).Encode(Failure{Error: err.Error()}))
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -257,6 +257,7 @@
 	return admin.Handlers{
 		Announce: dm.announce, Withdraw: dm.withdraw, Refused: dm.announcementRefused, Ready: dm.ready, Status: dm.Status, Drain: dm.drainVM,
 		Sample: dm.Outlet.SetSample, Vars: dm.vars(),
+		Unsent: func(err error) { dm.log.Debug("page-unsent", slog.Any("error", err)) },
 	}
 }
 
--- a/internal/node/demo/platform.go
+++ b/internal/node/demo/platform.go
@@ -16,10 +16,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(remote.Handler(st.Store()))
 	hs := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = hs.Close() })
+	closed := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() { closed <- hs.Close() })
 	defer stop()
 	if err := hs.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
-	return nil
+	return <-closed
 }
--- a/internal/node/probe/probe.go
+++ b/internal/node/probe/probe.go
@@ -48,8 +48,8 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	// The answer is read by then, or has failed.
-	defer func() { _ = nc.Close() }()
+	// The answer is read by then, or has failed; an error of closing says no more.
+	defer nc.Close()
 	if at, ok := ctx.Deadline(); ok {
 		if err := nc.SetDeadline(at); err != nil {
 			return Answer{}, err
