--- a/internal/node/cmds/account.go
+++ b/internal/node/cmds/account.go
@@ -76,7 +76,11 @@
 		if len(rt.ByCall) > 0 {
 			fmt.Fprintf(ap.out, "%s failed after a call that was not answered: %s\n", rt.Name, counts(rt.ByCall))
 		}
+		if rt.NotReached > 0 {
+			fmt.Fprintf(ap.out, "%s failed %d times though no backend server got the request\n", rt.Name, rt.NotReached)
+		}
 	}
+	ap.printFleet(ac.Fleet)
 	if ac.LeftOut > 0 {
 		fmt.Fprintf(ap.out, "\nthe daemons left out %d lines, so all counts are lower limits\n", ac.LeftOut)
 	}
@@ -84,12 +88,30 @@
 	return nil
 }
 
+// printFleet prints what the daemons took and sent.
+func (ap *app) printFleet(fl *acct.Fleet) {
+	if fl == nil {
+		return
+	}
+	const mega = 1e6
+	fmt.Fprintf(ap.out, "\n%d processes: %.1f MB resident in the mean, %.1f at most; %.1f s of processor; %.1f MB of control and %.1f MB of requests sent\n",
+		fl.Processes, float64(fl.Resident)/mega, float64(fl.ResidentMost)/mega, fl.Processor.Seconds(), float64(fl.ControlOut)/mega, float64(fl.PathOut)/mega)
+	for _, row := range []struct {
+		name string
+		by   map[string]int64
+	}{{"calls to the platform", fl.Calls}, {"bytes read there", fl.Read}, {"bytes of links", fl.Links}} {
+		if len(row.by) > 0 {
+			fmt.Fprintf(ap.out, "%s: %s\n", row.name, counts(row.by))
+		}
+	}
+}
+
 // middleAndNinth gives the middle and the nine-in-ten value in milliseconds.
 func middleAndNinth(ti acct.Times) string {
 	return fmt.Sprintf("%d/%d ms", ti.Middle.Round(time.Millisecond).Milliseconds(), ti.Ninth.Round(time.Millisecond).Milliseconds())
 }
 
-func counts(by map[string]int) string {
+func counts[N int | int64](by map[string]N) string {
 	var parts []string
 	for _, name := range slices.Sorted(maps.Keys(by)) {
 		parts = append(parts, fmt.Sprintf("%s %d", name, by[name]))
--- a/internal/stat/acct/acct.go
+++ b/internal/stat/acct/acct.go
@@ -24,6 +24,8 @@
 	// LeftOut counts lines that the daemons left out by their own bounds: with any,
 	// all counts here are lower limits.
 	LeftOut int `json:"left-out-lines"`
+	// Fleet is what the daemons took and sent, nil where no log tells.
+	Fleet *Fleet `json:"fleet,omitempty"`
 	trail.Passed
 }
 
@@ -41,6 +43,9 @@
 	// BesideFree counts refusals for want of room while a server of the service had a
 	// free slot, as far as the answers of the logs tell.
 	BesideFree int `json:"beside-free"`
+	// NotReached counts the failures of requests that, as their inlets tell, no backend
+	// server got: their callers may not send again what may run only once.
+	NotReached int `json:"not-reached"`
 	// ByCall counts the requests that failed after a call made for them had failed, by
 	// the route of the call.
 	ByCall map[string]int `json:"by-call"`
@@ -82,6 +87,9 @@
 	// slots has how many each VM's backend server has, by the refusals of its inlet.
 	slots   map[string]int
 	leftOut int
+	fleet   processes
+	// notRun counts, for each request, the tries that inlets did not hand over.
+	notRun map[string]int
 	trail.Passed
 }
 
@@ -91,7 +99,13 @@
 		switch ln.Event {
 		case logs.Request:
 			rd.requests = append(rd.requests, ln)
+		case logs.Usage:
+			rd.fleet.add(ln)
 		case logs.Refused:
+			if rd.notRun == nil {
+				rd.notRun = map[string]int{}
+			}
+			rd.notRun[ln.Text(logs.ID)]++
 			if ld, ok := result.ParseLoad(ln.Text(logs.Load)); ok {
 				if rd.slots == nil {
 					rd.slots = map[string]int{}
@@ -109,7 +123,7 @@
 // Account sums up what was read.
 func (rd *Reader) Account() *Account {
 	slices.SortStableFunc(rd.requests, func(a, b *trail.Line) int { return a.Time.Compare(b.Time) })
-	ac := &Account{LeftOut: rd.leftOut, Passed: rd.Passed}
+	ac := &Account{LeftOut: rd.leftOut, Fleet: rd.fleet.sum(), Passed: rd.Passed}
 	if len(rd.requests) == 0 {
 		return ac
 	}
@@ -124,6 +138,9 @@
 			routes[name] = ga
 		}
 		ga.add(ln, calls, slots)
+		if rd.lostUnrun(ln) {
+			ga.NotReached++
+		}
 		ac.window(ln.Time).add(ln)
 	}
 	for _, name := range slices.Sorted(maps.Keys(routes)) {
@@ -133,6 +150,12 @@
 	return ac
 }
 
+// lostUnrun tells whether a request failed though none of its tries was handed over.
+func (rd *Reader) lostUnrun(ln *trail.Line) bool {
+	tries := int(ln.Number("attempts"))
+	return ln.Text(logs.Outcome) == result.MayHaveRun.String() && tries > 0 && rd.notRun[ln.Text(logs.ID)] >= tries
+}
+
 // window returns the window of a time, which is not before that of the last.
 func (ac *Account) window(at time.Time) *Window {
 	n := int(at.Sub(ac.From) / windowLength)
--- a/internal/stat/acct/acct_test.go
+++ b/internal/stat/acct/acct_test.go
@@ -77,6 +77,39 @@
 	}
 }
 
+// TestFleet: the mesh itself takes more memory and calls than before, and an on-call has
+// only logs. The account sums the last usage line of each process, those of processes that
+// were replaced as well.
+func TestFleet(t *testing.T) {
+	usage := func(at int, vm string, resident, processor, watches int) string {
+		return fmt.Sprintf(`{"time":%q,"level":"INFO","msg":"usage","vm":%q,"resident":%d,"processor-ms":%d,"control-out":10,"path-out":100,"calls":{"watch/op":%d,"list/relays":1},"links":{"across/records":7}}`,
+			noon.Add(time.Duration(at)*time.Millisecond).Format(time.RFC3339Nano), vm, resident, processor, watches)
+	}
+	var rd Reader
+	log := strings.Join([]string{
+		usage(0, "a", 10, 100, 1), usage(10, "a", 40, 200, 5), usage(20, "a", 20, 50, 2), usage(5, "b", 30, 60, 3),
+		line(100, "1", "r", "may-have-run", "deadline-passed", "x", 2, 0, 0, 0, 100),
+		line(200, "2", "r", "may-have-run", "deadline-passed", "x", 2, 0, 0, 0, 100),
+		`{"time":"2026-01-01T12:00:00Z","level":"WARN","msg":"inlet-refused","vm":"x","id":"1"}`,
+		`{"time":"2026-01-01T12:00:00Z","level":"WARN","msg":"inlet-refused","vm":"y","id":"1"}`,
+		`{"time":"2026-01-01T12:00:00Z","level":"WARN","msg":"inlet-refused","vm":"y","id":"2"}`,
+	}, "\n")
+	if err := rd.Read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	ac := rd.Account()
+	want := &Fleet{
+		Processes: 3, Resident: 30, ResidentMost: 40, Processor: 310 * time.Millisecond, ControlOut: 30, PathOut: 300,
+		Calls: map[string]int64{"watch/op": 10, "list/relays": 3}, Read: map[string]int64{}, Links: map[string]int64{"across/records": 21},
+	}
+	if diff := cmp.Diff(want, ac.Fleet); diff != "" {
+		t.Error(diff)
+	}
+	if got := ac.Routes[0].NotReached; got != 1 {
+		t.Errorf("%d requests failed that no server got, want 1", got)
+	}
+}
+
 // TestNothing: logs without a request give an empty account.
 func TestNothing(t *testing.T) {
 	var rd Reader
