--- a/internal/mesh/ctrl/follow_test.go
+++ b/internal/mesh/ctrl/follow_test.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"expvar"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -183,3 +184,35 @@
 		t.Errorf("the process that was told has the floor %+v", fl)
 	}
 }
+
+// TestHerdPackets: all daemons start at once, and each states itself several times within
+// a second. Each statement went out by itself, 130,000 packets over the borders of 87
+// daemons in ten seconds. Now statements that come together go together.
+func TestHerdPackets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 90
+		fl := newFleet(t, sample.Mesh(daemons, 3, 4))
+		defer fl.stopAll()
+		fl.apply(fl.ms, 0)
+		fl.startAll()
+		fl.waitHeld(1, 5*time.Second)
+		fl.waitMembers(20 * time.Second)
+		var within, across int64
+		for _, tn := range fl.nodes {
+			within += tn.sentCount("within/packets")
+			across += tn.sentCount("across/packets")
+		}
+		t.Logf("%d packets within failure domains, %d between them", within, across)
+		if most := int64(120 * daemons); within+across > most {
+			t.Errorf("%d packets, bound %d", within+across, most)
+		}
+	})
+}
+
+// sentCount returns a count of what the node's links have sent.
+func (tn *testNode) sentCount(name string) int64 {
+	if n, ok := tn.Traffic.Get(name).(*expvar.Int); ok {
+		return n.Value()
+	}
+	return 0
+}
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -27,6 +27,10 @@
 	Silence = 2500 * time.Millisecond
 	// gather is how long news waits for more of it before a packet is sent.
 	gather = 20 * time.Millisecond
+	// gatherMany is how much longer it waits once many records wait, as when a fleet
+	// starts: each daemon then hears of each other one in several statements, and a
+	// packet for each of them is most of what the herd costs.
+	gatherMany = 130 * time.Millisecond
 )
 
 // ErrSilent says that a peer sent nothing for the time Silence.
@@ -143,6 +147,9 @@
 				if err := sleep(ctx, gather); err != nil {
 					return err
 				}
+				if err := pr.waitForMore(ctx); err != nil {
+					return err
+				}
 			}
 		}
 		pk := pr.compose()
@@ -165,6 +172,17 @@
 	}
 }
 
+// waitForMore waits while many records wait and nothing that must not.
+func (pr *Peer) waitForMore(ctx context.Context) error {
+	pr.mu.Lock()
+	many := len(pr.records) >= packMany && !pr.now && !pr.offerNext
+	pr.mu.Unlock()
+	if !many {
+		return nil
+	}
+	return sleep(ctx, gatherMany)
+}
+
 func (pr *Peer) urgent() bool {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
