--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -30,14 +30,10 @@
 	if at.Response == nil {
 		oc, re := at.Outcome()
 		rf := rq.failure(at, oc, re)
-		if rq.ctx.Err() == nil && at.Silent() && ep.FellSilent(time.Now()) {
-			rq.ou.log.Warn("failure-domain-silent", slog.String("failure-domain", ep.Domain), slog.String("peer", ep.VM))
-		}
 		rq.ended(ep, verdictOf(rf))
 		return rf
 	}
 	defer at.Response.Body.Close()
-	ep.Answered()
 	if ld, ok := result.ParseLoad(at.Response.Header.Get(result.LoadHeader)); ok {
 		ep.SetLoad(ld, time.Now(), rq.gp)
 	}
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -54,8 +54,6 @@
 	Weak bool
 
 	live *live
-	// reach is shared by the servers of a failure domain, nil for the outlet's own.
-	reach *reach
 }
 
 // live is what changes with each request.
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -20,8 +20,6 @@
 	// Outlets is how many live daemons there are, each of which has an outlet.
 	Outlets int
 	groups  []*Group // by the index of the service
-	// reaches has what is known of other failure domains.
-	reaches map[string]*reach
 }
 
 // Group has the backend servers of one service.
@@ -79,10 +77,6 @@
 			}
 		}
 	}
-	tb := &Table{Snap: sn, Outlets: vw.LiveLen(), groups: make([]*Group, len(sn.ServiceList)), reaches: map[string]*reach{}}
-	if prev != nil {
-		tb.reaches = prev.reaches
-	}
 	byService := make([]map[string][]*Endpoint, len(sn.ServiceList))
 	for rc := range vw.All {
 		sv := sn.Services[rc.Service]
@@ -93,10 +87,10 @@
 			byService[sv.Index] = map[string][]*Endpoint{}
 		}
 		ep := endpoint(rc, sv, known[rc.VM])
-		ep.reach = tb.reachOf(rc.Domain)
 		ep.Weak = rc.Mark != member.MarkNone || cut != nil && (*cut)[rc.Domain]
 		byService[sv.Index][rc.Domain] = append(byService[sv.Index][rc.Domain], ep)
 	}
+	tb := &Table{Snap: sn, Outlets: vw.LiveLen(), groups: make([]*Group, len(sn.ServiceList))}
 	for i, sv := range sn.ServiceList {
 		tb.groups[i] = group(sv, byService[i], self)
 		if tb.groups[i].typical = uses[sv.Name]; tb.groups[i].typical == nil {
@@ -106,18 +100,6 @@
 	return tb
 }
 
-// reachOf returns what is known of a failure domain, nil for the outlet's own. Tables are
-// built one after the other.
-func (tb *Table) reachOf(domain string) *reach {
-	if domain == tb.Snap.Domain {
-		return nil
-	}
-	if tb.reaches[domain] == nil {
-		tb.reaches[domain] = &reach{}
-	}
-	return tb.reaches[domain]
-}
-
 // listed tells whether the inventory has the server where it says that it is;
 // those of an announced service are in no inventory.
 func listed(sn *snap.Snapshot, sv *snap.Service, rc *member.Record) bool {
@@ -353,7 +335,7 @@
 	for i := range list {
 		ep := list[(start+i)%len(list)]
 		switch {
-		case ep.Out(now) || tried.has(ep) || ep.behindCut(now):
+		case ep.Out(now) || tried.has(ep):
 			continue
 		case ep.starting(now, rnd):
 			starting = ep
@@ -379,16 +361,11 @@
 		return nil
 	}
 	start := rnd(len(gp.all))
-	var behind *Endpoint
 	for i := range gp.all {
 		ep := gp.all[(start+i)%len(gp.all)]
-		switch {
-		case tried.has(ep) || ep.live.cut.Load() && ep.Out(now):
-		case !ep.reach.silentNow():
+		if !tried.has(ep) && !(ep.live.cut.Load() && ep.Out(now)) {
 			return ep
-		case behind == nil:
-			behind = ep
 		}
 	}
-	return behind
+	return nil
 }
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -165,13 +165,6 @@
 	return result.MayHaveRun, result.ReasonBroken
 }
 
-// Silent tells whether the next hop neither answered nor refused: the connection could not
-// be made in time, or what was sent on it stayed unacknowledged.
-func (at *Attempt) Silent() bool {
-	var ne net.Error
-	return at.Response == nil && errors.As(at.Err, &ne) && ne.Timeout() && !errors.Is(at.Err, context.DeadlineExceeded)
-}
-
 // Discard ends the connection of an attempt whose answer is not to be used, so
 // that what is left of it cannot be taken for another one.
 func (at *Attempt) Discard() {
