--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -33,7 +33,10 @@
 	// noPlatform names the failure domains that are cut off from the platform.
 	noPlatform atomic.Pointer[map[string]bool]
 	// spoilt says what the platform does to single VMs.
-	spoilt    atomic.Pointer[map[string]spoil]
+	spoilt atomic.Pointer[map[string]spoil]
+	// newest says that a read of the platform shows every version that was ever accepted,
+	// and that daemons know no seeds, as on the users\' platform.
+	newest    bool
 	versions  map[string]*uint64
 	submitted int
 }
@@ -134,8 +137,13 @@
 	ho, ln := fl.nw.Listen(addr, vm.Domain)
 	gd := guard.New(fl.store(vm))
 	tn := &testNode{vm: vm, ho: ho, guard: gd, done: make(chan struct{})}
+	src, seeds := headSource(), fl.seeds(vm)
+	if fl.newest {
+		src.Newest, seeds = true, nil
+	}
 	tn.Node = New(Config{
-		VM: vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: fl.seeds(vm), Store: gd.Store(),
+		Source: src,
+		VM:     vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: seeds, Store: gd.Store(),
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return fl.nw.Dial(ctx, ho, to) },
 	})
 	fl.watchVersion(tn)
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -211,3 +211,75 @@
 		fl.allKnown(v)
 	})
 }
+
+// hundreds is the size of a fleet of today.
+var hundreds = size{295, 5, 2}
+
+// TestWorstSecond: 295 daemons start at once. When they have settled, operators make 25
+// versions in five seconds; meanwhile the store turns a third of the VMs away and ends all
+// leases, relays and those who follow it among them. Every daemon ends at the last version
+// within its bound, no link of 10 Mbit/s is full, and the store gets fewer calls than there
+// are daemons.
+func TestWorstSecond(t *testing.T) {
+	sized(t, hundreds, func(fl *fleet) {
+		v := uint64(1)
+		calls := fl.st.Calls.Total()
+		ld := fl.measure(func() {
+			turned := map[string]spoil{}
+			for i, vm := range fl.ms.VMs {
+				if i%3 == 0 {
+					turned[vm.Name] = refuses
+				}
+			}
+			fl.spoilt.Store(&turned)
+			fl.st.LapseLeases()
+			for i := range 25 {
+				v = fl.apply(sample.Change(fl.ms, i), v)
+				time.Sleep(200 * time.Millisecond)
+			}
+			t.Logf("the last of 25 versions is held by all %s later", fl.waitHeld(v, followLimit))
+		})
+		calls = fl.st.Calls.Total() - calls
+		t.Logf("%d calls, %s", calls, ld)
+		const link = 10_000_000 / 8
+		if most := int64(link * ld.span.Seconds()); ld.relayMax > most {
+			t.Errorf("the busiest relay carried %d B in %s, its link %d", ld.relayMax, ld.span, most)
+		}
+		// An operator's submission takes up to ten of them.
+		if most := int64(25*10 + hundreds.vms); calls > most {
+			t.Errorf("%d calls to the store, bound %d", calls, most)
+		}
+		fl.spoilt.Store(&map[string]spoil{})
+		fl.allKnown(v)
+	})
+}
+
+// TestAllComeBack: all 295 daemons of a mesh whose platform is never set back lose power
+// and come back two seconds later. The first
+// must hold the configuration within a second and nine tenths within three, and the herd
+// may ask the store for no more than two calls a daemon.
+func TestAllComeBack(t *testing.T) {
+	sized(t, hundreds, func(fl *fleet) {
+		var all []string
+		for name := range fl.nodes {
+			all = append(all, name)
+		}
+		fl.kill(all...)
+		time.Sleep(2 * time.Second)
+		calls := fl.st.Calls.Total()
+		fl.newest = true
+		fl.startAll()
+		held := func(part int) func() bool {
+			return func() bool { return 10*(len(fl.nodes)-len(fl.behind(1))) >= part*len(fl.nodes) }
+		}
+		first := fl.waitFor("the first daemon holds the version", time.Second, func() bool { return len(fl.behind(1)) < len(fl.nodes) })
+		most := fl.waitFor("nine tenths hold the version", 3*time.Second, held(9))
+		time.Sleep(10 * time.Second)
+		calls = fl.st.Calls.Total() - calls
+		t.Logf("the first after %s, nine tenths %s later, %d calls to the store in ten seconds more", first, most, calls)
+		if calls > int64(2*hundreds.vms) {
+			t.Errorf("%d calls to the store", calls)
+		}
+		fl.allKnown(1)
+	})
+}
