path/limit: TestLoads draws the return of callers from its seeds

Arrivals and work came from seeds, but the moment at which a refused caller comes back from the process's own random numbers, so each run was another one.

Bounds, loads and the length of a run are as they were.

--- a/internal/path/limit/load_test.go
+++ b/internal/path/limit/load_test.go
@@ -42,15 +42,16 @@
 	var wg conc.WaitGroup
 	began := time.Now()
 	for i, fl := range flows {
-		rnd := rand.New(rand.NewPCG(1, uint64(i)))
+		rnd, returns := rand.New(rand.NewPCG(1, uint64(i))), rand.New(rand.NewPCG(2, uint64(i)))
 		ta := &tally{}
 		counts[fl.name] = ta
 		for at := 0.0; at < 20; at += rnd.ExpFloat64() / fl.rate {
 			all[fl.name]++
 			work := fl.work/2 + time.Duration(rnd.Float64()*float64(fl.work))
+			back := rand.New(rand.NewPCG(returns.Uint64(), 0))
 			wg.Go(func() {
 				time.Sleep(time.Until(began.Add(time.Duration(at * float64(time.Second)))))
-				took, ok := try(ga, &fl, work)
+				took, ok := try(ga, &fl, work, back)
 				mu.Lock()
 				defer mu.Unlock()
 				switch {
@@ -73,8 +74,9 @@
 	return shares
 }
 
-// try is a caller with all its tries at one request.
-func try(ga *Gate, fl *flow, work time.Duration) (took time.Duration, ok bool) {
+// try is a caller with all its tries at one request, who comes back at the times drawn
+// from back.
+func try(ga *Gate, fl *flow, work time.Duration, back *rand.Rand) (took time.Duration, ok bool) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), fl.deadline)
 	defer cancel()
@@ -87,7 +89,7 @@
 			tk.Leave()
 			return time.Since(began), true
 		}
-		time.Sleep(fl.back/2 + rand.N(fl.back+1))
+		time.Sleep(fl.back/2 + time.Duration(back.Int64N(int64(fl.back)+1)))
 	}
 	return 0, false
 }
