mesh/ctrl: requests that end servers are kept in the store

What callers saw: a request that had ended three servers was run again, and ended three more, after all daemons had been killed at once, and on the other side of a cut between failure domains. Cause: the news lived in the daemons' memory and went by their links alone.

Those who follow the store (two relays, and one of each side of a cut) now keep the requests that are not run under one key: read when they begin to follow, written when one is found or cleared, read each second while a failure domain has no link. It holds since both sides of a cut reach the store, and whoever starts first reads it. A watch of each daemon was ruled out for its calls, a lease for the two calls of each request.

Price: one read for each that begins to follow, three calls for a request that is found, one or two a second during a cut.

--- a/internal/mesh/ctrl/ends.go
+++ b/internal/mesh/ctrl/ends.go
@@ -56,12 +56,15 @@
 		}
 	})
 	for _, re := range news {
-		nd.logPoison(re, was.Ends(re.Key), is.Ends(re.Key))
+		nd.notePoison(re, was.Ends(re.Key), is.Ends(re.Key))
 	}
 }
 
-// logPoison writes a line when a request is not run any more, and when it is again.
-func (nd *Node) logPoison(re poison.Report, was, is int) {
+// notePoison has the platform's store changed and writes a line when a request is not run any more, and when it is again.
+func (nd *Node) notePoison(re poison.Report, was, is int) {
+	if (was < poison.Most) != (is < poison.Most) {
+		nd.keeper.due.Store(true)
+	}
 	switch {
 	case was < poison.Most && is >= poison.Most:
 		nd.log.Warn(logs.PoisonFound, slog.String(logs.Key, re.Key.String()), slog.Int("ends", is))
--- a/internal/mesh/ctrl/ends_test.go
+++ b/internal/mesh/ctrl/ends_test.go
@@ -92,7 +92,8 @@
 }
 
 // TestEndsOutliveAll: three servers had ended under a request, and then all daemons were
-// killed at once. The new ones knew nothing, and it ended three more.
+// killed at once. The new ones knew nothing, and it ended three more: what was known lived
+// in the daemons alone. The ones that follow the store keep it there and read it first.
 func TestEndsOutliveAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, sample.Mesh(30, 3, 2))
@@ -116,7 +117,8 @@
 
 // TestEndsBehindCut: a failure domain is cut off from the others, not from the store.
 // Three servers end under a request on one side of the cut, and its caller comes to the
-// other one, where three more ended.
+// other one, where three more ended: the news goes by links between daemons, and there is
+// none. Those who follow the store on either side find it there.
 func TestEndsBehindCut(t *testing.T) {
 	for _, behind := range []bool{false, true} {
 		t.Run(fmt.Sprint("ended behind the cut ", behind), func(t *testing.T) {
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -105,6 +105,7 @@
 	fetching  chan struct{}
 	// firstEnds bounds the reports of requests that one server ended under.
 	firstEnds *rate.Limiter
+	keeper    *keeper
 	// kick lets the linker look again.
 	kick chan struct{}
 
@@ -202,6 +203,7 @@
 	nd.life, nd.end = context.WithCancel(context.Background())
 	nd.http = newHTTPClient(cf)
 	nd.linker = newLinker(nd)
+	nd.keeper = &keeper{nd: nd}
 	// The wall clock gives an incarnation above that of the process before
 	// in most cases; the first contact corrects it in the others.
 	self := &member.Record{
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -77,6 +77,7 @@
 		wt.tellFollow(err)
 		if err == nil {
 			wt.failed = 0
+			nd.keeper.round(ctx)
 			continue
 		}
 		bound := min(firstRetry<<min(wt.failed, 10), wt.mostRetry(links.Relay))
