mesh/ctrl: each daemon bounds what it passes on of ended servers

What would be seen: a bad version ends all servers every few seconds, each time with requests nobody has seen before, and the reports fill the links of the relays beside configuration and records.

Now 10 a second (200 at once) of requests that a single server ended under are passed on, whoever reported them; of a request with more ends all that is known is told, so that what was left out before comes with it.

Three ends of one request at the end of it are known to all at once.

--- a/internal/mesh/ctrl/ends.go
+++ b/internal/mesh/ctrl/ends.go
@@ -13,29 +13,18 @@
 // worst first.
 const toldFirst = 128
 
-// The reports of first ends that a daemon makes a second. Where all servers end again and
-// again, what they ran would fill the links; what a server ended under before is always
-// told.
+// How many reports of a single end a daemon passes on a second. When all servers end again
+// and again, as of a bad version, each takes down requests that nobody has seen before, and
+// what is told of them would fill the links of the relays. A request that more than one
+// server ended under is always told.
 const (
-	firstEndsRate  = 20
+	firstEndsRate  = 10
 	firstEndsBurst = 200
 )
 
 // ReportEnds tells all daemons of requests that a backend server ended under, or that
 // were answered since.
-func (nd *Node) ReportEnds(list []poison.Report) {
-	vw := nd.Board.Poison.Get()
-	var tell []poison.Report
-	for _, re := range list {
-		if vw.Ends(re.Key) > 0 || nd.firstEnds.Allow() {
-			tell = append(tell, re)
-		}
-	}
-	if len(tell) < len(list) {
-		nd.log.Warn("ends-left-out", slog.Int("requests", len(list)-len(tell)))
-	}
-	nd.takeEnds(nil, tell)
-}
+func (nd *Node) ReportEnds(list []poison.Report) { nd.takeEnds(nil, list) }
 
 // takeEnds keeps reports of a peer, or this daemon's own, and passes on what is new.
 // Reports reach all daemons as records do, by relays.
@@ -50,9 +39,10 @@
 	if len(news) == 0 {
 		return
 	}
+	tell := nd.worthTelling(news, was, is)
 	nd.eachPeer(func(pr *link.Peer) {
 		if pr != from {
-			pr.SendEnds(news)
+			pr.SendEnds(tell)
 		}
 	})
 	for _, re := range news {
@@ -60,6 +50,27 @@
 	}
 }
 
+// worthTelling returns what is passed on of the news between two views: all that is known
+// of a request that more than one server ended under, as its first end may not have been
+// told, and of others as long as there are not too many.
+func (nd *Node) worthTelling(news []poison.Report, was, is *poison.View) (tell []poison.Report) {
+	left := 0
+	for _, re := range news {
+		switch {
+		case is.Ends(re.Key) > 1:
+			tell = append(tell, is.Of(re.Key)...)
+		case was.Ends(re.Key) > 1, nd.firstEnds.Allow():
+			tell = append(tell, re)
+		default:
+			left++
+		}
+	}
+	if left > 0 {
+		nd.log.Warn("ends-not-told", slog.Int("requests", left))
+	}
+	return tell
+}
+
 // notePoison has the platform's store changed and writes a line when a request is not run any more, and when it is again.
 func (nd *Node) notePoison(re poison.Report, was, is int) {
 	if (was < poison.Most) != (is < poison.Most) {
--- a/internal/mesh/poison/poison.go
+++ b/internal/mesh/poison/poison.go
@@ -102,15 +102,9 @@
 
 // Answered returns the reports that a request was answered by a server.
 func (vw *View) Answered(key ident.Key) []Report {
-	if vw == nil || vw.requests[key] == nil {
-		return nil
-	}
-	rq := vw.requests[key]
-	var list []Report
-	for _, en := range rq.ends {
-		if !en.answered {
-			list = append(list, Report{Head: rq.head, Key: key, End: en.End, At: en.at, Answered: true})
-		}
+	list := slices.DeleteFunc(vw.Of(key), func(re Report) bool { return re.Answered })
+	for i := range list {
+		list[i].Answered = true
 	}
 	return list
 }
@@ -140,16 +134,27 @@
 	}
 	var list []Report
 	for _, key := range vw.worst() {
-		if rq := vw.requests[key]; most > 0 && rq.count() > 0 {
+		if most > 0 && vw.Ends(key) > 0 {
 			most--
-			for _, en := range rq.ends {
-				list = append(list, Report{Head: rq.head, Key: key, End: en.End, At: en.at, Answered: en.answered})
-			}
+			list = append(list, vw.Of(key)...)
 		}
 	}
 	return list
 }
 
+// Of returns all reports of a request that are known.
+func (vw *View) Of(key ident.Key) []Report {
+	if vw == nil || vw.requests[key] == nil {
+		return nil
+	}
+	rq := vw.requests[key]
+	var list []Report
+	for _, en := range rq.ends {
+		list = append(list, Report{Head: rq.head, Key: key, End: en.End, At: en.at, Answered: en.answered})
+	}
+	return list
+}
+
 // worst returns all requests, those with the most and the newest ends first.
 func (vw *View) worst() []ident.Key {
 	return slices.SortedFunc(maps.Keys(vw.requests), func(a, b ident.Key) int {
