stat/trail, path/outlet: explain tells of servers that ended under a request

An engineer who asks why a request got 502 or 503 was told of a broken connection, or of nothing. The outlet now writes a line for each request that it does not send, with the key and the ends it knew; explain names the server that ended under a request and the key that finds its other ends. TestCauses has both (two causes each; one of another kind before). While nothing is known a request now pays a read of a pointer alone, its head is hashed once something is; ruled out: a count beside the view, which is a second copy.

--- a/internal/mesh/ctrl/ends.go
+++ b/internal/mesh/ctrl/ends.go
@@ -78,8 +78,8 @@
 	}
 	switch {
 	case was < poison.Most && is >= poison.Most:
-		nd.log.Warn(logs.PoisonFound, slog.String(logs.Key, re.Key.String()), slog.Int("ends", is))
+		nd.log.Warn(logs.PoisonFound, slog.String(logs.Key, re.Key.String()), slog.Int(logs.Ends, is))
 	case was >= poison.Most && is < poison.Most:
-		nd.log.Info(logs.PoisonCleared, slog.String(logs.Key, re.Key.String()), slog.Int("ends", is))
+		nd.log.Info(logs.PoisonCleared, slog.String(logs.Key, re.Key.String()), slog.Int(logs.Ends, is))
 	}
 }
--- a/internal/mesh/poison/poison.go
+++ b/internal/mesh/poison/poison.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -82,9 +83,11 @@
 	heads map[uint64]bool
 }
 
-// Suspects tells whether a request with that head may have ended servers. Most requests
-// need no key because of it.
-func (vw *View) Suspects(head uint64) bool { return vw != nil && vw.heads[head] }
+// Suspects tells whether servers may have ended under a request, by its head. It is asked
+// for each request: most need no key because of it, and none a head while nothing is known.
+func (vw *View) Suspects(r *http.Request) bool {
+	return vw != nil && len(vw.heads) > 0 && vw.heads[ident.Head(r)]
+}
 
 // Ends returns how many servers a request has ended, as far as is known.
 func (vw *View) Ends(key ident.Key) int {
--- a/internal/mesh/poison/poison_test.go
+++ b/internal/mesh/poison/poison_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -16,8 +17,10 @@
 func TestCases(t *testing.T) {
 	const same, other ident.Key = 1, 2
 	began := time.Unix(1_000_000, 0)
+	asks := httptest.NewRequest("GET", "http://booking/visits/7", nil)
+	heads := map[ident.Key]uint64{same: ident.Head(asks), other: 2}
 	end := func(key ident.Key, en End, after time.Duration) Report {
-		return Report{Head: uint64(key), Key: key, End: en, At: began.Add(after)}
+		return Report{Head: heads[key], Key: key, End: en, At: began.Add(after)}
 	}
 	answered := func(re Report) Report { re.Answered = true; return re }
 	for _, tc := range []struct {
@@ -50,8 +53,8 @@
 			vw, _ = vw.Merge([]Report{re}, now)
 		}
 		now := began.Add(tc.after)
-		if got := vw.Ends(same); got != tc.ends || vw.Refuses(same, now, 0) != tc.refused || vw.Suspects(uint64(same)) != (tc.ends > 0) {
-			t.Errorf("%s: %d ends, refused %t, suspected %t; want %d and %t", tc.name, got, vw.Refuses(same, now, 0), vw.Suspects(uint64(same)), tc.ends, tc.refused)
+		if got := vw.Ends(same); got != tc.ends || vw.Refuses(same, now, 0) != tc.refused || vw.Suspects(asks) != (tc.ends > 0) {
+			t.Errorf("%s: %d ends, refused %t, suspected %t; want %d and %t", tc.name, got, vw.Refuses(same, now, 0), vw.Suspects(asks), tc.ends, tc.refused)
 		}
 	}
 }
--- a/internal/path/inlet/ended.go
+++ b/internal/path/inlet/ended.go
@@ -184,7 +184,7 @@
 // endsOf returns how many servers ended under a request, as far as is known.
 func (in *Inlet) endsOf(r *http.Request, lead *ident.Lead) int {
 	vw := in.Poison()
-	if !vw.Suspects(ident.Head(r)) {
+	if !vw.Suspects(r) {
 		return 0
 	}
 	mk, ok := markOf(r, lead)
@@ -198,7 +198,7 @@
 // its backend server answered it whole.
 func (in *Inlet) noteAnswer(r *http.Request, lead *ident.Lead) {
 	vw := in.Poison()
-	if !vw.Suspects(ident.Head(r)) {
+	if !vw.Suspects(r) {
 		return
 	}
 	if mk, ok := markOf(r, lead); ok {
--- a/internal/path/outlet/poison.go
+++ b/internal/path/outlet/poison.go
@@ -1,6 +1,7 @@
 package outlet
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -14,7 +15,7 @@
 // at others; what any daemon saw of it counts here.
 func (rq *request) refusePoison() *result.Refusal {
 	vw := rq.ou.poison()
-	if !vw.Suspects(ident.Head(rq.r)) {
+	if !vw.Suspects(rq.r) {
 		return nil
 	}
 	lead, whole := rq.src.lead()
@@ -27,7 +28,8 @@
 	if !vw.Refuses(key, time.Now(), rq.ou.spread) {
 		return nil
 	}
-	rq.ou.log.Debug("poison-refused", slog.String(logs.ID, rq.id()), slog.String(logs.Key, key.String()), slog.Int("ends", rq.ends))
+	rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.PoisonRefused,
+		slog.String(logs.ID, rq.id()), slog.String(logs.Key, key.String()), slog.Int(logs.Ends, rq.ends))
 	return &result.Refusal{
 		Outcome: result.NotRun, Reason: result.ReasonPoison,
 		Detail: "backend servers ended each time they ran this request; it is not run again for now",
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -18,6 +18,8 @@
 	// PoisonCleared is one that was answered since.
 	PoisonFound   = "poison-found"
 	PoisonCleared = "poison-cleared"
+	// PoisonRefused is a request that an outlet did not send for that.
+	PoisonRefused = "poison-refused"
 
 	// Usage is what a daemon has taken and sent since its start; Calls groups its calls
 	// to the platform's store by purpose, Read the bytes that came back, Links what its
@@ -32,6 +34,8 @@
 	// Key is what package ident names a request by: the same for each try of its caller,
 	// and for another caller that asks for the same.
 	Key = "request-key"
+	// Ends is how many backend servers are known to have ended under a request.
+	Ends = "ends"
 	// Version is the configuration that a request was routed by.
 	Version = "version"
 	// Outcome and Reason are those of package result.
--- a/internal/stat/trail/cause.go
+++ b/internal/stat/trail/cause.go
@@ -95,6 +95,9 @@
 	case reason.NoRoom():
 		say("refused after %d servers had no room (%s)", tries, reason)
 		list = append(list, lo.refusals()...)
+	case reason == result.ReasonPoison:
+		say("not sent by the outlet of %s: backend servers ended when they ran this request, wherever its caller came", end.VM)
+		list = append(list, lo.poison()...)
 	case reason == result.ReasonNoServer:
 		say("no server of %s was known to the outlet of %s", end.Text("service"), end.VM)
 	case end.Text(logs.Outcome) == result.MayHaveRun.String() && reason != result.ReasonCallerGone:
@@ -147,6 +150,9 @@
 	to := end.Text(logs.VM)
 	list := []string{fmt.Sprintf("it was sent to %s and no answer says that it has not run (%s)", to, end.Text(logs.Reason))}
 	for _, ln := range lo.request {
+		if ln.Event == logs.EndedUnder && ln.Text(logs.ID) == lo.id {
+			return append(list, fmt.Sprintf("the backend server %s beside %s ended while it ran it, and maybe others; its %s is %s", ln.Text(logs.Lifetime), ln.VM, logs.Key, ln.Text(logs.Key)))
+		}
 		if ln.Event == logs.Failed && ln.Text(logs.ID) == lo.id {
 			return append(list, fmt.Sprintf("the inlet of %s had handed it to its backend server, which did not answer it (%s)", ln.VM, ln.Text(logs.Reason)))
 		}
@@ -186,6 +192,16 @@
 	return list
 }
 
+// poison names a request that was refused since servers ended under it.
+func (lo *Log) poison() []string {
+	for _, ln := range lo.request {
+		if ln.Event == logs.PoisonRefused && ln.Text(logs.ID) == lo.id {
+			return []string{fmt.Sprintf("%.0f ends were known there; the lines %s with %s %s tell of each", ln.Number(logs.Ends), logs.EndedUnder, logs.Key, ln.Text(logs.Key))}
+		}
+	}
+	return nil
+}
+
 // last returns the last line of an event of a VM until a moment.
 func (lo *Log) last(vm, event string, until time.Time) *Line {
 	var last *Line
--- a/internal/stat/trail/read.go
+++ b/internal/stat/trail/read.go
@@ -40,11 +40,10 @@
 
 // beliefs are the events that change what a daemon believes.
 var beliefs = map[string]bool{
-	logs.ServerEnded: true,
-	"version-held":   true, "version-refused": true, "version-unreadable": true, "platform-state": true,
+	"version-held": true, "version-refused": true, "version-unreadable": true, "platform-state": true,
 	"backend-server": true, "server-leaves": true, "server-withdrawn": true, "backend-server-unreachable": true,
 	"member-unheard": true, "failure-domain-reach": true, "daemon-start": true, "daemon-end": true, "stopping": true, "drain": true,
-	logs.LeftOut: true,
+	logs.ServerEnded: true, logs.PoisonFound: true, logs.PoisonCleared: true, logs.LeftOut: true,
 }
 
 // Log holds the lines that matter for one request.
--- a/internal/stat/trail/trail_test.go
+++ b/internal/stat/trail/trail_test.go
@@ -50,6 +50,14 @@
 			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
 			line(900, "b", "log-lines-left-out", `"inlet-failed":12`),
 		}, []string{"it was sent to b", "its line was left out (12 lines were left out then)"}},
+		{"502, the server ended", []string{
+			request(30, "may-have-run", "server-ended", 1, `,"to-vm":"b","took":20000000`),
+			line(29, "b", "ended-under", `"id":"x","request-key":"ab12","lifetime":"i-1"`),
+		}, []string{"it was sent to b", "the backend server i-1 beside b ended while it ran it, and maybe others; its request-key is ab12"}},
+		{"503, servers ended under it", []string{
+			request(30, "not-run", string(result.ReasonPoison), 0, ""),
+			line(29, "a", "poison-refused", `"id":"x","request-key":"ab12","ends":3`),
+		}, []string{"not sent by the outlet of a: backend servers ended when they ran this request", "3 ends were known there; the lines ended-under with request-key ab12"}},
 		{"late", []string{request(900, "answered", "", 1, `,"to-vm":"b","elapsed":100000000,"wait":50000000,"held":600000000,"took":700000000`)},
 			[]string{"answered by the server beside b after 700ms", "been at it for 100ms before", "50ms of it waiting for a slot at the inlet, 600ms at the backend server, 50ms on the way"}},
 		{"the old route", []string{
