--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -30,8 +30,8 @@
 )
 
 // named tells whether a text is 1 to most of a-z, 0-9, "-" and ".", with a letter or
-// digit at both ends. A regular expression took a sixth of the time of a version of
-// 1,600 routes.
+// digit at both ends. It stands in place of a regular expression, since a version has
+// thousands of names.
 func named(s string, most int) bool {
 	if s == "" || len(s) > most {
 		return false
--- a/internal/conf/pack/decode.go
+++ b/internal/conf/pack/decode.go
@@ -17,9 +17,8 @@
 }
 
 // Decoder decodes contents that follow each other. What is the same in the next one is not
-// decoded again: of 1,600 routes a version changes a few, and decoding all of them took
-// three fifths of a version's processor time. The zero value is ready for use; it is not
-// safe for concurrent use.
+// decoded again: of thousands of routes a version changes a few. The zero value is ready
+// for use; it is not safe for concurrent use.
 type Decoder struct {
 	// last was decoded to mesh, whose lists have its resources in their order.
 	last *Content
--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -20,8 +20,8 @@
 	lookTime = time.Second
 	// bootPatience is how long it waits for a link to others that may bring the
 	// configuration, and bootLonger for the configuration once it has one: the first
-	// ones of a failure domain have read it by then. When each of 87 daemons that
-	// start together reads it by itself, the store sends 23 MB.
+	// ones of a failure domain have read it by then. When each daemon of a herd
+	// reads it by itself, the store is busy for seconds.
 	bootPatience = 1200 * time.Millisecond
 	bootLonger   = 2 * time.Second
 	// bootRelay is how long one that holds a configuration waits for its failure
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -337,10 +337,9 @@
 // The links to addresses that the directory gave and whose daemons are not known yet.
 const (
 	// ownStrangers is how many a daemon opens at a time in its own failure domain.
-	// Whom they lead to makes the others known, so that no more are needed: when each
-	// of 87 daemons that started at once opened one to every address, 2,400 links
-	// carried every record, 35 MB in ten seconds. Two, so that one may be to an
-	// address where nobody answers.
+	// Whom they lead to makes the others known, so that no more are needed: links of
+	// a herd to every address would each carry every record. Two, so that one may be
+	// to an address where nobody answers.
 	ownStrangers = 2
 	// farStrangers is how many a daemon opens to another failure domain, if it stands
 	// for its own: as a relay, or among the first ones.
--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -29,8 +29,8 @@
 // Handler serves the other daemons. It needs HTTP/2, see Protocols.
 func (nd *Node) Handler() http.Handler {
 	// Messages are compressed where it pays, by the one coder of the process. The
-	// library's compression keeps a coder for each stream, 45% of the heap at 158
-	// daemons, and compresses each beat.
+	// library's compression keeps a coder for each stream, most of the heap of a relay,
+	// and compresses each beat.
 	path, h := wirepb.NewControlHandler(&server{nd: nd}, connect.WithReadMaxBytes(maxMessage), connect.WithCompression("gzip", nil, nil))
 	mux := http.NewServeMux()
 	mux.Handle(path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -220,7 +220,7 @@
 }
 
 // keepCompiled is how long what speeds up the next version is kept: versions come in
-// quick succession, and 1,600 routes take 0.8 MB.
+// quick succession, and what is kept grows with the routes.
 const keepCompiled = 10 * time.Second
 
 // compile builds the whole snapshot before it swaps one pointer, so that no
--- a/internal/mesh/follow/follow.go
+++ b/internal/mesh/follow/follow.go
@@ -6,10 +6,9 @@
 )
 
 const (
-	// Enough is how many relays follow the store at a time. A version of 1,200 routes
-	// is 0.4 MB there, and three relays of each of five failure domains read each of 25
-	// versions in five seconds fifteen times. With two, one may be killed or cut off
-	// without any delay.
+	// Enough is how many relays follow the store at a time. Each reads every
+	// version whole, so that more of them load the store. With two, one may be killed or
+	// cut off without any delay.
 	Enough = 2
 	// Wait is how long a watch of the store waits. A store that has fallen silent for
 	// one who follows it is noticed after as long and some slack.
--- a/internal/mesh/relay/relay.go
+++ b/internal/mesh/relay/relay.go
@@ -17,8 +17,7 @@
 // Choose returns the relays among the live records of one failure domain, the
 // first choice first. A silent member is chosen only when too few others live,
 // and the VMs with the widest links go first: a relay reads each version whole
-// from the platform, 0.5 MB for 2,000 routes, which takes a link of 5 Mbit/s
-// 0.8 s and keeps all requests of the VM waiting meanwhile.
+// from the platform, and on a narrow link all requests of the VM wait meanwhile.
 func Choose(live []*member.Record) []*member.Record {
 	return rank(live, "relay", Count)
 }
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -44,8 +44,7 @@
 const memoryLimit = 22 << 20
 
 // memoryPart is the part of a larger allowance that the runtime may take. Below
-// what the load needs the collector runs all the time: at a busy day of the users'
-// platform 22 MB cost 142 processor seconds, 64 MB cost 43 (12 daemons, 61 s).
+// what the load needs the collector runs all the time.
 const memoryPart = 0.7
 
 // app holds what the commands share.
@@ -170,7 +169,7 @@
 			if !ok && se.Adapter != "" {
 				return usageError(fmt.Sprintf("no adapter %q; %s", se.Adapter, strict.Suggest(se.Adapter, slices.Sorted(maps.Keys(ap.adapters)))))
 			}
-			// The profile of allocations costs a table of 1.4 MB, and nothing reads it.
+			// The profile of allocations costs memory, and nothing reads it.
 			runtime.MemProfileRate = 0
 			debug.SetMemoryLimit(max(memoryLimit, int64(memoryPart*float64(se.Memory))))
 			var level slog.LevelVar
--- a/internal/node/daemon/probe.go
+++ b/internal/node/daemon/probe.go
@@ -23,9 +23,8 @@
 
 // runProbe asks the VM's own backend server whether it serves, as long as it has not
 // announced itself to this process. A server that outlives its daemon announces itself
-// up to 1.5 s after the next one has started; until then it would get no request,
-// though it waits for some: after a kill of all daemons 0.4 s on average, and 2 s for
-// the last of a service.
+// up to an interval after the next one has started; until then it would get no request,
+// though it could serve some.
 func (dm *Daemon) runProbe(ctx context.Context) {
 	path := dm.healthPath(ctx)
 	if path == "" {
--- a/internal/node/daemon/routing.go
+++ b/internal/node/daemon/routing.go
@@ -14,8 +14,8 @@
 // each takes its part of what the fleet may do, and a herd that starts at once would
 // take the whole for each of its processes.
 const (
-	// membersKnown is the time after which a process knows all members; of 790 that
-	// come back at once the last one does after 2.4 s.
+	// membersKnown is the time after which a process knows all members, also of a herd
+	// that comes back at once.
 	membersKnown = 5 * time.Second
 	// unknownOutlets is above the number of VMs of a large fleet.
 	unknownOutlets = 1000
--- a/internal/node/daemon/usage.go
+++ b/internal/node/daemon/usage.go
@@ -11,7 +11,7 @@
 )
 
 // usageEvery is how often a daemon writes what it takes and sends: often enough to see a
-// burst of some seconds, seldom enough that 790 daemons write 80 lines a second in all.
+// burst of some seconds, seldom enough that the lines of hundreds of daemons are few.
 const usageEvery = 10 * time.Second
 
 // memory are the parts of the runtime's memory that the usage line tells.
--- a/internal/node/heap/heap.go
+++ b/internal/node/heap/heap.go
@@ -8,21 +8,18 @@
 )
 
 const (
-	// Least is the growth in percent that a daemon starts with. At 50 in place of 100 a
-	// daemon among 87 takes 42 in place of 58 GB seconds of the fleet's memory over 18 s
-	// of a calm day.
+	// Least is the growth in percent that a daemon starts with, half of the runtime's
+	// own: a calm daemon collects seldom, and its memory is dear.
 	Least = 50
-	// most bounds it: a heap of 10 MB then takes 30.
+	// most bounds it: a heap then takes three times what is in use.
 	most = 200
 	// often is the time that should be between two collections of a pressed daemon. A
-	// collection of 10 MB keeps a VM with a sixth of a core from its requests for a
-	// tenth of a second; one every four seconds cost 0.05 of what a busy fleet of 88
-	// earned.
+	// collection keeps a VM with a small part of a core from its requests for a tenth of
+	// a second.
 	often = 15 * time.Second
 	// pressed and calm are the parts of its processor time that a daemon uses, above
 	// which memory is spent to save it, and below which that is given back. At a
-	// quarter a request waits a third longer than it takes; most VMs of a small fleet
-	// stay below, where twice the memory brought 0.01.
+	// quarter a request waits a third longer than it takes.
 	pressed = 0.25
 	calm    = 0.12
 	// seldom is the time without a collection after which memory is given back.
--- a/internal/node/probe/probe.go
+++ b/internal/node/probe/probe.go
@@ -13,8 +13,8 @@
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 )
 
-// Timeout bounds one question. A server answers in 6 ms, and later where all its
-// slots are in use.
+// Timeout bounds one question. A server answers in milliseconds, and later where all
+// its slots are in use.
 const Timeout = 300 * time.Millisecond
 
 // maxAnswer is how many bytes of an answer are read, so that its connection ends well.
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -337,8 +337,8 @@
 // maxLink is the highest rate of a link, in Mbit/s.
 const maxLink = 1_000_000
 
-// minMemory is what a daemon takes at least, in megabytes: 13 when idle, and some
-// room for requests.
+// minMemory is what a daemon takes at least, in megabytes: when idle, and some room for
+// requests.
 const minMemory = 24
 
 func (rd *Reader) name(setting, value string) string {
--- a/internal/path/again/again.go
+++ b/internal/path/again/again.go
@@ -11,12 +11,11 @@
 const (
 	// places and ways bound the failed tries that are remembered: as many as an outlet
 	// refuses in a few seconds of overload. Tries that fall into one place have ways
-	// there, so that of a wave of 200 none is lost.
+	// there, so that none of a wave is lost.
 	places = 1 << 8
 	ways   = 8
 	// tolerance is by how much the moment may differ at which a caller stops waiting,
-	// as its two tries tell it. Of 2,318 pairs 2,247 differed by less than 10 ms, with
-	// a way of 3 ms to the callers.
+	// as its two tries tell it: several times the way to the callers.
 	tolerance = 25 * time.Millisecond
 )
 
--- a/internal/path/inlet/paced.go
+++ b/internal/path/inlet/paced.go
@@ -16,8 +16,8 @@
 // bytes: on a link of 5 Mbit/s it takes 13 ms.
 const smallAnswer = 8 << 10
 
-// smallTime is what small answers that go before a large one add to its time: a
-// twentieth of an objective of 800 ms. Without it 5 to 7 in 100 came late by less.
+// smallTime is what small answers that go before a large one add to its time. Without it
+// large ones are begun that come late by as much.
 const smallTime = 40 * time.Millisecond
 
 // lateBacklog is the backlog up to which an answer is sent that comes late in any
--- a/internal/path/limit/queue.go
+++ b/internal/path/limit/queue.go
@@ -134,9 +134,8 @@
 }
 
 // oldestEvery is how many slots go to the first in the queue before one goes to
-// the one that has waited longest. Without it, documents got nothing at servers
-// that urgent lookups and calls keep busy: 10 in 100 of what was owed to them on a
-// day of high load.
+// the one that has waited longest. Without it, documents get nothing at servers that
+// urgent lookups and calls keep busy.
 const oldestEvery = 16
 
 // next returns the waiter that gets the next slot: the first that can be in time, and
--- a/internal/path/limit/worth.go
+++ b/internal/path/limit/worth.go
@@ -35,8 +35,7 @@
 // A call has the priority of the request that it is made for, and takes less time than
 // that as a rule, so it may go before more urgent requests, as long as it is worth more
 // for the time of its slot than they are. Behind them, its parent's work would be lost
-// for little; always before them, calls of lookups kept out lists that are worth more:
-// of 0.81 of what was owed to these 0.52 were left.
+// for little; always before them, calls of lookups would keep out lists that are worth more.
 func (wo *worths) rank(rq *Request, service time.Duration) float64 {
 	if !rq.Final {
 		return float64(rq.Priority)
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -143,8 +143,7 @@
 	// full.
 	leastBusy = 2
 	// manyServers is the number from which one more is tried: with as many, some have
-	// room for a moment. Each try takes the processors of two daemons; five in place
-	// of three cost 0.01 of what a fleet of 88 earned on days of high load.
+	// room for a moment. Each try takes the processors of two daemons.
 	manyServers = 15
 )
 
@@ -227,8 +226,7 @@
 	// returnLeast stands for it where no objective is declared.
 	returnLeast = 100 * time.Millisecond
 	// returnSoon is for requests that a backend server shed though it had free slots:
-	// the next try has the same chance, whenever it comes. While all servers of a service shed half of what they got, 0.84 of what
-	// was owed to records was earned by it against 0.81.
+	// the next try has the same chance, whenever it comes.
 	returnSoon = 10 * time.Millisecond
 )
 
--- a/internal/path/outlet/start.go
+++ b/internal/path/outlet/start.go
@@ -11,7 +11,7 @@
 // The first moments of an outlet.
 const (
 	// startTime is how long after its start an outlet waits for what it does not know
-	// yet: a configuration comes after some 50 ms, the servers after another 50.
+	// yet: the configuration, then the servers.
 	startTime = time.Second
 	// startWait is how long a request waits for that at most.
 	startWait = 200 * time.Millisecond
@@ -21,8 +21,7 @@
 //
 // After a kill of all daemons their callers are there at once, while each daemon learns
 // of the others. Refused for want of a server, they come back when their objective has
-// passed; here they wait for the first servers instead. Of 220 requests that came in the
-// first 0.3 s after such a kill none was in time before.
+// passed, and none is in time; here they wait for the first servers instead.
 func (ou *Outlet) lookUp(r *http.Request) (*routing, *snap.Route) {
 	rt, route := ou.match(r)
 	if rt.serves(route) || time.Since(ou.started) > startTime {
--- a/internal/path/pacer/pacer.go
+++ b/internal/path/pacer/pacer.go
@@ -11,14 +11,13 @@
 const (
 	// pieceTime is how long a piece of a large answer takes the link, which is
 	// the longest that a small answer waits behind it. Shorter ones cost a timer
-	// and a system call each for little gain: at 8 ms an answer of 90 KB on a
-	// link of 5 Mbit/s is 18 pieces.
+	// and a system call each for little gain.
 	pieceTime = 8 * time.Millisecond
 	// minPiece and maxPiece bound a piece, in bytes.
 	minPiece = 2 << 10
 	maxPiece = 16 << 10
-	// fast is the rate, in bytes a second, from which a link is not paced: a
-	// large answer of 90 KB takes it 14 ms.
+	// fast is the rate, in bytes a second, from which a link is not paced: a small
+	// answer then waits little longer behind a whole large one than behind a piece.
 	fast = 50e6 / 8
 	// use is the part of the rate that large answers may bring the link up to.
 	// The rest is for what is not counted here, such as the acknowledgements of
@@ -38,8 +37,7 @@
 //
 // It answers the load in which large and small answers share a narrow link. The
 // system takes whatever is written and sends it in its order: a small answer then
-// waits behind all large ones that were written before it, 144 ms for each 90 KB
-// at 5 Mbit/s, and many times that when several are under way.
+// waits behind all large ones that were written before it.
 type Pacer struct {
 	rate float64 // bytes a second
 
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -143,8 +143,8 @@
 
 // The measure of a server's speed.
 const (
-	// speedWeight is how many answers make it. With 16, the one of six equal servers
-	// that is lucky gets a quarter of the requests.
+	// speedWeight is how many answers make it. With few, the one of equal servers that
+	// was lucky draws more than its share.
 	speedWeight = 32
 	// firstWeight is how many answers a server is taken to have given as the others do
 	// before its first one. Without it, one that is slow by chance with its first
@@ -157,8 +157,8 @@
 
 // Measured takes the time for which an answer held a slot, and what is typical of its
 // route over all servers. A mean time of the server alone would tell what it was asked
-// rather than how fast it is: one that has run calls of 30 ms looks five times as fast
-// as another that has run records of 160 ms, and draws what all outlets send.
+// rather than how fast it is: one that has run short calls looks faster than another
+// that has run long records, and draws what all outlets send.
 func (ep *Endpoint) Measured(held, typical time.Duration) {
 	if held <= 0 || typical <= 0 {
 		return
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -44,11 +44,10 @@
 	near int
 }
 
-// nearCount is how many servers of a pool an outlet uses. With 14 requests a
-// second at an outlet and 23 servers in its failure domain, one that uses them all
-// hears of each every two seconds, by which time its report says nothing, and
-// keeps a connection to each, 30 KB at either end. With 8 it hears of each three
-// times as often, and five full ones still leave others.
+// nearCount is how many servers of a pool an outlet uses. One that uses all
+// of a large failure domain hears of each so seldom that its reports say nothing by then,
+// and keeps a connection to each. With as many it hears of each in time, and some full
+// ones still leave others.
 const nearCount = 8
 
 // newPool returns the pool of an outlet: the servers in an order of its own, so
@@ -214,10 +213,9 @@
 	// borderHop is what the way there and back takes.
 	borderHop = 3 * time.Millisecond
 	// borderByte is for each byte of the answer. At it, a request for a
-	// kilobyte rather waits 30 ms, one for five 150 ms, and one for 90 KB stays in its
+	// small answer rather waits a little, and one for a large answer stays in its
 	// failure domain as long as any server there takes it. When all failure domains are
-	// busy, nobody gains by crossing: at 8 us the bytes between them are a third more,
-	// and as many requests are in time.
+	// busy, nobody gains by crossing.
 	borderByte = 30 * time.Microsecond
 	// borderPart is the part of the time for which a slot is held that is added,
 	// so that requests stay as long as there is room, whatever the speed of the
@@ -354,8 +352,8 @@
 
 // lastResort returns a server that is left out, when there is no other: an
 // attempt may succeed, and a refusal without one certainly helps nobody. One that no
-// connection can be made to is tried beside requests: each that went there would hang
-// for 400 ms, and the slot of its parent with it.
+// connection can be made to is tried beside requests: each that went there would hang,
+// and the slot of its parent with it.
 func (gp *Group) lastResort(now time.Time, tried *Tried, rnd Random) *Endpoint {
 	if len(gp.all) == 0 {
 		return nil
--- a/internal/path/pick/use.go
+++ b/internal/path/pick/use.go
@@ -13,8 +13,8 @@
 	bits atomic.Uint64 // of a float64
 }
 
-// useWeight is how many reports make the mean: those of some seconds at the 14
-// requests a second that an outlet of many servers has.
+// useWeight is how many reports make the mean: those of some seconds at an
+// outlet of many servers.
 const useWeight = 32
 
 // add takes a report. Of two at the same moment one may be lost.
