path/inlet: a server that announces itself again has not ended

What callers would see: a server refuses connections for a moment, is taken to have ended, and goes on under the same lifetime; each answer that it breaks off later would then count against the request as an end. Cause: the verdict of a lifetime was kept for good. An announcement after the server was out now drops it. TestRefusedForAMoment fails without (reason server-ended and one end, want connection-broken and none). A body is closed by the transport as before; the reader of its lead had hidden that.

--- a/internal/path/ident/ident.go
+++ b/internal/path/ident/ident.go
@@ -57,7 +57,7 @@
 // Lead reads a body and keeps its lead. It may be asked from another goroutine than
 // the one that reads.
 type Lead struct {
-	r io.Reader
+	r io.ReadCloser
 
 	mu   sync.Mutex
 	kept []byte
@@ -65,7 +65,7 @@
 }
 
 // NewLead returns a lead of a body that has none yet.
-func NewLead(r io.Reader) *Lead { return &Lead{r: r} }
+func NewLead(r io.ReadCloser) *Lead { return &Lead{r: r} }
 
 // Read reads the body.
 func (le *Lead) Read(p []byte) (int, error) {
@@ -77,6 +77,9 @@
 	return n, err
 }
 
+// Close closes the body.
+func (le *Lead) Close() error { return le.r.Close() }
+
 // Bytes returns the lead of a body of the given length, -1 where that is not known. It
 // tells whether as much of the body has been read.
 func (le *Lead) Bytes(length int64) (lead []byte, whole bool) {
--- a/internal/path/ident/ident_test.go
+++ b/internal/path/ident/ident_test.go
@@ -66,7 +66,7 @@
 		{"no length, at its end", 100, -1, 101, 100, true},
 		{"long", 3 * ident.LeadBytes, -1, 2 * ident.LeadBytes, ident.LeadBytes, true},
 	} {
-		le := ident.NewLead(iotest.OneByteReader(strings.NewReader(strings.Repeat("x", int(tc.size)))))
+		le := ident.NewLead(io.NopCloser(iotest.OneByteReader(strings.NewReader(strings.Repeat("x", int(tc.size))))))
 		if _, err := io.CopyN(io.Discard, le, tc.read); err != nil && tc.read <= tc.size {
 			t.Fatal(err)
 		}
--- a/internal/path/inlet/ended.go
+++ b/internal/path/inlet/ended.go
@@ -92,6 +92,14 @@
 	return poison.End(xxhash.Sum64String(tg.VM + "\x00" + tg.Lifetime + "\x00" + strconv.FormatInt(tg.StartedMs, 10)))
 }
 
+// forget drops what was found out, as a server has announced itself since: one that
+// refused a connection for a moment has not ended.
+func (en *ends) forget() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.of, en.ended = Target{}, false
+}
+
 // leave notes a request that its outlet gave up on while the server was running it.
 func (en *ends) leave(mk mark, tg *Target) {
 	en.mu.Lock()
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -97,6 +96,9 @@
 // request that may run once only is lost on one that nobody reads.
 func (in *Inlet) SetTarget(tg Target) {
 	old := in.target.Swap(&tg)
+	if old != nil && old.Addr == "" && tg.Addr != "" {
+		in.ends.forget()
+	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
 		in.fw.Load().Close()
 	}
@@ -371,7 +373,7 @@
 		out.TransferEncoding = []string{"chunked"}
 		fallthrough
 	default:
-		out.Body = proxy.Body(http.MaxBytesReader(nil, io.NopCloser(lead), proxy.MaxBody))
+		out.Body = proxy.Body(http.MaxBytesReader(nil, lead, proxy.MaxBody))
 	}
 	return out
 }
--- a/internal/path/inlet/whose_test.go
+++ b/internal/path/inlet/whose_test.go
@@ -260,3 +260,21 @@
 		}
 	}
 }
+
+// TestRefusedForAMoment: a server refused connections for a moment and was taken to have
+// ended. It announces itself again, and an answer that it breaks off later is no end.
+func TestRefusedForAMoment(t *testing.T) {
+	st := newStage(t, endsServer)
+	close(st.goOn)
+	st.ask(context.Background(), "/a", 0)
+	st.in.SetTarget(inlet.Target{VM: "vm", Process: "p"})
+	st.serve(st.addr, func(_ net.Conn, _ int, req *http.Request) bool {
+		faulty.ReadBody(req)
+		return false
+	})
+	st.target("i-1")
+	w := st.ask(context.Background(), "/b", 0)
+	if got := result.Reason(w.Header().Get(result.ReasonHeader)); got != result.ReasonBroken || st.ends("/b") != 0 {
+		t.Errorf("reason %s, %d ends; want %s and none", got, st.ends("/b"), result.ReasonBroken)
+	}
+}
