mesh/ctrl: one line for a request that is found, and names that do not hide each other

A daemon that read three reports of one request at once wrote the line poison-found three times; it is one line for each request now. Found by reading the change as a newcomer, with an error that hid another of the same name.

--- a/internal/mesh/ctrl/ends.go
+++ b/internal/mesh/ctrl/ends.go
@@ -1,11 +1,13 @@
 package ctrl
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/path/ident"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
@@ -45,8 +47,12 @@
 			pr.SendEnds(tell)
 		}
 	})
+	keys := map[ident.Key]bool{}
 	for _, re := range news {
-		nd.notePoison(re, was.Ends(re.Key), is.Ends(re.Key))
+		keys[re.Key] = true
+	}
+	for key := range keys {
+		nd.notePoison(key, was.Ends(key), is.Ends(key))
 	}
 }
 
@@ -71,15 +77,16 @@
 	return tell
 }
 
-// notePoison has the platform's store changed and writes a line when a request is not run any more, and when it is again.
-func (nd *Node) notePoison(re poison.Report, was, is int) {
-	if (was < poison.Most) != (is < poison.Most) {
-		nd.keeper.due.Store(true)
-	}
+// notePoison logs that a request is not run any more, or is again, and has the platform's
+// store changed accordingly.
+func (nd *Node) notePoison(key ident.Key, was, is int) {
+	event, level := logs.PoisonFound, slog.LevelWarn
 	switch {
-	case was < poison.Most && is >= poison.Most:
-		nd.log.Warn(logs.PoisonFound, slog.String(logs.Key, re.Key.String()), slog.Int(logs.Ends, is))
-	case was >= poison.Most && is < poison.Most:
-		nd.log.Info(logs.PoisonCleared, slog.String(logs.Key, re.Key.String()), slog.Int(logs.Ends, is))
+	case (was < poison.Most) == (is < poison.Most):
+		return
+	case is < poison.Most:
+		event, level = logs.PoisonCleared, slog.LevelInfo
 	}
+	nd.log.LogAttrs(context.Background(), level, event, slog.String(logs.Key, key.String()), slog.Int(logs.Ends, is))
+	nd.keeper.due.Store(true)
 }
--- a/internal/mesh/ctrl/keeper.go
+++ b/internal/mesh/ctrl/keeper.go
@@ -66,10 +66,10 @@
 		if err != nil {
 			return err
 		}
-		list, err := poison.Decode(ent.Value)
-		if err != nil {
+		list, bad := poison.Decode(ent.Value)
+		if bad != nil {
 			// Something else wrote it; it is written anew once there is anything to keep.
-			ke.nd.log.Warn("poison-unreadable", slog.Any("error", err))
+			ke.nd.log.Warn("poison-unreadable", slog.Any("error", bad))
 		}
 		ke.nd.takeEnds(nil, list)
 		ke.due.Store(false)
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -297,6 +297,7 @@
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
 		panic(http.ErrAbortHandler)
 	}
+	// One that was not held has been read only now.
 	in.noteAnswer(r, lead)
 	sr.Outcomes.Add(result.Answered.String(), 1)
 }
