mesh/poison: ends read from the store are kept on the steady clock

What would be seen: the time of day of a VM jumps, and a request that servers ended under is tried again sooner, or refused for longer, by as much.

--- a/internal/mesh/ctrl/keeper.go
+++ b/internal/mesh/ctrl/keeper.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return err
 		}
-		list, bad := poison.Decode(ent.Value)
+		list, bad := poison.Decode(ent.Value, time.Now())
 		if bad != nil {
 			// Something else wrote it; it is written anew once there is anything to keep.
 			ke.nd.log.Warn("poison-unreadable", slog.Any("error", bad))
@@ -87,7 +87,7 @@
 
 // write replaces what the store has at a revision.
 func (ke *keeper) write(ctx context.Context, list []poison.Report, at store.Revision) (ok bool, cur store.Entry, err error) {
-	text, err := poison.Encode(list)
+	text, err := poison.Encode(list, time.Now())
 	if err != nil {
 		return false, cur, err
 	}
--- a/internal/mesh/poison/keep.go
+++ b/internal/mesh/poison/keep.go
@@ -46,17 +46,19 @@
 	return slices.Equal(plain(a), plain(b))
 }
 
-// Encode returns the reports as the platform's store has them.
-func Encode(list []Report) ([]byte, error) {
+// Encode returns the reports as the platform's store has them at a moment.
+func Encode(list []Report, now time.Time) ([]byte, error) {
 	rows := make([]kept, len(list))
 	for i, re := range list {
-		rows[i] = kept{Head: hex(re.Head), Key: re.Key.String(), End: hex(uint64(re.End)), AtMs: re.At.UnixMilli(), Answered: re.Answered}
+		rows[i] = kept{Head: hex(re.Head), Key: re.Key.String(), End: hex(uint64(re.End)), AtMs: now.UnixMilli() - now.Sub(re.At).Milliseconds(), Answered: re.Answered}
 	}
 	return json.Marshal(rows)
 }
 
-// Decode reads what Encode returns; nothing stands for no reports.
-func Decode(value []byte) ([]Report, error) {
+// Decode reads what Encode returned, as of a moment; nothing stands for no reports. Other
+// daemons tell the time of day, which is turned into an age once: what is compared later
+// goes by the steady clock.
+func Decode(value []byte, now time.Time) ([]Report, error) {
 	if len(value) == 0 {
 		return nil, nil
 	}
@@ -77,7 +79,8 @@
 			}
 			nums[j] = n
 		}
-		list[i] = Report{Head: nums[0], Key: ident.Key(nums[1]), End: End(nums[2]), At: time.UnixMilli(ro.AtMs), Answered: ro.Answered}
+		age := min(max(0, time.Duration(now.UnixMilli()-ro.AtMs)*time.Millisecond), keepFor)
+		list[i] = Report{Head: nums[0], Key: ident.Key(nums[1]), End: End(nums[2]), At: now.Add(-age), Answered: ro.Answered}
 	}
 	return list, nil
 }
--- a/internal/mesh/poison/keep_test.go
+++ b/internal/mesh/poison/keep_test.go
@@ -17,11 +17,11 @@
 	}
 	list = append(list, Report{Head: 2, Key: 2, End: 1, At: began}, Report{Head: 1 << 63, Key: 1<<63 + 1, End: Most, At: began, Answered: true})
 	vw, _ := (*View)(nil).Merge(list, began)
-	text, err := Encode(vw.Refused())
+	text, err := Encode(vw.Refused(), began)
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := Decode(text)
+	got, err := Decode(text, began)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,6 +29,10 @@
 	if !read.Refuses(1<<63+1, began, 0) || read.Ends(2) != 0 || len(got) != Most+1 {
 		t.Errorf("read back as %v", got)
 	}
+	ahead, err := Decode(text, began.Add(-time.Minute))
+	if err != nil || !ahead[0].At.Equal(began.Add(-time.Minute)) {
+		t.Errorf("an end in the future is taken for %v (error %v), want one of this moment", ahead[0].At, err)
+	}
 	later := append([]Report(nil), got...)
 	for i := range later {
 		later[i].At = later[i].At.Add(time.Millisecond)
@@ -45,7 +49,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		list, err := Decode(text)
+		list, err := Decode(text, time.Now())
 		if err != nil {
 			return
 		}
