--- a/internal/conf/accept/head.go
+++ b/internal/conf/accept/head.go
@@ -80,7 +80,7 @@
 func Load(ctx context.Context, kv store.Store) (*Head, store.Revision, error) {
 	ent, err := kv.Get(ctx, HeadKey)
 	if err != nil {
-		return nil, 0, err
+		return nil, store.Revision{}, err
 	}
 	hd, err := ParseHead(ent.Value)
 	return hd, ent.Revision, err
@@ -95,7 +95,7 @@
 	if err != nil {
 		return Entry{}, err
 	}
-	if ent.Revision == 0 {
+	if !ent.Revision.Exists() {
 		return Entry{}, &MissingError{Version: version, Newest: hd.Last.Version}
 	}
 	var en Entry
@@ -133,7 +133,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if ent.Revision == 0 {
+		if !ent.Revision.Exists() {
 			return nil, &MissingError{Version: en.Version, Newest: en.Version}
 		}
 		body = append(body, ent.Value...)
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if ent.Revision == 0 {
+	if !ent.Revision.Exists() {
 		return Content(ctx, kv, en)
 	}
 	return apply(base, ent.Value, en)
--- a/internal/conf/accept/submit.go
+++ b/internal/conf/accept/submit.go
@@ -350,10 +350,25 @@
 
 func (sm *submitter) remove(ctx context.Context, key string) {
 	ent, err := sm.kv.Get(ctx, key)
-	if err == nil && ent.Revision != 0 {
+	if err == nil && ent.Revision.Exists() {
 		_, _, err = sm.kv.Swap(ctx, store.Change{Key: key, Revision: ent.Revision, Remove: true})
 	}
 	if err != nil && sm.sub.Kept != nil {
 		sm.sub.Kept(key, err)
 	}
 }
+
+// Restore makes a version that the platform has lost its newest one again, with the
+// content that daemons hold. It does so once, whoever else restores the same version, and
+// leaves a platform alone that has gone on to it or a later one.
+func Restore(ctx context.Context, kv store.Store, version uint64, co *pack.Content) error {
+	hd, _, err := Load(ctx, kv)
+	if err != nil || hd.Last.Version >= version {
+		return err
+	}
+	_, err = Submit(ctx, kv, Submission{
+		ID: fmt.Sprintf("restore-%d-%.12s", version, co.Digest), Base: hd.Last.Version, Content: co, Author: "flamingomast",
+		Whole: true, Floor: version - 1, Resume: true,
+	})
+	return err
+}
--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -7,6 +7,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
 // Board holds what a daemon knows.
@@ -33,6 +34,9 @@
 	Cut Cell[CutSet]
 	// Platform says how the platform last answered.
 	Platform Cell[Platform]
+	// Epoch is the newest epoch of the platform's store that is known here or at peers.
+	// Only EnterEpoch writes it.
+	Epoch Cell[store.Epoch]
 	// Poison has the requests that backend servers ended under.
 	Poison Cell[poison.View]
 	// Replaced is set once another process has taken over this VM's name.
@@ -136,6 +140,27 @@
 	return installed
 }
 
+// EnterEpoch takes an epoch of the platform's store if it is newer than the one known. It
+// tells whether it was, and whether an earlier one was known.
+func (bd *Board) EnterEpoch(ep store.Epoch) (entered, again bool) {
+	bd.Epoch.Update(func(cur *store.Epoch) *store.Epoch {
+		if entered = ep > 0 && (cur == nil || ep > *cur); !entered {
+			return cur
+		}
+		again = cur != nil
+		return &ep
+	})
+	return entered, again
+}
+
+// KnownEpoch returns the newest epoch known, 0 for none.
+func (bd *Board) KnownEpoch() store.Epoch {
+	if ep := bd.Epoch.Get(); ep != nil {
+		return *ep
+	}
+	return 0
+}
+
 // HeldVersion returns the version in force, 0 for none.
 func (bd *Board) HeldVersion() uint64 {
 	if sn := bd.Held.Get(); sn != nil {
--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -25,6 +25,8 @@
 	// once are spread, so that the later ones find the keys of the earlier ones
 	// and need none of their own.
 	spread = 300 * time.Millisecond
+	// registerAgain is how often a relay without a lease tries to register.
+	registerAgain = 500 * time.Millisecond
 	// hasty is how often a daemon without any link looks during its first
 	// seconds.
 	hasty = 500 * time.Millisecond
@@ -123,7 +125,13 @@
 		wait := nd.directoryRound(ctx, reg)
 		// The waits are drawn anew each time, so that a herd that starts at
 		// once spreads over the interval.
-		if pause(ctx, wait/2+rand.N(wait/2)) != nil {
+		select {
+		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-nd.reregister:
+			if pause(ctx, rand.N(spread)) != nil {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
@@ -144,7 +152,10 @@
 		return renewEvery
 	}
 	found, err := nd.search(ctx)
-	if err != nil {
+	switch {
+	case err != nil && nd.isRelay() && !kept:
+		return registerAgain
+	case err != nil:
 		return nd.hurry(searchEvery, alone)
 	}
 	// A daemon that is alone registers where few are registered, so that the
@@ -152,10 +163,11 @@
 	if !kept && (nd.isRelay() || len(found[nd.cf.Domain]) < relay.Count) {
 		if err := reg.register(ctx); err != nil {
 			nd.log.Warn("directory-failed", slog.Any("error", err))
+			return registerAgain
 		}
 	}
 	if len(found[nd.cf.Domain]) == 0 && nd.linker.alone() {
-		nd.settleAlone(found)
+		nd.settleAlone(ctx, found)
 	}
 	return nd.hurry(searchEvery, alone)
 }
@@ -171,11 +183,15 @@
 // settleAlone settles the floor when nobody is there to tell it: no daemon of
 // the own failure domain is registered and no seed answers. Relays of other
 // failure domains may still know what was held here, so they are waited for.
-func (nd *Node) settleAlone(found map[string][]string) {
-	if time.Since(nd.started) <= bootTime {
+func (nd *Node) settleAlone(ctx context.Context, found map[string][]string) {
+	if err := nd.checkEpoch(ctx, 0); err != nil {
+		nd.log.Warn("store-epoch-unknown", slog.Any("error", err))
 		return
 	}
-	if len(found) == 0 || time.Since(nd.started) > othersTime {
+	age := time.Since(nd.started)
+	// A store that came back from an older copy may lack the entries of those who are there.
+	empty := len(found) == 0 && nd.complete()
+	if age > bootTime && empty || age > othersTime {
 		nd.Board.RaiseFloor(0, true)
 	}
 }
@@ -202,16 +218,16 @@
 // hint, and Gone leads to a new registration. A platform that does not answer
 // is asked again with the next round.
 func (rg *registration) renew(ctx context.Context) bool {
-	if rg.lease == 0 {
+	if rg.lease == (store.LeaseID{}) {
 		return false
 	}
-	err := rg.nd.cf.Store.Renew(ctx, rg.lease)
-	if store.Is(err, store.Gone) {
+	gone := store.Is(rg.nd.cf.Store.Renew(ctx, rg.lease), store.Gone)
+	if gone {
 		rg.nd.log.Warn("directory-lease-lapsed")
-		rg.lease = 0
+		rg.lease = store.LeaseID{}
 		rg.nd.registered.Store(false)
 	}
-	return rg.lease != 0
+	return rg.lease != (store.LeaseID{})
 }
 
 // register writes the key under a new lease, whatever it holds: only this VM's
@@ -238,7 +254,7 @@
 
 // end takes the key out when the daemon is no longer a relay or ends.
 func (rg *registration) end() {
-	if rg.lease == 0 {
+	if rg.lease == (store.LeaseID{}) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -246,6 +262,6 @@
 	if err := rg.nd.cf.Store.Revoke(ctx, rg.lease); err != nil {
 		rg.nd.log.Info("directory-lease-left", slog.Any("error", err))
 	}
-	rg.lease = 0
+	rg.lease = store.LeaseID{}
 	rg.nd.registered.Store(false)
 }
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -139,11 +139,11 @@
 	tn := &testNode{vm: vm, ho: ho, guard: gd, done: make(chan struct{})}
 	src, seeds := headSource(), fl.seeds(vm)
 	if fl.newest {
-		src.Newest, seeds = true, nil
+		src.Newest, src.Restore, seeds = true, nil, nil
 	}
 	tn.Node = New(Config{
 		Source: src,
-		VM:     vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: seeds, Store: gd.Store(),
+		VM:     vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: seeds, Store: gd.Store(), StoreAnswers: gd.Close,
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return fl.nw.Dial(ctx, ho, to) },
 	})
 	fl.watchVersion(tn)
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -42,6 +42,11 @@
 	// Token is a secret that all daemons of the mesh share; empty for none.
 	Token string
 	Store store.Store
+	// StoreAnswers, if set, is called when a peer has seen the store in a new epoch, so
+	// that calls are not held back any more.
+	StoreAnswers func()
+	// FirstStart says that the whole mesh starts for the first time.
+	FirstStart bool
 	// Source says where the operators' versions are in the store; the zero
 	// value stands for the head that accept writes.
 	Source Source
@@ -62,9 +67,12 @@
 	// Read makes a version of the key's value; known is the newest one known,
 	// nil for none. The content is nil when the version is not newer.
 	Read func(ctx context.Context, kv store.Store, known *board.Config, value []byte) (uint64, *pack.Content, error)
-	// Newest says that a read shows every version that was ever accepted: the
-	// store is never set back. Such a read settles the floor of a new process.
+	// Newest says that a read shows every version that was ever accepted, but where the
+	// store came back from an older copy. Such a read settles the floor of a new process.
 	Newest bool
+	// Restore writes a version again that the store lost; nil where whoever wrote it does
+	// so. Daemons may call it at the same time, and more than once.
+	Restore func(ctx context.Context, kv store.Store, cfg *board.Config) error
 }
 
 // headSource reads the head that accept writes, and the content beside it.
@@ -84,7 +92,10 @@
 		co, err := accept.Step(ctx, kv, base, hd.Last)
 		return hd.Last.Version, co, err
 	}
-	return Source{Key: accept.HeadKey, Read: read}
+	restore := func(ctx context.Context, kv store.Store, cfg *board.Config) error {
+		return accept.Restore(ctx, kv, cfg.Version, cfg.Content)
+	}
+	return Source{Key: accept.HeadKey, Read: read, Restore: restore}
 }
 
 // Node is the control part of one daemon.
@@ -135,6 +146,14 @@
 	unproven chan struct{}
 	// lookAgain lets the watcher look again.
 	lookAgain chan struct{}
+	// reregister lets a relay register again, in a new epoch of the store.
+	reregister chan struct{}
+	// completeIn is the last epoch in which the store was seen to have all versions.
+	completeIn store.Epoch
+	// markedIn is the last epoch that the store is known to keep.
+	markedIn store.Epoch
+	// restoring is set while a version that the store lost is written again.
+	restoring atomic.Bool
 	// registered is set while the daemon's key is in the directory.
 	registered atomic.Bool
 	// sumDirty says that the own failure domain's summary is to be sent.
@@ -168,25 +187,26 @@
 // New returns the control part for cf; Run starts it.
 func New(cf Config) *Node {
 	nd := &Node{
-		Board:     &board.Board{},
-		Traffic:   newTraffic(),
-		cf:        cf,
-		log:       cf.Log,
-		wholes:    rate.NewLimiter(wholeRate, wholeBurst),
-		transfers: make(chan struct{}, wholeAtOnce),
-		firstEnds: rate.NewLimiter(firstEndsRate, firstEndsBurst),
-		fetching:  make(chan struct{}, 1),
-		kick:      make(chan struct{}, 1),
-		unproven:  make(chan struct{}, 1),
-		lookAgain: make(chan struct{}, 1),
-		peers:     map[*link.Peer]bool{},
-		holds:     map[string]hold{},
-		summaries: map[string]*wirepb.Summary{},
-		reached:   map[string]time.Time{},
-		leavers:   map[string]member.Leaver{},
-		expiry:    expire.New(),
-		through:   map[string]time.Time{},
-		started:   time.Now(),
+		Board:      &board.Board{},
+		Traffic:    newTraffic(),
+		cf:         cf,
+		log:        cf.Log,
+		wholes:     rate.NewLimiter(wholeRate, wholeBurst),
+		transfers:  make(chan struct{}, wholeAtOnce),
+		firstEnds:  rate.NewLimiter(firstEndsRate, firstEndsBurst),
+		fetching:   make(chan struct{}, 1),
+		kick:       make(chan struct{}, 1),
+		unproven:   make(chan struct{}, 1),
+		lookAgain:  make(chan struct{}, 1),
+		reregister: make(chan struct{}, 1),
+		peers:      map[*link.Peer]bool{},
+		holds:      map[string]hold{},
+		summaries:  map[string]*wirepb.Summary{},
+		reached:    map[string]time.Time{},
+		leavers:    map[string]member.Leaver{},
+		expiry:     expire.New(),
+		through:    map[string]time.Time{},
+		started:    time.Now(),
 	}
 	if nd.log == nil {
 		nd.log = slog.New(slog.DiscardHandler)
@@ -200,6 +220,10 @@
 	if nd.cf.Drain == nil {
 		nd.cf.Drain = func() int { return 0 }
 	}
+	if nd.cf.StoreAnswers == nil {
+		nd.cf.StoreAnswers = func() {}
+	}
+	nd.cf.Store = nd.watchEpochs(cf.Store)
 	nd.life, nd.end = context.WithCancel(context.Background())
 	nd.http = newHTTPClient(cf)
 	nd.linker = newLinker(nd)
@@ -216,6 +240,9 @@
 	return nd
 }
 
+// Store returns the platform's store; its calls tell the node of a new epoch.
+func (nd *Node) Store() store.Store { return nd.cf.Store }
+
 // Run keeps the daemon in the mesh until ctx ends.
 func (nd *Node) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, nd.end)
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -14,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
 // offer makes the packet that brings a peer with the content base up to date.
@@ -41,7 +42,8 @@
 	}
 	hello.Hashes = nd.hashes()
 	held := nd.ownHeld()
-	pr.Next(func(pk *wirepb.Packet) { pk.Hello = hello })
+	epoch := int64(nd.Board.KnownEpoch())
+	pr.Next(func(pk *wirepb.Packet) { pk.Hello, pk.Epoch = hello, epoch })
 	pr.SendHeld(held)
 }
 
@@ -103,6 +105,7 @@
 	if pk.Version != nil {
 		nd.takeVersion(pr, pk.Version)
 	}
+	nd.enterEpoch(store.Epoch(pk.Epoch))
 }
 
 func (nd *Node) takeHello(pr *link.Peer, hello *wirepb.Hello) {
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -283,3 +283,28 @@
 		fl.allKnown(1)
 	})
 }
+
+// TestScaleEpoch guards against a fleet of hundreds that asks a store which came back from
+// an older copy for all it lost, each daemon by itself.
+func TestScaleEpoch(t *testing.T) {
+	sized(t, hundreds, func(fl *fleet) {
+		bk, since := fl.st.Backup(), fl.st.Newest()
+		v := fl.apply(sample.Change(fl.ms, 1), 1)
+		fl.waitHeld(v, convergeLimit)
+		time.Sleep(2 * time.Second)
+		calls := fl.calls()
+		fl.st.ComeBack(bk)
+		took := fl.waitFor("the relays are registered again", registeredLimit, func() bool { return fl.registered(since) })
+		time.Sleep(3*time.Second - took)
+		// Two calls a second are the watches of those who follow the store.
+		calls = fl.calls() - calls
+		t.Logf("registered after %s, %d calls to the store in 3 s, %d relays", took, calls, len(fl.relays()))
+		if most := int64(hundreds.vms / 2); calls > most {
+			t.Errorf("%d calls to the store, want %d at most", calls, most)
+		}
+		if hd := fl.head(); hd.Last.Version != v || len(hd.Recent) != 2 {
+			t.Errorf("the head has version %d and the submissions %+v, want %d, restored once", hd.Last.Version, hd.Recent, v)
+		}
+		fl.allKnown(v)
+	})
+}
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -135,8 +135,7 @@
 		return err
 	}
 	if ent.Revision == last {
-		nd.noteProof(began, version)
-		return nil
+		return nd.noteRead(ctx, began, version)
 	}
 	version, co, err := src.Read(ctx, nd.cf.Store, nd.Board.Latest.Get(), ent.Value)
 	var se *store.Error
@@ -155,7 +154,16 @@
 		nd.take(version, co)
 	}
 	nd.setSeen(ent.Revision, version)
+	return nd.noteRead(ctx, began, version)
+}
+
+// noteRead takes that a read of the store which began at a moment showed a version.
+func (nd *Node) noteRead(ctx context.Context, began time.Time, version uint64) error {
+	if err := nd.checkEpoch(ctx, version); err != nil {
+		return err
+	}
 	nd.noteProof(began, version)
+	nd.restore(ctx, version)
 	return nil
 }
 
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -4,9 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -53,16 +57,43 @@
 	return &ffcli.Command{
 		Name: "dev-platform", ShortUsage: "flamingomast dev-platform [--listen ADDR]", FlagSet: fs, Options: envOption(),
 		ShortHelp: "Run a stand-in of the platform's key-value service, in memory, for tests.",
+		LongHelp:  "SIGUSR1 takes a copy of what it holds, SIGUSR2 comes back from the last copy in a new epoch.",
 		Exec: func(ctx context.Context, _ []string) error {
 			ln, err := net.Listen("tcp", *listen)
 			if err != nil {
 				return err
 			}
-			return demo.ServePlatform(ctx, ln, stand.New())
+			st := stand.New()
+			go copyOnSignals(ctx, st, ap.out)
+			return demo.ServePlatform(ctx, ln, st)
 		},
 	}
 }
 
+// copyOnSignals takes a copy of a stand-in at SIGUSR1, and comes back from the last one at
+// SIGUSR2, until ctx ends.
+func copyOnSignals(ctx context.Context, st *stand.Stand, out io.Writer) {
+	log := slog.New(slog.NewJSONHandler(out, nil))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGUSR2)
+	defer signal.Stop(signals)
+	bk := st.Backup()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case sg := <-signals:
+			if sg == syscall.SIGUSR1 {
+				bk = st.Backup()
+				log.Info("platform-copied", slog.Int64("revision", st.Newest()))
+				continue
+			}
+			st.ComeBack(bk)
+			log.Info("platform-came-back", slog.Int64("revision", st.Newest()), slog.Int64("epoch", int64(st.Epoch())))
+		}
+	}
+}
+
 func (ap *app) devServerCmd() *ffcli.Command {
 	fs := ap.flags("dev-server")
 	sr := &demo.Server{Ledger: &demo.Ledger{}}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -117,7 +117,6 @@
 		kv = &st
 	}
 	dm.guard = guard.New(*kv)
-	dm.store = dm.guard.Store()
 	link := pacer.New(se.Link)
 	dm.bytes.Sent, dm.pathBytes.Sent = link.Sent, link.Sent
 	var src ctrl.Source
@@ -127,8 +126,9 @@
 	dm.Node = ctrl.New(ctrl.Config{
 		Source: src,
 		VM:     se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token, Capacity: uint32(se.Link / 1e6),
-		Store: dm.store, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
+		Store: dm.guard.Store(), StoreAnswers: dm.guard.Close, FirstStart: se.FirstStart, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
 	})
+	dm.store = dm.Node.Store()
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service, Link: se.Link,
 		Work: func() limit.Work { return dm.Inlet.Gate.Work() }, Repeats: &se.Repeats, Poison: dm.Node.Board.Poison.Get,
@@ -315,6 +315,7 @@
 	num("control-bytes-in", dm.bytes.In.Load)
 	num("control-bytes-out", dm.bytes.Out.Load)
 	num("platform-calls", dm.guard.Calls.Load)
+	num("platform-epoch", func() int64 { return int64(bd.KnownEpoch()) })
 	num("platform-calls-held", dm.guard.Held.Load)
 	m.Set("platform-calls-by-purpose", &dm.guard.Purposes)
 	m.Set("platform-bytes-by-purpose", &dm.guard.Read)
--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -42,8 +42,11 @@
 	Lifetime  string `json:"lifetime"`
 	StartedMs int64  `json:"started-ms,omitempty"`
 	Number    uint64 `json:"number"`
-	// stored is closed once it was written.
+	// until is how long the store is to keep it.
+	until time.Time
+	// stored is closed once it was written, in the epoch of the store given.
 	stored chan struct{}
+	epoch  store.Epoch
 }
 
 func (dm *Daemon) leavingKey() string { return "leaving/" + dm.se.VM }
@@ -57,7 +60,7 @@
 // acknowledgement may wait goes on after it.
 func (dm *Daemon) recordLeaving(ctx context.Context, left member.Leaver) {
 	dm.setGate(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
-	lv := &leaving{Lifetime: left.Lifetime, StartedMs: left.StartedMs, Number: left.At, stored: make(chan struct{})}
+	lv := &leaving{Lifetime: left.Lifetime, StartedMs: left.StartedMs, Number: left.At, until: time.Now().Add(leavingTTL), stored: make(chan struct{})}
 	dm.leaver.Set(lv)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
 	defer cancel()
@@ -72,15 +75,18 @@
 }
 
 // runLeaving writes down the newest lifetime that leaves, again until the store
-// has it or its time there would be over.
+// has it or its time there would be over, and once more in each new epoch of the store,
+// which may have lost it.
 func (dm *Daemon) runLeaving(ctx context.Context) {
 	for ctx.Err() == nil {
 		lv, changed := dm.leaver.Watch()
+		_, entered := dm.Node.Board.Epoch.Watch()
 		if lv != nil {
 			dm.storeLeaving(ctx, lv, changed)
 		}
 		select {
 		case <-changed:
+		case <-entered:
 		case <-ctx.Done():
 		}
 	}
@@ -88,14 +94,20 @@
 
 // storeLeaving writes lv until that succeeds, a newer one has come, or ctx ends.
 func (dm *Daemon) storeLeaving(ctx context.Context, lv *leaving, newer <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(ctx, leavingTTL)
+	ctx, cancel := context.WithDeadline(ctx, lv.until)
 	defer cancel()
 	for ctx.Err() == nil {
-		err := dm.writeLeaving(ctx, lv)
-		if err == nil {
-			close(lv.stored)
+		if lv.epoch != 0 && lv.epoch >= dm.Node.Board.KnownEpoch() {
 			return
 		}
+		epoch, err := dm.writeLeaving(ctx, lv)
+		if err == nil {
+			if lv.epoch == 0 {
+				close(lv.stored)
+			}
+			lv.epoch = max(1, epoch)
+			continue
+		}
 		dm.log.Info("leaving-not-stored", slog.String("lifetime", lv.Lifetime), slog.Any("error", err))
 		select {
 		case <-newer:
@@ -106,15 +118,16 @@
 	}
 }
 
-func (dm *Daemon) writeLeaving(ctx context.Context, lv *leaving) error {
+// writeLeaving writes lv, and returns the epoch of the store in which it did.
+func (dm *Daemon) writeLeaving(ctx context.Context, lv *leaving) (store.Epoch, error) {
 	value, err := json.Marshal(lv)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	kv := dm.store
 	id, err := kv.Grant(ctx, leavingTTL)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	ch := store.Change{Key: dm.leavingKey(), Value: value, Lease: id}
 	ok, cur, err := kv.Swap(ctx, ch)
@@ -124,9 +137,9 @@
 	}
 	if err == nil && !ok {
 		// A late write of a former process came between, twice.
-		return errOverwritten
+		err = errOverwritten
 	}
-	return err
+	return id.Epoch, err
 }
 
 var errOverwritten = errors.New("the key was written by another process")
--- a/internal/node/daemon/recall_test.go
+++ b/internal/node/daemon/recall_test.go
@@ -135,7 +135,7 @@
 				kv.Grant = func(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 					if faults--; faults >= 0 {
 						if err := fault(ctx); err != nil {
-							return 0, err
+							return store.LeaseID{}, err
 						}
 					}
 					return grant(context.WithoutCancel(ctx), ttl)
@@ -153,7 +153,7 @@
 				}
 				time.Sleep(5 * time.Second)
 				ent, err := kv.Get(ctx, dm.leavingKey())
-				if err != nil || ent.Revision == 0 {
+				if err != nil || !ent.Revision.Exists() {
 					t.Errorf("the store holds %+v, %v", ent, err)
 				}
 			})
@@ -196,6 +196,47 @@
 	})
 }
 
+// TestLeavingStoredAgain guards against a drain that was acknowledged and is gone from a
+// store that came back from an older copy.
+func TestLeavingStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := stand.New()
+		kv := st.Store()
+		dm := New(setup.Settings{VM: "vm-0", Domain: "d"}, Options{Store: &kv})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go dm.runLeaving(ctx)
+		bk := st.Backup()
+		if err := dm.announce(ctx, admin.Announcement{Service: "booking", Lifetime: "i-1", Number: 4, State: "draining", TTLMs: 60_000}); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			st.ComeBack(bk)
+			calls := st.Calls.Total()
+			// Another call, or a peer, shows the epoch.
+			if _, err := dm.Node.Store().Get(ctx, "any"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+			if ent, err := kv.Get(ctx, dm.leavingKey()); err != nil || !strings.Contains(string(ent.Value), "i-1") {
+				t.Errorf("the store holds %q, %v", ent.Value, err)
+			}
+			if n := st.Calls.Total() - calls; n > 4 {
+				t.Errorf("%d calls to the store", n)
+			}
+		}
+		time.Sleep(leavingTTL)
+		st.ComeBack(bk)
+		if _, err := dm.Node.Store().Get(ctx, "any"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if ent, err := kv.Get(ctx, dm.leavingKey()); err != nil || ent.Revision.Exists() {
+			t.Errorf("the store holds %q of a server that ended long ago, %v", ent.Value, err)
+		}
+	})
+}
+
 // TestForeignLeaving: something else has written under the key where a daemon notes that
 // its backend server leaves. A daemon that starts must neither end over it nor take the
 // server that announces itself for one that left.
--- a/internal/plat/guard/guard.go
+++ b/internal/plat/guard/guard.go
@@ -34,20 +34,23 @@
 	Purposes, Read expvar.Map
 	kv             store.Store
 	lim            *rate.Limiter
-	brk            *gobreaker.CircuitBreaker[any]
+	brk            atomic.Pointer[gobreaker.CircuitBreaker[any]]
 }
 
 // New returns a guard around kv.
 func New(kv store.Store) *Guard {
-	return &Guard{
-		kv:  kv,
-		lim: rate.NewLimiter(callRate, callBurst),
-		brk: gobreaker.NewCircuitBreaker[any](gobreaker.Settings{
-			Timeout:      rest,
-			ReadyToTrip:  func(cs gobreaker.Counts) bool { return cs.ConsecutiveFailures >= trip },
-			IsSuccessful: func(err error) bool { return err == nil || store.Is(err, store.Gone) || store.Is(err, store.TooLarge) },
-		}),
-	}
+	gd := &Guard{kv: kv, lim: rate.NewLimiter(callRate, callBurst)}
+	gd.Close()
+	return gd
+}
+
+// Close closes the breaker: the store is known to answer others again.
+func (gd *Guard) Close() {
+	gd.brk.Store(gobreaker.NewCircuitBreaker[any](gobreaker.Settings{
+		Timeout:      rest,
+		ReadyToTrip:  func(cs gobreaker.Counts) bool { return cs.ConsecutiveFailures >= trip },
+		IsSuccessful: func(err error) bool { return err == nil || store.Is(err, store.Gone) || store.Is(err, store.TooLarge) },
+	}))
 }
 
 // purpose names what a call is for.
@@ -78,7 +81,7 @@
 	kv.Watch = func(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
 		// A half-open breaker lets one call through at a time. A watch that
 		// waits would hold back all others, so it only looks then.
-		if gd.brk.State() != gobreaker.StateClosed {
+		if gd.brk.Load().State() != gobreaker.StateClosed {
 			wait = 0
 		}
 		ent, err := watch(ctx, key, after, wait)
@@ -97,7 +100,7 @@
 		gd.Held.Add(1)
 		return &store.Error{Kind: store.Unavailable, Op: op, Key: key, Err: err}
 	}
-	_, err := gd.brk.Execute(func() (any, error) {
+	_, err := gd.brk.Load().Execute(func() (any, error) {
 		gd.Calls.Add(1)
 		gd.Purposes.Add(purpose(op, key), 1)
 		return nil, call()
--- a/internal/plat/guard/guard_test.go
+++ b/internal/plat/guard/guard_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/plat/stand"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
 // TestOutage: the platform is out for a minute and a daemon keeps asking. The
@@ -27,7 +28,7 @@
 		time.Sleep(rest)
 		watched := make(chan error, 1)
 		go func() {
-			_, err := kv.Watch(t.Context(), "a", 0, 25*time.Second)
+			_, err := kv.Watch(t.Context(), "a", store.Revision{}, 25*time.Second)
 			watched <- err
 		}()
 		synctest.Wait()
--- a/internal/plat/kvtest/kvtest.go
+++ b/internal/plat/kvtest/kvtest.go
@@ -25,7 +25,7 @@
 	run  func(t *testing.T, kv store.Store, st *stand.Stand)
 }{
 	{"a missing key has revision 0", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision != 0 {
+		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision.Exists() {
 			t.Errorf("Get: %+v, %v", ent, err)
 		}
 	}},
@@ -45,20 +45,20 @@
 	{"remove", func(t *testing.T, kv store.Store, _ *stand.Stand) {
 		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
 		wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Remove: true}, true)
-		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision != 0 {
+		if ent, err := kv.Get(t.Context(), "a"); err != nil || ent.Revision.Exists() {
 			t.Errorf("Get after remove: %+v, %v", ent, err)
 		}
 	}},
 	{"watch returns at once what is new", func(t *testing.T, kv store.Store, _ *stand.Stand) {
 		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
-		if ent, err := kv.Watch(t.Context(), "a", 0, time.Minute); err != nil || string(ent.Value) != "1" {
+		if ent, err := kv.Watch(t.Context(), "a", store.Revision{}, time.Minute); err != nil || string(ent.Value) != "1" {
 			t.Errorf("Watch: %+v, %v", ent, err)
 		}
 	}},
 	{"watch wakes at a change", func(t *testing.T, kv store.Store, _ *stand.Stand) {
 		got := make(chan store.Entry, 1)
 		go func() {
-			ent, _ := kv.Watch(t.Context(), "a", 0, time.Minute)
+			ent, _ := kv.Watch(t.Context(), "a", store.Revision{}, time.Minute)
 			got <- ent
 		}()
 		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
@@ -71,7 +71,7 @@
 			wantSwap(t, kv, store.Change{Key: key, Value: []byte(key)}, true)
 		}
 		items, err := kv.List(t.Context(), "b/")
-		if err != nil || len(items) != 2 || items[0].Key != "b/1" || string(items[1].Value) != "b/2" || items[1].Revision == 0 {
+		if err != nil || len(items) != 2 || items[0].Key != "b/1" || string(items[1].Value) != "b/2" || !items[1].Revision.Exists() {
 			t.Errorf("List: %+v, %v", items, err)
 		}
 	}},
@@ -84,14 +84,14 @@
 		}
 	}},
 	{"watch ends after its wait", func(t *testing.T, kv store.Store, _ *stand.Stand) {
-		if ent, err := kv.Watch(t.Context(), "a", 0, time.Millisecond); err != nil || ent.Revision != 0 {
+		if ent, err := kv.Watch(t.Context(), "a", store.Revision{}, time.Millisecond); err != nil || ent.Revision.Exists() {
 			t.Errorf("Watch: %+v, %v", ent, err)
 		}
 	}},
 	{"watch ends with its context", func(t *testing.T, kv store.Store, _ *stand.Stand) {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		if _, err := kv.Watch(ctx, "a", 0, time.Minute); err == nil {
+		if _, err := kv.Watch(ctx, "a", store.Revision{}, time.Minute); err == nil {
 			t.Error("Watch with an ended context gave no error")
 		}
 	}},
@@ -107,7 +107,7 @@
 		if err := kv.Revoke(t.Context(), id); err != nil {
 			t.Error(err)
 		}
-		if ent, err := kv.Watch(t.Context(), "a", ent.Revision, time.Minute); err != nil || ent.Revision != 0 {
+		if ent, err := kv.Watch(t.Context(), "a", ent.Revision, time.Minute); err != nil || ent.Revision.Exists() {
 			t.Errorf("the key after its lease: %+v, %v", ent, err)
 		}
 		WantKind(t, kv.Renew(t.Context(), id), store.Gone)
@@ -142,6 +142,83 @@
 		WantKind(t, err, store.Unknown)
 		wantValue(t, kv, "a", "1")
 	}},
+	{"a new epoch is another revision", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
+		st.ComeBack(st.Backup())
+		ent, err := kv.Watch(t.Context(), "a", one.Revision, time.Minute)
+		if err != nil || string(ent.Value) != "1" || ent.Revision.Epoch <= one.Revision.Epoch || kv.Epoch() != ent.Revision.Epoch {
+			t.Errorf("Watch in a new epoch: %+v, %v; was %+v", ent, err, one.Revision)
+		}
+	}},
+	{"a watch wakes at a new epoch", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
+		bk := st.Backup()
+		two := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("2")}, true)
+		got := make(chan store.Entry, 1)
+		go func() {
+			ent, _ := kv.Watch(t.Context(), "a", two.Revision, time.Minute)
+			got <- ent
+		}()
+		st.ComeBack(bk)
+		if ent := <-got; string(ent.Value) != "1" {
+			t.Errorf("Watch: %+v", ent)
+		}
+	}},
+	{"a revision given out twice matches in its own epoch only", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
+		bk := st.Backup()
+		two := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("2")}, true)
+		st.ComeBack(bk)
+		one = wantGet(t, kv, "a")
+		other := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("other")}, true)
+		if other.Revision.Number != two.Revision.Number {
+			t.Fatalf("the write got number %d, want %d again", other.Revision.Number, two.Revision.Number)
+		}
+		wantSwap(t, kv, store.Change{Key: "a", Revision: two.Revision, Value: []byte("3")}, false)
+		wantValue(t, kv, "a", "other")
+		wantSwap(t, kv, store.Change{Key: "a", Revision: other.Revision, Value: []byte("4")}, true)
+	}},
+	{"a missing key in a new epoch is created once", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		none := wantGet(t, kv, "a")
+		st.ComeBack(st.Backup())
+		if kv.Epoch() == none.Revision.Epoch {
+			wantGet(t, kv, "b")
+		}
+		wantSwap(t, kv, store.Change{Key: "a", Revision: none.Revision, Value: []byte("1")}, false)
+		wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
+	}},
+	{"a lease given out twice is held by the later owner only", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		bk := st.Backup()
+		lost, err := kv.Grant(t.Context(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.ComeBack(bk)
+		next, err := kv.Grant(t.Context(), time.Minute)
+		if err != nil || next.Number != lost.Number || next == lost {
+			t.Fatalf("Grant: %+v, %v; want number %d in a new epoch", next, err, lost.Number)
+		}
+		wantSwap(t, kv, store.Change{Key: "a", Lease: next}, true)
+		WantKind(t, kv.Renew(t.Context(), lost), store.Gone)
+		WantKind(t, kv.Revoke(t.Context(), lost), store.Gone)
+		_, _, err = kv.Swap(t.Context(), store.Change{Key: "b", Lease: lost})
+		WantKind(t, err, store.Gone)
+		if !wantGet(t, kv, "a").Revision.Exists() {
+			t.Error("the key of the later lease is gone")
+		}
+	}},
+	{"a lease of the copy goes on without its holder", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		id, err := kv.Grant(t.Context(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantSwap(t, kv, store.Change{Key: "a", Lease: id}, true)
+		st.ComeBack(st.Backup())
+		if !wantGet(t, kv, "a").Revision.Exists() {
+			t.Error("the key of the copy is gone")
+		}
+		WantKind(t, kv.Renew(t.Context(), id), store.Gone)
+	}},
 	{"a backup brings an older state", func(t *testing.T, kv store.Store, st *stand.Stand) {
 		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
 		bk := st.Backup()
@@ -162,6 +239,15 @@
 	return cur
 }
 
+func wantGet(t *testing.T, kv store.Store, key string) store.Entry {
+	t.Helper()
+	ent, err := kv.Get(t.Context(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ent
+}
+
 func wantValue(t *testing.T, kv store.Store, key, want string) {
 	t.Helper()
 	if ent, err := kv.Get(t.Context(), key); err != nil || string(ent.Value) != want {
--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,6 +20,8 @@
 // Client calls a key-value service at one address.
 type Client struct {
 	kv kvpb.KeyValueClient
+	// epoch is the newest one that an answer bore.
+	epoch atomic.Int64
 }
 
 // New returns a client of the service at addr (host:port).
@@ -33,7 +36,20 @@
 
 // Store returns the functions of the platform's interface.
 func (cl *Client) Store() store.Store {
-	return store.Store{Get: cl.get, List: cl.list, Swap: cl.swap, Watch: cl.watch, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke}
+	return store.Store{
+		Get: cl.get, List: cl.list, Swap: cl.swap, Watch: cl.watch, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke,
+		Epoch: func() store.Epoch { return store.Epoch(cl.epoch.Load()) },
+	}
+}
+
+// sawEpoch notes the epoch of an answer.
+func (cl *Client) sawEpoch(epoch int64) {
+	for {
+		old := cl.epoch.Load()
+		if epoch <= old || cl.epoch.CompareAndSwap(old, epoch) {
+			return
+		}
+	}
 }
 
 // fault maps an error to a *store.Error. A write whose answer did not come is
@@ -65,8 +81,10 @@
 	return res.Msg, nil
 }
 
-func entryOf(pb *kvpb.Entry) store.Entry {
-	return store.Entry{Value: pb.GetValue(), Revision: store.Revision(pb.GetRevision())}
+// entryOf reads an entry of an answer.
+func (cl *Client) entryOf(pb *kvpb.Entry) store.Entry {
+	cl.sawEpoch(pb.GetEpoch())
+	return store.Entry{Value: pb.GetValue(), Revision: store.Revision{Epoch: store.Epoch(pb.GetEpoch()), Number: pb.GetRevision()}}
 }
 
 func (cl *Client) get(ctx context.Context, key string) (store.Entry, error) {
@@ -74,7 +92,7 @@
 	if err != nil {
 		return store.Entry{}, err
 	}
-	return entryOf(res.Entry), nil
+	return cl.entryOf(res.Entry), nil
 }
 
 func (cl *Client) list(ctx context.Context, prefix string) ([]store.Item, error) {
@@ -82,45 +100,50 @@
 	if err != nil {
 		return nil, err
 	}
+	cl.sawEpoch(res.Epoch)
 	var items []store.Item
 	for _, it := range res.Items {
-		items = append(items, store.Item{Key: it.Key, Entry: entryOf(it.Entry)})
+		items = append(items, store.Item{Key: it.Key, Entry: cl.entryOf(it.Entry)})
 	}
 	return items, nil
 }
 
 func (cl *Client) swap(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
-	req := &kvpb.SwapRequest{Key: ch.Key, Revision: int64(ch.Revision), Value: ch.Value, Remove: ch.Remove, Lease: int64(ch.Lease)}
+	req := &kvpb.SwapRequest{
+		Key: ch.Key, Revision: ch.Revision.Number, Epoch: int64(ch.Revision.Epoch), Value: ch.Value, Remove: ch.Remove,
+		Lease: ch.Lease.Number, LeaseEpoch: int64(ch.Lease.Epoch),
+	}
 	res, err := call(ctx, "swap", ch.Key, true, CallTimeout, req, cl.kv.Swap)
 	if err != nil {
 		return false, store.Entry{}, err
 	}
-	return res.Swapped, entryOf(res.Current), nil
+	return res.Swapped, cl.entryOf(res.Current), nil
 }
 
 func (cl *Client) watch(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
-	req := &kvpb.WatchRequest{Key: key, After: int64(after), WaitMs: wait.Milliseconds()}
+	req := &kvpb.WatchRequest{Key: key, After: after.Number, Epoch: int64(after.Epoch), WaitMs: wait.Milliseconds()}
 	res, err := call(ctx, "watch", key, false, wait+CallTimeout, req, cl.kv.Watch)
 	if err != nil {
 		return store.Entry{}, err
 	}
-	return entryOf(res.Entry), nil
+	return cl.entryOf(res.Entry), nil
 }
 
 func (cl *Client) grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	res, err := call(ctx, "grant", "", true, CallTimeout, &kvpb.GrantRequest{TtlMs: ttl.Milliseconds()}, cl.kv.Grant)
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
-	return store.LeaseID(res.Lease), nil
+	cl.sawEpoch(res.Epoch)
+	return store.LeaseID{Epoch: store.Epoch(res.Epoch), Number: res.Lease}, nil
 }
 
 func (cl *Client) renew(ctx context.Context, id store.LeaseID) error {
-	_, err := call(ctx, "renew", "", true, CallTimeout, &kvpb.RenewRequest{Lease: int64(id)}, cl.kv.Renew)
+	_, err := call(ctx, "renew", "", true, CallTimeout, &kvpb.RenewRequest{Lease: id.Number, Epoch: int64(id.Epoch)}, cl.kv.Renew)
 	return err
 }
 
 func (cl *Client) revoke(ctx context.Context, id store.LeaseID) error {
-	_, err := call(ctx, "revoke", "", true, CallTimeout, &kvpb.RevokeRequest{Lease: int64(id)}, cl.kv.Revoke)
+	_, err := call(ctx, "revoke", "", true, CallTimeout, &kvpb.RevokeRequest{Lease: id.Number, Epoch: int64(id.Epoch)}, cl.kv.Revoke)
 	return err
 }
--- a/internal/plat/remote/handler.go
+++ b/internal/plat/remote/handler.go
@@ -48,7 +48,17 @@
 }
 
 func entryPB(ent store.Entry) *kvpb.Entry {
-	return &kvpb.Entry{Value: ent.Value, Revision: int64(ent.Revision)}
+	return &kvpb.Entry{Value: ent.Value, Revision: ent.Revision.Number, Epoch: int64(ent.Revision.Epoch)}
+}
+
+// revision reads a revision of a request.
+func revision(epoch, number int64) store.Revision {
+	return store.Revision{Epoch: store.Epoch(epoch), Number: number}
+}
+
+// leaseID reads a lease of a request.
+func leaseID(epoch, number int64) store.LeaseID {
+	return store.LeaseID{Epoch: store.Epoch(epoch), Number: number}
 }
 
 // Get serves store.Store.Get.
@@ -66,7 +76,7 @@
 	if err != nil {
 		return nil, codeOf(err)
 	}
-	res := &kvpb.ListResponse{}
+	res := &kvpb.ListResponse{Epoch: int64(sr.kv.Epoch())}
 	for _, it := range items {
 		res.Items = append(res.Items, &kvpb.Item{Key: it.Key, Entry: entryPB(it.Entry)})
 	}
@@ -77,7 +87,7 @@
 func (sr *server) Swap(ctx context.Context, req *connect.Request[kvpb.SwapRequest]) (*connect.Response[kvpb.SwapResponse], error) {
 	ms := req.Msg
 	ok, cur, err := sr.kv.Swap(ctx, store.Change{
-		Key: ms.Key, Revision: store.Revision(ms.Revision), Value: ms.Value, Remove: ms.Remove, Lease: store.LeaseID(ms.Lease),
+		Key: ms.Key, Revision: revision(ms.Epoch, ms.Revision), Value: ms.Value, Remove: ms.Remove, Lease: leaseID(ms.LeaseEpoch, ms.Lease),
 	})
 	if err != nil {
 		return nil, codeOf(err)
@@ -88,7 +98,7 @@
 // Watch serves store.Store.Watch.
 func (sr *server) Watch(ctx context.Context, req *connect.Request[kvpb.WatchRequest]) (*connect.Response[kvpb.WatchResponse], error) {
 	ms := req.Msg
-	ent, err := sr.kv.Watch(ctx, ms.Key, store.Revision(ms.After), time.Duration(ms.WaitMs)*time.Millisecond)
+	ent, err := sr.kv.Watch(ctx, ms.Key, revision(ms.Epoch, ms.After), time.Duration(ms.WaitMs)*time.Millisecond)
 	if err != nil {
 		return nil, codeOf(err)
 	}
@@ -101,12 +111,12 @@
 	if err != nil {
 		return nil, codeOf(err)
 	}
-	return connect.NewResponse(&kvpb.GrantResponse{Lease: int64(id)}), nil
+	return connect.NewResponse(&kvpb.GrantResponse{Lease: id.Number, Epoch: int64(id.Epoch)}), nil
 }
 
 // Renew serves store.Store.Renew.
 func (sr *server) Renew(ctx context.Context, req *connect.Request[kvpb.RenewRequest]) (*connect.Response[kvpb.RenewResponse], error) {
-	if err := sr.kv.Renew(ctx, store.LeaseID(req.Msg.Lease)); err != nil {
+	if err := sr.kv.Renew(ctx, leaseID(req.Msg.Epoch, req.Msg.Lease)); err != nil {
 		return nil, codeOf(err)
 	}
 	return connect.NewResponse(&kvpb.RenewResponse{}), nil
@@ -114,7 +124,7 @@
 
 // Revoke serves store.Store.Revoke.
 func (sr *server) Revoke(ctx context.Context, req *connect.Request[kvpb.RevokeRequest]) (*connect.Response[kvpb.RevokeResponse], error) {
-	if err := sr.kv.Revoke(ctx, store.LeaseID(req.Msg.Lease)); err != nil {
+	if err := sr.kv.Revoke(ctx, leaseID(req.Msg.Epoch, req.Msg.Lease)); err != nil {
 		return nil, codeOf(err)
 	}
 	return connect.NewResponse(&kvpb.RevokeResponse{}), nil
--- a/internal/plat/stand/stand.go
+++ b/internal/plat/stand/stand.go
@@ -49,15 +49,18 @@
 	mu      sync.Mutex
 	faults  Faults
 	entries map[string]entry
-	leases  map[store.LeaseID]*lease
-	nextID  store.LeaseID
-	rev     store.Revision
+	leases  map[int64]*lease
+	nextID  int64
+	rev     int64
+	epoch   store.Epoch
 	changed chan struct{}
 }
 
+// entry is a value with the number of the write that made it and of its lease.
 type entry struct {
-	store.Entry
-	lease store.LeaseID
+	value  []byte
+	number int64
+	lease  int64
 }
 
 type lease struct {
@@ -65,13 +68,20 @@
 	timer *time.Timer
 }
 
+// at returns the entry of a key; st.mu is held.
+func (st *Stand) at(key string) store.Entry {
+	ent := st.entries[key]
+	return store.Entry{Value: ent.value, Revision: store.Revision{Epoch: st.epoch, Number: ent.number}}
+}
+
 // New returns an empty stand-in with the platform's rates.
 func New() *Stand {
 	return &Stand{
 		reads:   rate.NewLimiter(ReadRate, ReadRate),
 		writes:  rate.NewLimiter(WriteRate, WriteRate),
 		entries: map[string]entry{},
-		leases:  map[store.LeaseID]*lease{},
+		leases:  map[int64]*lease{},
+		epoch:   1,
 		changed: make(chan struct{}),
 	}
 }
@@ -84,20 +94,26 @@
 	st.wake()
 }
 
-// Backup is a copy of the entries at one moment.
+// Backup is a copy of the entries and leases at one moment.
 type Backup struct {
 	entries map[string]entry
-	rev     store.Revision
+	leases  map[int64]time.Duration
+	nextID  int64
+	rev     int64
 }
 
-// Backup returns a copy of the entries.
+// Backup returns a copy of the entries and leases.
 func (st *Stand) Backup() Backup {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return Backup{entries: maps.Clone(st.entries), rev: st.rev}
+	bk := Backup{entries: maps.Clone(st.entries), leases: map[int64]time.Duration{}, nextID: st.nextID, rev: st.rev}
+	for id, ls := range st.leases {
+		bk.leases[id] = ls.ttl
+	}
+	return bk
 }
 
-// Restore sets the entries back to those of a backup.
+// Restore sets the entries back to those of a backup, without a new epoch.
 func (st *Stand) Restore(bk Backup) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -105,6 +121,24 @@
 	st.wake()
 }
 
+// ComeBack goes on from a backup in a new epoch: what was written since is gone, the
+// leases of the backup begin anew, and the numbers of writes and leases are given out
+// again.
+func (st *Stand) ComeBack(bk Backup) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, ls := range st.leases {
+		ls.timer.Stop()
+	}
+	st.entries, st.rev, st.nextID = maps.Clone(bk.entries), bk.rev, bk.nextID
+	st.leases = map[int64]*lease{}
+	for id, ttl := range bk.leases {
+		st.hold(id, ttl)
+	}
+	st.epoch++
+	st.wake()
+}
+
 // LapseLeases ends all leases, as if their time had run out.
 func (st *Stand) LapseLeases() {
 	st.mu.Lock()
@@ -116,7 +150,23 @@
 
 // Store returns the functions that clients call.
 func (st *Stand) Store() store.Store {
-	return store.Store{Get: st.get, List: st.list, Swap: st.swap, Watch: st.watch, Grant: st.grant, Renew: st.renew, Revoke: st.revoke}
+	return store.Store{
+		Get: st.get, List: st.list, Swap: st.swap, Watch: st.watch, Grant: st.grant, Renew: st.renew, Revoke: st.revoke, Epoch: st.Epoch,
+	}
+}
+
+// Newest returns the number of the newest write.
+func (st *Stand) Newest() int64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.rev
+}
+
+// Epoch returns the epoch in which the stand-in is.
+func (st *Stand) Epoch() store.Epoch {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.epoch
 }
 
 // admit waits as the faults say and refuses a call that may not have effect.
@@ -147,7 +197,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.entries[key].Entry, nil
+	return st.at(key), nil
 }
 
 func (st *Stand) list(ctx context.Context, prefix string) ([]store.Item, error) {
@@ -159,7 +209,7 @@
 	var items []store.Item
 	for _, key := range slices.Sorted(maps.Keys(st.entries)) {
 		if strings.HasPrefix(key, prefix) {
-			items = append(items, store.Item{Key: key, Entry: st.entries[key].Entry})
+			items = append(items, store.Item{Key: key, Entry: st.at(key)})
 		}
 	}
 	return items, nil
@@ -174,27 +224,33 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if cur := st.entries[ch.Key].Entry; cur.Revision != ch.Revision {
+	cur := st.at(ch.Key)
+	if !ch.Revision.Is(cur.Revision) {
 		return false, cur, nil
 	}
-	if ch.Lease != 0 && st.leases[ch.Lease] == nil {
+	if ch.Lease != (store.LeaseID{}) && st.lease(ch.Lease) == nil {
 		return false, store.Entry{}, &store.Error{Kind: store.Gone, Op: "swap", Key: ch.Key}
 	}
 	st.rev++
 	if ch.Remove {
 		delete(st.entries, ch.Key)
 	} else {
-		st.entries[ch.Key] = entry{
-			Entry: store.Entry{Value: bytes.Clone(ch.Value), Revision: st.rev},
-			lease: ch.Lease,
-		}
+		st.entries[ch.Key] = entry{value: bytes.Clone(ch.Value), number: st.rev, lease: ch.Lease.Number}
 	}
 	st.wake()
 	if st.faults.LoseAnswers > 0 {
 		st.faults.LoseAnswers--
 		return false, store.Entry{}, &store.Error{Kind: store.Unknown, Op: "swap", Key: ch.Key}
 	}
-	return true, st.entries[ch.Key].Entry, nil
+	return true, st.at(ch.Key), nil
+}
+
+// lease returns a lease, nil where it has ended; st.mu is held.
+func (st *Stand) lease(id store.LeaseID) *lease {
+	if id.Epoch != 0 && id.Epoch != st.epoch {
+		return nil
+	}
+	return st.leases[id.Number]
 }
 
 func (st *Stand) watch(ctx context.Context, key string, after store.Revision, wait time.Duration) (store.Entry, error) {
@@ -205,12 +261,12 @@
 	defer end.Stop()
 	for {
 		st.mu.Lock()
-		ent, changed, down := st.entries[key].Entry, st.changed, st.faults.Down
+		ent, changed, down := st.at(key), st.changed, st.faults.Down
 		st.mu.Unlock()
 		if down {
 			return store.Entry{}, &store.Error{Kind: store.Unavailable, Op: "watch", Key: key}
 		}
-		if ent.Revision != after {
+		if !after.Is(ent.Revision) {
 			return ent, nil
 		}
 		select {
@@ -225,18 +281,27 @@
 
 func (st *Stand) grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if err := st.admit(ctx, "grant", "", &st.Calls.Writes, st.writes); err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.nextID++
-	id := st.nextID
-	st.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() {
+	st.hold(st.nextID, ttl)
+	return store.LeaseID{Epoch: st.epoch, Number: st.nextID}, nil
+}
+
+// hold begins a lease; st.mu is held.
+func (st *Stand) hold(id int64, ttl time.Duration) {
+	ls := &lease{ttl: ttl}
+	ls.timer = time.AfterFunc(ttl, func() {
 		st.mu.Lock()
 		defer st.mu.Unlock()
-		st.end(id)
-	})}
-	return id, nil
+		// Another lease may have got the number since.
+		if st.leases[id] == ls {
+			st.end(id)
+		}
+	})
+	st.leases[id] = ls
 }
 
 func (st *Stand) renew(ctx context.Context, id store.LeaseID) error {
@@ -245,7 +310,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	ls := st.leases[id]
+	ls := st.lease(id)
 	if ls == nil {
 		return &store.Error{Kind: store.Gone, Op: "renew"}
 	}
@@ -259,15 +324,15 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if st.leases[id] == nil {
+	if st.lease(id) == nil {
 		return &store.Error{Kind: store.Gone, Op: "revoke"}
 	}
-	st.end(id)
+	st.end(id.Number)
 	return nil
 }
 
 // end removes a lease and its keys; st.mu is held.
-func (st *Stand) end(id store.LeaseID) {
+func (st *Stand) end(id int64) {
 	ls := st.leases[id]
 	if ls == nil {
 		return
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -10,13 +10,35 @@
 // MaxValue is the most bytes that a value may have.
 const MaxValue = 1 << 20
 
-// Revision counts the writes of a key; 0 stands for a key that does not exist.
-type Revision int64
+// Epoch numbers the copies of its data that the store has run on. It rises when the
+// store comes back from an older copy, which loses writes and leases and gives out
+// their numbers again; 0 stands for a store that does not tell.
+type Epoch int64
+
+// Revision names a state of a key.
+type Revision struct {
+	Epoch Epoch
+	// Number is that of the write, 0 for a key that does not exist.
+	Number int64
+}
+
+// Exists tells whether the key existed.
+func (rv Revision) Exists() bool { return rv.Number != 0 }
 
-// LeaseID names a lease; 0 stands for none.
-type LeaseID int64
+// Is tells whether a key at cur is still as it was at rv. A revision without an epoch
+// stands for its number in any.
+func (rv Revision) Is(cur Revision) bool {
+	return rv.Number == cur.Number && (rv.Epoch == 0 || rv.Epoch == cur.Epoch)
+}
+
+// LeaseID names a lease; the zero value stands for none.
+type LeaseID struct {
+	Epoch  Epoch
+	Number int64
+}
 
-// Entry is a value with the revision that wrote it.
+// Entry is a value with the revision that wrote it. That of a key which does not exist
+// has the epoch all the same.
 type Entry struct {
 	Value    []byte
 	Revision Revision
@@ -29,7 +51,8 @@
 }
 
 // Change is a compare-and-swap: it takes effect only while the key is still at
-// Revision.
+// Revision. A revision without an epoch holds in each one; any other, and a lease, only
+// in its own.
 type Change struct {
 	Key      string
 	Revision Revision
@@ -43,7 +66,8 @@
 // Store is what the project uses of the platform. Every call ends with its
 // context. Every error is an *Error.
 type Store struct {
-	// Get returns the entry of a key, with revision 0 when there is none.
+	// Get returns the entry of a key, with a revision that does not exist when there is
+	// none.
 	Get func(ctx context.Context, key string) (Entry, error)
 	// List returns the entries of all keys that begin with prefix, sorted by
 	// key. It is meant for a few: the result is one page.
@@ -52,7 +76,8 @@
 	// false with the current entry.
 	Swap func(ctx context.Context, ch Change) (bool, Entry, error)
 	// Watch waits until the key's revision differs from after, or for as long
-	// as wait, and returns the entry. It counts as one call.
+	// as wait, and returns the entry. It counts as one call. A new epoch is another
+	// revision, whatever became of the key.
 	Watch func(ctx context.Context, key string, after Revision, wait time.Duration) (Entry, error)
 	// Grant opens a lease that ends when it is not renewed for ttl.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -60,6 +85,8 @@
 	Renew func(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and deletes its keys.
 	Revoke func(ctx context.Context, id LeaseID) error
+	// Epoch returns the newest epoch that the store has answered in. It makes no call.
+	Epoch func() Epoch
 }
 
 // Kind says what an error means for the caller.
@@ -170,5 +197,6 @@
 		Revoke: func(ctx context.Context, id LeaseID) error {
 			return fn(ctx, "revoke", "", func() error { return kv.Revoke(ctx, id) })
 		},
+		Epoch: kv.Epoch,
 	}
 }
