path/inlet: name crash detection by the terms of the field

Renames only: crashDetector, abandoned, requestID, isolate, recordCrash, isDown; comments by what the code does.

--- /dev/null
+++ b/internal/path/inlet/crash.go
@@ -0,0 +1,227 @@
+package inlet
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/path/ident"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
+)
+
+const (
+	// probeTimeout bounds a probe. A crashed server refuses connections at once; one that
+	// does not answer may only be paused.
+	probeTimeout = 100 * time.Millisecond
+	// probeInterval is how long the result of a probe holds.
+	probeInterval = 100 * time.Millisecond
+	// unnamedTTL is how long the crash of a server without a lifetime is remembered: the
+	// next one looks like it.
+	unnamedTTL = time.Second
+	// abandonedTTL is how long a server may go on with a request that its outlet gave up
+	// on, maxAbandoned how many of those are kept.
+	abandonedTTL = time.Second
+	maxAbandoned = 64
+)
+
+// crashDetector finds out whether the backend server crashed, and what it was running.
+type crashDetector struct {
+	mu sync.Mutex
+	// of is the target that was probed last, ended the result, at when.
+	of        Target
+	ended     bool
+	at        time.Time
+	end       poison.End
+	abandoned []abandoned
+}
+
+// abandoned is a request that its outlet gave up on.
+type abandoned struct {
+	id requestID
+	of Target
+	at time.Time
+}
+
+// requestID names a request in reports.
+type requestID struct {
+	head uint64
+	key  ident.Key
+}
+
+// crashed tells whether the server of a target crashed, and names the crash. It calls probe
+// where the result of the last one no longer holds; requests that failed together share one.
+func (cd *crashDetector) crashed(tg *Target, probe func() bool) (end poison.End, ended, first bool) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	now := time.Now()
+	if cd.of == *tg {
+		known := now.Sub(cd.at) < probeInterval
+		if cd.ended {
+			known = tg.Lifetime != "" || now.Sub(cd.at) < unnamedTTL
+		}
+		if known {
+			return cd.end, cd.ended, false
+		}
+	}
+	cd.of, cd.ended, cd.at = *tg, probe(), now
+	if cd.ended {
+		cd.end = nameEnd(tg)
+	}
+	return cd.end, cd.ended, cd.ended
+}
+
+// nameEnd names the end of a target's lifetime.
+func nameEnd(tg *Target) poison.End {
+	if tg.Lifetime == "" {
+		return poison.End(rand.Uint64())
+	}
+	return poison.End(xxhash.Sum64String(tg.VM + "\x00" + tg.Lifetime + "\x00" + strconv.FormatInt(tg.StartedMs, 10)))
+}
+
+// forget drops the result of the last probe. A server that announces itself again has not
+// crashed, though it refused a connection for a moment.
+func (cd *crashDetector) forget() {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	cd.of, cd.ended = Target{}, false
+}
+
+// abandon records a request that its outlet gave up on while the server was running it.
+func (cd *crashDetector) abandon(id requestID, tg *Target) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	cd.abandoned = append(cd.abandoned, abandoned{id: id, of: *tg, at: time.Now()})
+	if len(cd.abandoned) > maxAbandoned {
+		cd.abandoned = cd.abandoned[1:]
+	}
+}
+
+// takeAbandoned returns the abandoned requests that the server may have been running when
+// it crashed.
+func (cd *crashDetector) takeAbandoned(tg *Target) (list []requestID) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	for _, le := range cd.abandoned {
+		if le.of == *tg && time.Since(le.at) < abandonedTTL {
+			list = append(list, le.id)
+		}
+	}
+	cd.abandoned = nil
+	return list
+}
+
+// recordCrash finds out whether a request failed because its backend server crashed, and
+// reports what that server was running. A server that closes a connection by itself still
+// accepts others afterwards; one that drains did not crash.
+func (in *Inlet) recordCrash(r *http.Request, lead *ident.Lead, tg *Target, rf *result.Refusal) {
+	gaveUp := rf.Reason == result.ReasonCallerGone || rf.Reason == result.ReasonDeadline
+	switch {
+	case rf.Outcome == result.MayHaveRun && gaveUp:
+		if id, ok := requestIDOf(r, lead); ok {
+			in.crashes.abandon(id, tg)
+		}
+		return
+	case rf.Outcome == result.MayHaveRun && rf.Reason != result.ReasonBroken, rf.Outcome == result.NotRun && rf.Reason != result.ReasonConnect:
+		return
+	}
+	end, ended, first := in.crashes.crashed(tg, func() bool { return in.isDown(tg) })
+	if !ended {
+		return
+	}
+	var ids []requestID
+	if first {
+		in.Log.LogAttrs(context.Background(), slog.LevelWarn, logs.ServerEnded,
+			slog.String(logs.Lifetime, tg.Lifetime), slog.Int("running", in.Gate.Load().Running))
+		in.Unreachable(*tg)
+		ids = in.crashes.takeAbandoned(tg)
+	}
+	if rf.Outcome == result.MayHaveRun {
+		rf.Reason = result.ReasonServerEnded
+		if id, ok := requestIDOf(r, lead); ok {
+			in.Log.LogAttrs(context.Background(), slog.LevelWarn, logs.EndedUnder, slog.String(logs.ID, in.id(r)),
+				slog.String(logs.Key, id.key.String()), slog.String(logs.Lifetime, tg.Lifetime))
+			ids = append(ids, id)
+		}
+	}
+	if in.Gate.Draining() {
+		return
+	}
+	in.report(ids, end)
+	rf.Ends = in.endsOf(r, lead)
+}
+
+// report sends reports that a server crashed while it ran requests.
+func (in *Inlet) report(ids []requestID, end poison.End) {
+	if len(ids) == 0 {
+		return
+	}
+	var list []poison.Report
+	for _, id := range ids {
+		list = append(list, poison.Report{Head: id.head, Key: id.key, End: end, At: time.Now()})
+	}
+	in.Report(list)
+}
+
+// requestIDOf returns the ID of a request, and whether enough of its body was read for it.
+func requestIDOf(r *http.Request, lead *ident.Lead) (id requestID, ok bool) {
+	body, whole := lead.Bytes(r.ContentLength)
+	if !whole {
+		return requestID{}, false
+	}
+	return requestID{head: ident.Head(r), key: ident.Of(r, body)}, true
+}
+
+// endsOf returns how many servers are known to have crashed while they ran a request.
+func (in *Inlet) endsOf(r *http.Request, lead *ident.Lead) int {
+	vw := in.Poison()
+	if !vw.Suspects(r) {
+		return 0
+	}
+	id, ok := requestIDOf(r, lead)
+	if !ok {
+		return 0
+	}
+	return vw.Ends(id.key)
+}
+
+// clearSuspect reports that a server answered a suspect request completely.
+func (in *Inlet) clearSuspect(r *http.Request, lead *ident.Lead) {
+	vw := in.Poison()
+	if !vw.Suspects(r) {
+		return
+	}
+	if id, ok := requestIDOf(r, lead); ok {
+		if list := vw.Answered(id.key); len(list) > 0 {
+			in.Report(list)
+		}
+	}
+}
+
+// isDown tells whether the backend server of a target refuses connections.
+func (in *Inlet) isDown(tg *Target) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return !in.fw.Load().Reach(ctx, tg.Addr) && ctx.Err() == nil
+}
+
+// isolate admits one suspect request at a time, so that a further crash tells which of them
+// is the cause.
+func (in *Inlet) isolate(r *http.Request) (leave func(), rf *result.Refusal) {
+	known, err := strconv.Atoi(r.Header.Get(result.EndsHeader))
+	if err != nil || known < poison.Apart {
+		// None are known, or an older release sends none.
+		return func() {}, nil
+	}
+	if !in.suspect.CompareAndSwap(false, true) {
+		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonApart}
+	}
+	return func() { in.suspect.Store(false) }, nil
+}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -50,12 +50,12 @@
 	Names result.Names
 	// Log gets a line for each request that is not answered; it is set before
 	// use.
-	Log    *slog.Logger
-	op     proxy.Options
-	fw     atomic.Pointer[proxy.Forwarder]
-	target atomic.Pointer[Target]
-	lapses lapse.Tracker
-	ends   ends
+	Log     *slog.Logger
+	op      proxy.Options
+	fw      atomic.Pointer[proxy.Forwarder]
+	target  atomic.Pointer[Target]
+	lapses  lapse.Tracker
+	crashes crashDetector
 	// suspect is set while a request runs that more than one server ended under.
 	suspect atomic.Bool
 	// held is what answers take that were read and are not sent yet.
@@ -97,7 +97,7 @@
 func (in *Inlet) SetTarget(tg Target) {
 	old := in.target.Swap(&tg)
 	if old != nil && old.Addr == "" && tg.Addr != "" {
-		in.ends.forget()
+		in.crashes.forget()
 	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
 		in.fw.Load().Close()
@@ -128,7 +128,7 @@
 		in.refuse(w, r, rf)
 		return
 	}
-	leave, rf := in.apart(r)
+	leave, rf := in.isolate(r)
 	if rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
@@ -252,7 +252,7 @@
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, lead))
 	if at.Response == nil {
 		rf := in.failure(ctx, r, at, tg)
-		in.noteEnd(r, lead, tg, rf)
+		in.recordCrash(r, lead, tg, rf)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
 		return
@@ -275,14 +275,14 @@
 		if err := at.Hold(maxHeld); err != nil {
 			rf := in.failure(ctx, r, at, tg)
 			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
-			in.noteEnd(r, lead, tg, rf)
+			in.recordCrash(r, lead, tg, rf)
 			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 			in.refuse(w, r, rf)
 			return
 		}
 		if size > 0 {
 			pa.tk.Leave()
-			in.noteAnswer(r, lead)
+			in.clearSuspect(r, lead)
 		}
 	}
 	proxy.CopyHead(w, at.Response, func(hdr http.Header) {
@@ -292,13 +292,13 @@
 	if err := proxy.Copy(w, at, pa.tf.pace(r.Context(), size)); err != nil {
 		var ce *proxy.CopyError
 		if errors.As(err, &ce) && ce.Reading {
-			in.noteEnd(r, lead, tg, &result.Refusal{Outcome: result.MayHaveRun, Reason: result.ReasonBroken})
+			in.recordCrash(r, lead, tg, &result.Refusal{Outcome: result.MayHaveRun, Reason: result.ReasonBroken})
 		}
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
 		panic(http.ErrAbortHandler)
 	}
 	// One that was not held has been read only now.
-	in.noteAnswer(r, lead)
+	in.clearSuspect(r, lead)
 	sr.Outcomes.Add(result.Answered.String(), 1)
 }
 
