path/inlet: see crashes of servers whose address goes on accepting connections

Cause: the only evidence of a crash was a refused connection within 100 ms. Now two more count: at least two requests broke off within 20 ms and none that the server ran before goes on, or another start of the server announces itself within 10 s of a broken request. An announcement of the same start, a drain or a removal, and a request that runs on say the opposite.

Ruled out: probing the health page (a worker that is gone behind a live socket answers as late as a full one), and taking the server out of use on this evidence (of prefork workers the others go on).

--- a/internal/node/daemon/ending_test.go
+++ b/internal/node/daemon/ending_test.go
@@ -40,10 +40,27 @@
 type mortalFleet struct {
 	t       *testing.T
 	servers []*mortal
+	restart restart
 	// reached counts the deadly requests that servers began, ended the servers that did.
 	reached, ended atomic.Int64
 }
 
+// restart is how the servers of a fleet come back after they ended.
+type restart struct {
+	// after is how long a server is away.
+	after time.Duration
+	// socket says that its listening socket outlives it, as that of a prefork server does.
+	socket bool
+}
+
+// lasting is a listening socket that outlives the server which accepts on it.
+type lasting struct {
+	*net.TCPListener
+}
+
+// Close ends the accepting alone.
+func (la lasting) Close() error { return la.SetDeadline(time.Unix(1, 0)) }
+
 // mortal is a daemon's backend server.
 type mortal struct {
 	fl   *mortalFleet
@@ -53,6 +70,7 @@
 	mu     sync.Mutex
 	up     *faulty.Server
 	starts int
+	socket *net.TCPListener
 }
 
 // The times of a mortal server.
@@ -60,11 +78,9 @@
 	// deadlyTime is how long it runs a deadly request, wellTime any other one.
 	deadlyTime = 20 * time.Millisecond
 	wellTime   = 40 * time.Millisecond
-	// backAfter is how long it is away.
-	backAfter = 300 * time.Millisecond
 )
 
-func newMortalFleet(t *testing.T, n int) *mortalFleet {
+func newMortalFleet(t *testing.T, n int, re restart) *mortalFleet {
 	t.Helper()
 	kv := stand.New().Store()
 	ms := &decl.Mesh{
@@ -82,7 +98,7 @@
 		ms.VMs = append(ms.VMs, decl.VM{Name: se.VM, Domain: se.Domain, Service: "booking"})
 	}
 	apply(t, kv, 0, ms)
-	fl := &mortalFleet{t: t}
+	fl := &mortalFleet{t: t, restart: re}
 	for _, se := range ses {
 		se.Seeds = controls
 		dm := New(se, Options{Store: &kv})
@@ -116,7 +132,7 @@
 	if mo.fl.t.Context().Err() != nil {
 		return
 	}
-	ln, err := net.Listen("tcp", mo.addr)
+	ln, err := mo.listen()
 	if err != nil {
 		mo.fl.t.Error(err)
 		return
@@ -131,6 +147,22 @@
 	}
 }
 
+// listen returns the server's listening socket; mo.mu is held.
+func (mo *mortal) listen() (net.Listener, error) {
+	if !mo.fl.restart.socket {
+		return net.Listen("tcp", mo.addr)
+	}
+	if mo.socket == nil {
+		ln, err := net.Listen("tcp", mo.addr)
+		if err != nil {
+			return nil, err
+		}
+		mo.socket = ln.(*net.TCPListener)
+		mo.fl.t.Cleanup(func() { mo.socket.Close() })
+	}
+	return lasting{mo.socket}, mo.socket.SetDeadline(time.Time{})
+}
+
 // end ends the server with all that it runs, and tells whether it was up.
 func (mo *mortal) end() bool {
 	mo.mu.Lock()
@@ -153,7 +185,7 @@
 	<-time.After(deadlyTime)
 	if mo.end() {
 		mo.fl.ended.Add(1)
-		time.AfterFunc(backAfter, mo.start)
+		time.AfterFunc(mo.fl.restart.after, mo.start)
 	}
 	return false
 }
@@ -190,15 +222,18 @@
 	}
 }
 
-// TestRequestEndsServers: one lookup ended each server that ran it, 18 lifetimes of the
-// servers of nine VMs, and all else that ran there was lost. Its outlet took each end for
-// a broken connection ("attempts":2, connection-broken at two VMs 85 ms apart) and sent it
-// on, and its caller came again at other VMs, which knew nothing of it. At each end all
-// eight or nine requests of the server broke off within 1 ms and its address refused
-// connections; no server of the other service ended.
-//
-// After three ends it may reach servers three times more, once the news of them has had
-// its time. Requests beside it go on being served.
+// restarts are the ways in which servers come back.
+var restarts = []struct {
+	name string
+	restart
+}{
+	{"its address refuses connections", restart{after: 300 * time.Millisecond}},
+	{"its socket outlives it", restart{after: 2 * time.Second, socket: true}},
+	{"it is back at once", restart{after: time.Millisecond, socket: true}},
+}
+
+// TestRequestEndsServers guards against a request that crashes each server that runs it
+// and is sent on for good, by its daemons and by its caller.
 func TestRequestEndsServers(t *testing.T) {
 	for _, tc := range []struct {
 		name, method string
@@ -208,43 +243,50 @@
 		{"runs once", "POST", func() io.Reader { return strings.NewReader("the same body") }},
 		{"streams its body", "POST", func() io.Reader { return io.MultiReader(strings.NewReader("the same body")) }},
 	} {
-		t.Run(tc.name, func(t *testing.T) {
-			t.Parallel()
-			fl := newMortalFleet(t, 6)
-			// Callers of other requests, one of them the same each time, go on all the while.
-			ctx, stop := context.WithCancel(t.Context())
-			var callers sync.WaitGroup
-			defer callers.Wait()
-			defer stop()
-			for i := range fl.servers {
-				callers.Go(func() {
-					for n := 0; ctx.Err() == nil; n++ {
-						fl.ask(i, "GET", fmt.Sprintf("%s/%d/%d", wellPath, i, n), nil)
-						fl.ask(i, "GET", wellPath+"/same", nil)
-					}
-				})
-			}
-			deadly := func(i int) (int, string) { return fl.ask(i, tc.method, deadlyPath+"/7", tc.body()) }
-			fl.untilEnds(func(i int) { deadly(i) })
-			<-time.After(contact)
-			before := fl.reached.Load()
-			for i := range 5 * len(fl.servers) {
-				deadly(i % len(fl.servers))
-			}
-			if got := fl.reached.Load() - before; got > sendsBound {
-				t.Errorf("reached servers %d times later than %v after it had ended %d; %d ended in all", got, contact, endsBound, fl.ended.Load())
-			}
-			for i := range fl.servers {
-				status, retry := deadly(i)
-				if status != http.StatusServiceUnavailable || retry != "" {
-					t.Errorf("vm-%d answers %d, Retry-After %q; want 503 without one: it has not run, and to come back is of no use", i, status, retry)
-				}
-				for _, path := range []string{wellPath + "/same", wellPath + "/new"} {
-					if status, _ := fl.ask(i, "GET", path, nil); status != http.StatusOK {
-						t.Errorf("vm-%d answers %s with %d", i, path, status)
-					}
-				}
+		for _, re := range restarts {
+			t.Run(tc.name+"/"+re.name, func(t *testing.T) {
+				t.Parallel()
+				playEndings(t, newMortalFleet(t, 6, re.restart), tc.method, tc.body)
+			})
+		}
+	}
+}
+
+// playEndings lets a deadly request come until it has ended as many servers as count, and
+// checks that it reaches hardly any later on, while others are served.
+func playEndings(t *testing.T, fl *mortalFleet, method string, body func() io.Reader) {
+	// Callers of other requests, one of them the same each time, go on all the while.
+	ctx, stop := context.WithCancel(t.Context())
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer stop()
+	for i := range fl.servers {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				fl.ask(i, "GET", fmt.Sprintf("%s/%d/%d", wellPath, i, n), nil)
+				fl.ask(i, "GET", wellPath+"/same", nil)
 			}
 		})
 	}
+	deadly := func(i int) (int, string) { return fl.ask(i, method, deadlyPath+"/7", body()) }
+	fl.untilEnds(func(i int) { deadly(i) })
+	<-time.After(contact)
+	before := fl.reached.Load()
+	for i := range 5 * len(fl.servers) {
+		deadly(i % len(fl.servers))
+	}
+	if got := fl.reached.Load() - before; got > sendsBound {
+		t.Errorf("reached servers %d times later than %v after it had ended %d; %d ended in all", got, contact, endsBound, fl.ended.Load())
+	}
+	for i := range fl.servers {
+		status, retry := deadly(i)
+		if status != http.StatusServiceUnavailable || retry != "" {
+			t.Errorf("vm-%d answers %d, Retry-After %q; want 503 without one: it has not run, and to come back is of no use", i, status, retry)
+		}
+		for _, path := range []string{wellPath + "/same", wellPath + "/new"} {
+			if status, _ := fl.ask(i, "GET", path, nil); status != http.StatusOK {
+				t.Errorf("vm-%d answers %s with %d", i, path, status)
+			}
+		}
+	}
 }
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -81,6 +81,9 @@
 			slog.String("state", an.State), slog.Int64("started", an.StartedMs), slog.String("present", is.Lifetime()),
 			slog.Int64("present-started", is.StartedMs()))
 	}
+	if taken && is.Lifetime() != "" && was.SameStart(is) {
+		dm.Inlet.ServerHeard()
+	}
 	if is.Leaving && !(was.Leaving && was.SameStart(is)) {
 		dm.recordLeaving(ctx, member.Leaver{Lifetime: is.Lifetime(), StartedMs: is.StartedMs(), At: an.Number})
 	}
--- /dev/null
+++ b/internal/path/inlet/broken.go
@@ -0,0 +1,155 @@
+package inlet
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashWindow is the time within which all connections of a crashed server break.
+	crashWindow = 20 * time.Millisecond
+	// crashBreaks is how many requests must have broken off together, and no other still
+	// run, for a server that accepts connections to be taken for crashed.
+	crashBreaks = 2
+	// brokenTTL is how long after a broken request the next start of the server is taken
+	// for a sign that the one before crashed.
+	brokenTTL = 10 * time.Second
+	// maxBroken is how many broken requests are kept.
+	maxBroken = 64
+)
+
+// flight is a request that a server is running.
+type flight struct {
+	of    Target
+	since time.Time
+}
+
+// broken is a request whose connection broke though the server accepts others.
+type broken struct {
+	id requestID
+	of Target
+	at time.Time
+}
+
+// sameStart tells whether two targets are one start of a backend server.
+func (tg *Target) sameStart(other *Target) bool {
+	return tg.VM == other.VM && tg.Lifetime == other.Lifetime && tg.StartedMs == other.StartedMs
+}
+
+// begin records that the server of a target runs a request, until finish.
+func (cd *crashDetector) begin(tg *Target) *flight {
+	fl := &flight{of: *tg, since: time.Now()}
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	if cd.flights == nil {
+		cd.flights = map[*flight]bool{}
+	}
+	cd.flights[fl] = true
+	return fl
+}
+
+// finish records that a request has been answered or has failed; it may be called twice.
+func (cd *crashDetector) finish(fl *flight) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	delete(cd.flights, fl)
+}
+
+// interrupt records that the connection of a request broke, and tells whether it is the
+// first one within crashWindow, after which judge is to be called.
+func (cd *crashDetector) interrupt(id requestID, tg *Target, now time.Time) (first bool) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	first = !slices.ContainsFunc(cd.broken, func(br broken) bool {
+		return br.of.sameStart(tg) && now.Sub(br.at) < crashWindow
+	})
+	cd.broken = append(cd.broken, broken{id: id, of: *tg, at: now})
+	if len(cd.broken) > maxBroken {
+		cd.broken = cd.broken[1:]
+	}
+	return first
+}
+
+// judge returns the requests that a server ran when it crashed, none where it did not or
+// where that is not known yet. It looks at those that broke off from a moment on: a server
+// that still runs one it began before has not crashed.
+func (cd *crashDetector) judge(tg *Target, from time.Time) (ids []requestID) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	these := func(br broken) bool { return br.of.sameStart(tg) && !br.at.Before(from) }
+	for fl := range cd.flights {
+		if fl.of.sameStart(tg) && !fl.since.After(from) {
+			cd.broken = slices.DeleteFunc(cd.broken, these)
+			return nil
+		}
+	}
+	for _, br := range cd.broken {
+		if these(br) {
+			ids = append(ids, br.id)
+		}
+	}
+	if len(ids) < crashBreaks {
+		return nil
+	}
+	cd.broken = slices.DeleteFunc(cd.broken, these)
+	return ids
+}
+
+// restarted returns the requests whose connections broke lately at another start of the
+// server than the present one, by that start.
+func (cd *crashDetector) restarted(tg *Target, now time.Time) map[Target][]requestID {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	var ran map[Target][]requestID
+	cd.broken = slices.DeleteFunc(cd.broken, func(br broken) bool {
+		if tg.Lifetime == "" || br.of.sameStart(tg) {
+			return false
+		}
+		if now.Sub(br.at) < brokenTTL && br.of.Lifetime != "" {
+			if ran == nil {
+				ran = map[Target][]requestID{}
+			}
+			ran[br.of] = append(ran[br.of], br.id)
+		}
+		return true
+	})
+	return ran
+}
+
+// alive drops the broken requests that a server has survived.
+func (cd *crashDetector) alive(now time.Time) {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	cd.broken = slices.DeleteFunc(cd.broken, func(br broken) bool { return now.Sub(br.at) > crashWindow })
+}
+
+// leaves drops all broken requests: a server that drains has not crashed.
+func (cd *crashDetector) leaves() {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	cd.broken = nil
+}
+
+// ServerHeard records that the present start of the backend server announced itself again.
+func (in *Inlet) ServerHeard() { in.crashes.alive(time.Now()) }
+
+// ServerLeaves records that the backend server drains or was withdrawn.
+func (in *Inlet) ServerLeaves() { in.crashes.leaves() }
+
+// interrupted records a request that broke off at a server which accepts connections.
+func (in *Inlet) interrupted(id requestID, tg *Target) {
+	now := time.Now()
+	if !in.crashes.interrupt(id, tg, now) {
+		return
+	}
+	time.AfterFunc(crashWindow, func() { in.reportCrash(tg, in.crashes.judge(tg, now)) })
+}
+
+// reportCrash logs and reports that a start of the server crashed while it ran requests.
+func (in *Inlet) reportCrash(tg *Target, ids []requestID) {
+	if len(ids) == 0 || in.Gate.Draining() {
+		return
+	}
+	in.logCrash(tg, len(ids))
+	in.report(ids, nameEnd(tg))
+}
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -41,6 +41,10 @@
 	at        time.Time
 	end       poison.End
 	abandoned []abandoned
+	// flights are the requests that the server is running, broken those that broke off
+	// though it accepts connections.
+	flights map[*flight]bool
+	broken  []broken
 }
 
 // abandoned is a request that its outlet gave up on.
@@ -134,12 +138,14 @@
 	}
 	end, ended, first := in.crashes.crashed(tg, func() bool { return in.isDown(tg) })
 	if !ended {
+		if id, ok := requestIDOf(r, lead); ok && rf.Outcome == result.MayHaveRun && !in.Gate.Draining() {
+			in.interrupted(id, tg)
+		}
 		return
 	}
 	var ids []requestID
 	if first {
-		in.Log.LogAttrs(context.Background(), slog.LevelWarn, logs.ServerEnded,
-			slog.String(logs.Lifetime, tg.Lifetime), slog.Int("running", in.Gate.Load().Running))
+		in.logCrash(tg, in.Gate.Load().Running)
 		in.Unreachable(*tg)
 		ids = in.crashes.takeAbandoned(tg)
 	}
@@ -158,6 +164,12 @@
 	rf.Ends = in.endsOf(r, lead)
 }
 
+// logCrash logs that a start of the server crashed while it ran some requests.
+func (in *Inlet) logCrash(tg *Target, running int) {
+	in.Log.LogAttrs(context.Background(), slog.LevelWarn, logs.ServerEnded,
+		slog.String(logs.Lifetime, tg.Lifetime), slog.Int("running", running))
+}
+
 // report sends reports that a server crashed while it ran requests.
 func (in *Inlet) report(ids []requestID, end poison.End) {
 	if len(ids) == 0 {
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -102,6 +102,9 @@
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
 		in.fw.Load().Close()
 	}
+	for of, ids := range in.crashes.restarted(&tg, time.Now()) {
+		in.reportCrash(&of, ids)
+	}
 }
 
 // ServeHTTP serves one request of an outlet.
@@ -249,8 +252,11 @@
 func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, pa *passage) {
 	sr := pa.sr
 	lead := ident.NewLead(r.Body)
+	fl := in.crashes.begin(tg)
+	defer in.crashes.finish(fl)
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, lead))
 	if at.Response == nil {
+		in.crashes.finish(fl)
 		rf := in.failure(ctx, r, at, tg)
 		in.recordCrash(r, lead, tg, rf)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -272,7 +278,9 @@
 	size := max(0, at.Response.ContentLength)
 	if in.held.Take(size) {
 		defer in.held.Give(size)
-		if err := at.Hold(maxHeld); err != nil {
+		err := at.Hold(maxHeld)
+		in.crashes.finish(fl)
+		if err != nil {
 			rf := in.failure(ctx, r, at, tg)
 			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
 			in.recordCrash(r, lead, tg, rf)
