roll, mesh, path: roll-outs of a service's software, judged by the fleet

Operators order a version; until now the version of a backend server was not looked at at all, so that a bad one got its share by the number of its servers and all its servers' requests.

- path/pick: servers of an ordered version are a group of their own; an outlet sends them the share that holds, and nothing once it has heard of no decision for 1.5 s.
A version nobody ordered waits 5 s for its order.
- roll/tally, mesh/ctrl: inlets count requests, failures and service times by route; while a roll-out runs, relays sum them by failure domain.
- roll/judge: sequential tests (CUSUM of log likelihood ratios, alarm at 12) of failures and service times against the version before, at the same moment, by route and over all routes, without the worst failure domain where the new version has six servers or more; a ramp that spends most of the time at 3 and 4 in 100 and ends at 0.95 of the order's time.
- mesh/ctrl/rollout: the daemons that follow the store decide; the state is written under a compare-and-swap, the first end in the store holds.

Two ways weighed: one controller under a lease, and this: both followers decide by the same rule on the same sums, and the swap picks one. The lease needs a hand-over that nothing else here needs, and a holder that is paused past it; shares that lapse by themselves need neither.

Beside servers that are bad for other reasons a bad version is completed at times at 3 to 17 servers: KNOWN-RED. Good ones beside failing servers are rolled back at times.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -8,6 +8,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/roll/canary"
 )
 
 // Board holds what a daemon knows.
@@ -37,6 +38,8 @@
 	// Epoch is the newest epoch of the platform's store that is known here or at peers.
 	// Only EnterEpoch writes it.
 	Epoch Cell[store.Epoch]
+	// Rollouts has the newest rollout of each service.
+	Rollouts Cell[canary.View]
 	// Poison has the requests that backend servers ended under.
 	Poison Cell[poison.View]
 	// Replaced is set once another process has taken over this VM's name.
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -55,6 +55,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Compile makes the snapshot of a version; nil stands for a snap.Compiler.
 	Compile func(version uint64, co *pack.Content, domain string) (*snap.Snapshot, error)
+	// Counts returns what the VM's own backend server did; nil where there is none.
+	Counts func() Counts
 	// Drain orders the inlet to take no new work and returns how many requests
 	// are running.
 	Drain func() int
@@ -73,6 +75,8 @@
 	// Restore writes a version again that the store lost; nil where whoever wrote it does
 	// so. Daemons may call it at the same time, and more than once.
 	Restore func(ctx context.Context, kv store.Store, cfg *board.Config) error
+	// Rollouts says where the orders of rollouts are; the zero value stands for none.
+	Rollouts Rollouts
 }
 
 // headSource reads the head that accept writes, and the content beside it.
@@ -95,7 +99,7 @@
 	restore := func(ctx context.Context, kv store.Store, cfg *board.Config) error {
 		return accept.Restore(ctx, kv, cfg.Version, cfg.Content)
 	}
-	return Source{Key: accept.HeadKey, Read: read, Restore: restore}
+	return Source{Key: accept.HeadKey, Read: read, Restore: restore, Rollouts: ownRollouts()}
 }
 
 // Node is the control part of one daemon.
@@ -152,6 +156,9 @@
 	completeIn store.Epoch
 	// markedIn is the last epoch that the store is known to keep.
 	markedIn store.Epoch
+	// following is set while this daemon follows the store.
+	following board.Cell[bool]
+	tallies   tallies
 	// restoring is set while a version that the store lost is written again.
 	restoring atomic.Bool
 	// registered is set while the daemon's key is in the directory.
@@ -220,6 +227,9 @@
 	if nd.cf.Drain == nil {
 		nd.cf.Drain = func() int { return 0 }
 	}
+	if nd.cf.Counts == nil {
+		nd.cf.Counts = func() Counts { return Counts{} }
+	}
 	if nd.cf.StoreAnswers == nil {
 		nd.cf.StoreAnswers = func() {}
 	}
@@ -248,7 +258,7 @@
 	stop := context.AfterFunc(ctx, nd.end)
 	defer stop()
 	for _, fn := range []func(context.Context){
-		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runProofs, nd.runDirectory,
+		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runProofs, nd.runDirectory, nd.runRollouts, nd.runTallies,
 	} {
 		nd.background(func() { fn(nd.life) })
 	}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -106,6 +106,13 @@
 		nd.takeVersion(pr, pk.Version)
 	}
 	nd.enterEpoch(store.Epoch(pk.Epoch))
+	now := time.Now()
+	for _, ro := range link.Rollouts(pk, now) {
+		nd.mergeRollout(pr, ro)
+	}
+	for _, ta := range pk.Tallies {
+		nd.takeTally(pr, ta, now)
+	}
 }
 
 func (nd *Node) takeHello(pr *link.Peer, hello *wirepb.Hello) {
@@ -154,6 +161,9 @@
 	pr.Offer(nd.Board.LatestVersion())
 	if first {
 		pr.SendEnds(nd.Board.Poison.Get().Reports(toldFirst))
+		for _, ro := range nd.Board.Rollouts.Get().All() {
+			pr.SendRollout(ro)
+		}
 	}
 	if first && !proven && !nd.isRelay() && nd.cf.Source.Newest {
 		nd.wantProof()
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -61,6 +61,7 @@
 	for ctx.Err() == nil {
 		links, changed := nd.Board.Links.Watch()
 		if !wt.mayFollow(links.Relay) {
+			nd.setFollowing(false)
 			select {
 			case <-changed:
 			case <-nd.lookAgain:
@@ -73,6 +74,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		nd.setFollowing(err == nil)
 		nd.notePlatform(err)
 		wt.tellFollow(err)
 		if err == nil {
@@ -88,6 +90,15 @@
 	}
 }
 
+func (nd *Node) setFollowing(follows bool) {
+	nd.following.Update(func(cur *bool) *bool {
+		if cur != nil && *cur == follows {
+			return cur
+		}
+		return &follows
+	})
+}
+
 // nextLook returns after which time it may be this daemon's turn.
 func (wt *watcher) nextLook(isRelay bool) time.Duration {
 	nd := wt.nd
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -14,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/roll/canary"
 )
 
 // The times of a link.
@@ -83,6 +84,8 @@
 	reach     map[string]*wirepb.Reach
 	follows   map[string]Follow
 	ends      map[poison.Report]bool
+	rollouts  map[string]*canary.Rollout
+	tallies   map[tallyKey]*wirepb.Tally
 }
 
 // Follow says when the store answered a daemon that follows it, or that it no longer
@@ -212,6 +215,7 @@
 		pk.Follows = append(pk.Follows, &wirepb.Follow{Vm: fo.VM, AgeMs: uint64(age.Milliseconds()), Lost: fo.Lost, Version: fo.Version, Behind: fo.Behind})
 	}
 	pk.Ends = packEnds(pr.ends, time.Now())
+	pr.packRolls(pk, time.Now())
 	clear(pr.ends)
 	clear(pr.records)
 	clear(pr.held)
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -39,6 +39,8 @@
 	ColdUntil time.Time
 	// Capacity is the rate of the VM's link in Mbit/s, 0 where it is not known.
 	Capacity uint32
+	// Software is the version of the backend server's software, where it tells.
+	Software string
 }
 
 // Leaver is a start of a backend server that said it leaves. The zero value is none.
@@ -131,7 +133,7 @@
 	pb := &wirepb.Record{
 		Vm: rc.VM, Domain: rc.Domain, Incarnation: rc.Incarnation, Sequence: rc.Sequence, Nonce: rc.Nonce,
 		Mark: wirepb.Mark(rc.Mark), State: wirepb.State(rc.State), Service: rc.Service, Slots: uint32(rc.Slots),
-		Inlet: rc.Inlet, Control: rc.Control, Lifetime: rc.Lifetime, Capacity: rc.Capacity,
+		Inlet: rc.Inlet, Control: rc.Control, Lifetime: rc.Lifetime, Capacity: rc.Capacity, Software: rc.Software,
 		Leaving: rc.Leaving.Lifetime, LeavingStartedMs: rc.Leaving.StartedMs, LeftAt: rc.Leaving.At,
 	}
 	if !rc.Since.IsZero() {
@@ -148,7 +150,7 @@
 	rc := &Record{
 		VM: pb.GetVm(), Domain: pb.GetDomain(), Incarnation: pb.GetIncarnation(), Sequence: pb.GetSequence(), Nonce: pb.GetNonce(),
 		Mark: Mark(pb.GetMark()), State: State(pb.GetState()), Service: pb.GetService(), Slots: int(pb.GetSlots()),
-		Inlet: pb.GetInlet(), Control: pb.GetControl(), Lifetime: pb.GetLifetime(), Capacity: pb.GetCapacity(),
+		Inlet: pb.GetInlet(), Control: pb.GetControl(), Lifetime: pb.GetLifetime(), Capacity: pb.GetCapacity(), Software: pb.GetSoftware(),
 		Leaving: Leaver{Lifetime: pb.GetLeaving(), StartedMs: pb.GetLeavingStartedMs(), At: pb.GetLeftAt()},
 	}
 	if ms := pb.GetColdUntilMs(); ms > 0 {
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -22,6 +22,8 @@
 	// Address is where it listens; empty stands for the service's declared
 	// port on this VM.
 	Address string `json:"address,omitempty"`
+	// Software is the version of its software, where it tells.
+	Software string `json:"software,omitempty"`
 	// Slots overrides the declared slots when above 0.
 	Slots int `json:"slots,omitempty"`
 	TTLMs int `json:"ttl-ms,omitempty"`
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -126,7 +126,7 @@
 	dm.Node = ctrl.New(ctrl.Config{
 		Source: src,
 		VM:     se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token, Capacity: uint32(se.Link / 1e6),
-		Store: dm.guard.Store(), StoreAnswers: dm.guard.Close, FirstStart: se.FirstStart, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
+		Store: dm.guard.Store(), StoreAnswers: dm.guard.Close, Counts: dm.counts, FirstStart: se.FirstStart, Log: dm.log, Dial: dm.bytes.Dialer(dialer.Dial), Drain: dm.Drain,
 	})
 	dm.store = dm.Node.Store()
 	dm.Outlet = outlet.New(outlet.Options{
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
+	"github.com/flamingomast/flamingomast/internal/mesh/ctrl"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/node/admin"
 	"github.com/flamingomast/flamingomast/internal/node/server"
@@ -205,6 +206,7 @@
 	tg := inlet.Target{VM: self.VM, Process: pick.Process(self)}
 	if an != nil {
 		tg.Service, tg.Addr, tg.Lifetime, tg.StartedMs = an.Service, an.Address, an.Lifetime, an.StartedMs
+		tg.ColdUntil = self.ColdUntil
 		if tg.Addr == "" && sn != nil && sn.Services[an.Service] != nil {
 			tg.Addr = fmt.Sprintf("127.0.0.1:%d", sn.Services[an.Service].Port)
 		}
@@ -218,6 +220,7 @@
 	if an := st.Announcement; an != nil {
 		next = member.Record{
 			State: member.StateServing, Service: an.Service, Slots: an.Slots, Since: st.Since, Lifetime: an.Lifetime,
+			Software: an.Software,
 		}
 		if an.ColdMs > 0 {
 			// To a tenth of a second: each change is told to all daemons, and the
@@ -239,13 +242,22 @@
 	cur := dm.Node.Board.Self.Get()
 	if cur.State == member.StateLeft ||
 		cur.State == next.State && cur.Service == next.Service && cur.Slots == next.Slots && cur.Since.Equal(next.Since) &&
-			cur.Lifetime == next.Lifetime && cur.Leaving == next.Leaving {
+			cur.Lifetime == next.Lifetime && cur.Leaving == next.Leaving && cur.Software == next.Software {
 		return
 	}
 	dm.log.Info("backend-server", slog.String("state", next.State.String()), slog.String("service", next.Service),
-		slog.String("lifetime", next.Lifetime))
+		slog.String("lifetime", next.Lifetime), slog.String("software", next.Software))
 	dm.Node.Announce(func(rc *member.Record) {
 		rc.State, rc.Service, rc.Slots, rc.Since = next.State, next.Service, next.Slots, next.Since
-		rc.Lifetime, rc.Leaving, rc.ColdUntil = next.Lifetime, next.Leaving, next.ColdUntil
+		rc.Lifetime, rc.Leaving, rc.ColdUntil, rc.Software = next.Lifetime, next.Leaving, next.ColdUntil, next.Software
 	})
 }
+
+// counts returns what the VM's own backend server did.
+func (dm *Daemon) counts() ctrl.Counts {
+	self := dm.Node.Board.Self.Get()
+	if self.State == member.StateAbsent {
+		return ctrl.Counts{}
+	}
+	return ctrl.Counts{Service: self.Service, Software: self.Software, Cohort: dm.Inlet.Counts()}
+}
--- a/internal/node/daemon/routing.go
+++ b/internal/node/daemon/routing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/roll/canary"
 )
 
 // gather bounds how often the routing table is built while records pour in.
@@ -27,12 +28,20 @@
 	bd := dm.Node.Board
 	known := time.After(membersKnown)
 	young := true
+	var admission canary.Admission
 	for {
 		sn, held := bd.Held.Watch()
 		vw, members := bd.Members.Watch()
 		cut, reach := bd.Cut.Watch()
+		rollouts, rolled := bd.Rollouts.Watch()
+		var again <-chan time.Time
 		if sn != nil {
-			tb := pick.Build(sn, vw, cut, dm.se.VM, dm.Outlet.Table())
+			now := time.Now()
+			fl := pick.Fleet{Members: vw, Cut: cut, Self: dm.se.VM, Rollouts: rollouts, Admission: &admission, Now: now}
+			tb := pick.Build(sn, fl, dm.Outlet.Table())
+			if !tb.Next.IsZero() {
+				again = time.After(tb.Next.Sub(now))
+			}
 			if young {
 				tb.Outlets = max(tb.Outlets, unknownOutlets)
 			}
@@ -48,6 +57,10 @@
 			continue
 		case <-members:
 		case <-reach:
+		case <-rolled:
+			continue
+		case <-again:
+			continue
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -66,7 +66,7 @@
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	now := time.Now()
-	if cd.of == *tg {
+	if cd.of.sameStart(tg) && cd.of.Addr == tg.Addr {
 		known := now.Sub(cd.at) < probeInterval
 		if cd.ended {
 			known = tg.Lifetime != "" || now.Sub(cd.at) < unnamedTTL
@@ -114,7 +114,7 @@
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	for _, le := range cd.abandoned {
-		if le.of == *tg && time.Since(le.at) < abandonedTTL {
+		if le.of.sameStart(tg) && time.Since(le.at) < abandonedTTL {
 			list = append(list, le.id)
 		}
 	}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -18,6 +18,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/roll/tally"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
@@ -32,6 +33,8 @@
 	// is the Unix time in milliseconds of it.
 	Lifetime  string
 	StartedMs int64
+	// ColdUntil is until when it is slow after its start.
+	ColdUntil time.Time
 }
 
 // Inlet serves outlets.
@@ -58,6 +61,8 @@
 	crashes crashDetector
 	// suspect is set while a request runs that more than one server ended under.
 	suspect atomic.Bool
+	// counts has what the present start of the server did.
+	counts atomic.Pointer[tally.Counter]
 	// held is what answers take that were read and are not sent yet.
 	held proxy.Bound
 	// link is the VM's, nil for one that is not paced.
@@ -74,6 +79,7 @@
 func New(op proxy.Options, link *pacer.Pacer) *Inlet {
 	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Poison: func() *poison.View { return nil }, Report: func([]poison.Report) {}, Log: slog.New(slog.DiscardHandler), op: op, link: link}
 	in.held.Most = maxHeld
+	in.counts.Store(&tally.Counter{})
 	in.fw.Store(proxy.New(op))
 	return in
 }
@@ -101,6 +107,9 @@
 	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
 		in.fw.Load().Close()
+		if tg.Lifetime != "" {
+			in.counts.Store(&tally.Counter{})
+		}
 	}
 	for of, ids := range in.crashes.restarted(&tg, time.Now()) {
 		in.reportCrash(&of, ids)
@@ -257,6 +266,7 @@
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, lead))
 	if at.Response == nil {
 		in.crashes.finish(fl)
+		in.tallyFailure(r, ctx.Err() != nil, pa)
 		rf := in.failure(ctx, r, at, tg)
 		in.recordCrash(r, lead, tg, rf)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -281,6 +291,7 @@
 		err := at.Hold(maxHeld)
 		in.crashes.finish(fl)
 		if err != nil {
+			in.tallyFailure(r, false, pa)
 			rf := in.failure(ctx, r, at, tg)
 			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
 			in.recordCrash(r, lead, tg, rf)
@@ -293,6 +304,7 @@
 			in.clearSuspect(r, lead)
 		}
 	}
+	in.tally(r, at.Response.StatusCode >= http.StatusInternalServerError, pa.spent(time.Now()).Held, tg)
 	proxy.CopyHead(w, at.Response, func(hdr http.Header) {
 		hdr[result.LoadHeader] = []string{in.load().String()}
 		hdr[result.SpentHeader] = []string{pa.spent(time.Now()).String()}
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -24,16 +24,18 @@
 	ou    *Outlet
 	route *snap.Route
 	sv    *snap.Service
-	gp    *pick.Group
-	bu    *retry.Budget
-	kn    *known
-	th    *shed.Throttle
-	w     http.ResponseWriter
-	r     *http.Request
-	ctx   context.Context
-	src   source
-	tried pick.Tried
-	start time.Time
+	// base has the servers of the service, gp those that the request is sent to: during a
+	// rollout it may be the ones of the new version.
+	base, gp *pick.Group
+	bu       *retry.Budget
+	kn       *known
+	th       *shed.Throttle
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context
+	src      source
+	tried    pick.Tried
+	start    time.Time
 	// elapsed is how long the caller had been at it before it came here.
 	elapsed time.Duration
 	// final is set where the caller cannot come back after a refusal.
@@ -49,6 +51,8 @@
 	// was sent to.
 	version uint64
 	vm      string
+	// software is the version of the last server's software.
+	software string
 	// spent is what the answered attempt spent at the inlet.
 	spent result.Spent
 	// tries counts the attempts, busy those that found no room, sent those that
@@ -94,6 +98,7 @@
 			rq.end(last)
 			return !last.Crowded()
 		}
+		rq.software = ep.Software
 		rf := rq.attempt(ep)
 		if rf == nil {
 			rq.count(result.Answered, "")
@@ -107,6 +112,10 @@
 			rq.tried.Add(ep)
 		}
 		last = worse(last, rf)
+		// What a new version did not answer goes to the one before.
+		if rq.base.Len() > 0 {
+			rq.gp = rq.base
+		}
 		if !rq.again(rf) {
 			rq.end(last)
 			return !last.Crowded()
@@ -287,11 +296,20 @@
 	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
 		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
 		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
-		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), slog.Duration(logs.Elapsed, rq.elapsed),
+		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), rq.softwareAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
 		slog.Duration(logs.Objective, rq.route.Objective),
 		slog.Duration(logs.Wait, rq.spent.Wait), slog.Duration(logs.Held, rq.spent.Held), slog.Duration(logs.Took, took))
 }
 
+// softwareAttr returns the version of the last server's software for the log, nothing where
+// the service is not being rolled out.
+func (rq *request) softwareAttr() slog.Attr {
+	if rq.base.Rollout() == nil {
+		return slog.Attr{}
+	}
+	return slog.String(logs.Software, rq.software)
+}
+
 // logAttempt writes the line of a try that did not end in an answer, with what
 // was believed of the server.
 func (rq *request) logAttempt(ep *pick.Endpoint, rf *result.Refusal) {
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -52,6 +52,8 @@
 	ColdUntil time.Time
 	// Weak marks one that may be out of reach.
 	Weak bool
+	// Software is the version of its software, empty where it does not tell.
+	Software string
 
 	live *live
 }
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -8,8 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
-	"github.com/flamingomast/flamingomast/internal/mesh/board"
-	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/roll/canary"
 )
 
 // Table is what a request is routed by: one version of the configuration and
@@ -19,7 +18,10 @@
 	Snap *snap.Snapshot
 	// Outlets is how many live daemons there are, each of which has an outlet.
 	Outlets int
-	groups  []*Group // by the index of the service
+	// Next is when the table has to be built anew though nothing else changes, the zero
+	// time for never.
+	Next   time.Time
+	groups []*Group // by the index of the service
 }
 
 // Group has the backend servers of one service.
@@ -29,6 +31,12 @@
 	spill bool
 	// typical is shared by all tables.
 	typical *use
+	// target has the servers of a version that is being rolled out, and rollout says which
+	// part of the requests they get; nil for none.
+	target  *Group
+	rollout *canary.Rollout
+	// idle has the servers that take no requests because of their version.
+	idle []*Endpoint
 }
 
 // tier has the servers of failure domains that are equally preferred. Those
@@ -63,90 +71,6 @@
 	return pool{list: list, near: min(nearCount, len(list))}
 }
 
-// Build returns the table for a snapshot and the members. Endpoints that prev
-// knows keep their counters, as long as the same start of them serves. Self is the
-// outlet's VM.
-func Build(sn *snap.Snapshot, vw *member.View, cut *board.CutSet, self string, prev *Table) *Table {
-	known, uses := map[string]*Endpoint{}, map[string]*use{}
-	if prev != nil {
-		for i, gp := range prev.groups {
-			uses[prev.Snap.ServiceList[i].Name] = gp.typical
-			for _, ep := range gp.all {
-				known[ep.VM] = ep
-			}
-		}
-	}
-	byService := make([]map[string][]*Endpoint, len(sn.ServiceList))
-	for rc := range vw.All {
-		sv := sn.Services[rc.Service]
-		if !rc.Serving() || sv == nil || !listed(sn, sv, rc) {
-			continue
-		}
-		if byService[sv.Index] == nil {
-			byService[sv.Index] = map[string][]*Endpoint{}
-		}
-		ep := endpoint(rc, sv, known[rc.VM])
-		ep.Weak = rc.Mark != member.MarkNone || cut != nil && (*cut)[rc.Domain]
-		byService[sv.Index][rc.Domain] = append(byService[sv.Index][rc.Domain], ep)
-	}
-	tb := &Table{Snap: sn, Outlets: vw.LiveLen(), groups: make([]*Group, len(sn.ServiceList))}
-	for i, sv := range sn.ServiceList {
-		tb.groups[i] = group(sv, byService[i], self)
-		if tb.groups[i].typical = uses[sv.Name]; tb.groups[i].typical == nil {
-			tb.groups[i].typical = &use{}
-		}
-	}
-	return tb
-}
-
-// listed tells whether the inventory has the server where it says that it is;
-// those of an announced service are in no inventory.
-func listed(sn *snap.Snapshot, sv *snap.Service, rc *member.Record) bool {
-	if sv.Announced {
-		return true
-	}
-	vm, declared := sn.VMs[rc.VM]
-	return declared && vm.Service == rc.Service && vm.Domain == rc.Domain
-}
-
-func endpoint(rc *member.Record, sv *snap.Service, known *Endpoint) *Endpoint {
-	slots := rc.Slots
-	if slots <= 0 {
-		slots = sv.Slots
-	}
-	ep := Endpoint{
-		VM: rc.VM, Domain: rc.Domain, Inlet: rc.Inlet, Process: Process(rc), Slots: slots,
-		Since: rc.Since, SlowStart: time.Duration(sv.SlowStart), ColdUntil: rc.ColdUntil,
-	}
-	// A server that starts anew has nothing of what is known of the one before: its
-	// speed and load are its own, and it was not the one that failed.
-	if known != nil && known.Process == ep.Process && known.Since.Equal(ep.Since) {
-		return known.With(ep)
-	}
-	return NewEndpoint(ep)
-}
-
-func group(sv *snap.Service, byDomain map[string][]*Endpoint, self string) *Group {
-	gp := &Group{spill: sv.Spill}
-	for _, domains := range sv.Tiers {
-		var strong, weak []*Endpoint
-		for _, dm := range domains {
-			for _, ep := range byDomain[dm] {
-				gp.all = append(gp.all, ep)
-				if ep.Weak {
-					weak = append(weak, ep)
-				} else {
-					strong = append(strong, ep)
-				}
-			}
-		}
-		if strong != nil || weak != nil {
-			gp.tiers = append(gp.tiers, tier{strong: newPool(strong, self), weak: newPool(weak, self)})
-		}
-	}
-	return gp
-}
-
 // Group returns the servers of a service of the table's own snapshot.
 func (tb *Table) Group(sv *snap.Service) *Group { return tb.groups[sv.Index] }
 
--- a/internal/plat/guard/guard.go
+++ b/internal/plat/guard/guard.go
@@ -90,6 +90,13 @@
 		}
 		return ent, err
 	}
+	watchAll := kv.WatchAll
+	kv.WatchAll = func(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error) {
+		if gd.brk.Load().State() != gobreaker.StateClosed {
+			wait = 0
+		}
+		return watchAll(ctx, prefix, after, wait)
+	}
 	return kv
 }
 
--- a/internal/plat/kvpb/kv.connect.go
+++ b/internal/plat/kvpb/kv.connect.go
@@ -40,6 +40,8 @@
 	KeyValueSwapProcedure = "/flamingomast.kv.v1.KeyValue/Swap"
 	// KeyValueWatchProcedure is the fully-qualified name of the KeyValue's Watch RPC.
 	KeyValueWatchProcedure = "/flamingomast.kv.v1.KeyValue/Watch"
+	// KeyValueWatchAllProcedure is the fully-qualified name of the KeyValue's WatchAll RPC.
+	KeyValueWatchAllProcedure = "/flamingomast.kv.v1.KeyValue/WatchAll"
 	// KeyValueGrantProcedure is the fully-qualified name of the KeyValue's Grant RPC.
 	KeyValueGrantProcedure = "/flamingomast.kv.v1.KeyValue/Grant"
 	// KeyValueRenewProcedure is the fully-qualified name of the KeyValue's Renew RPC.
@@ -54,6 +56,7 @@
 	List(context.Context, *connect.Request[ListRequest]) (*connect.Response[ListResponse], error)
 	Swap(context.Context, *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error)
 	Watch(context.Context, *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error)
+	WatchAll(context.Context, *connect.Request[WatchAllRequest]) (*connect.Response[WatchAllResponse], error)
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error)
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	Revoke(context.Context, *connect.Request[RevokeRequest]) (*connect.Response[RevokeResponse], error)
@@ -94,6 +97,12 @@
 			connect.WithSchema(keyValueMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		watchAll: connect.NewClient[WatchAllRequest, WatchAllResponse](
+			httpClient,
+			baseURL+KeyValueWatchAllProcedure,
+			connect.WithSchema(keyValueMethods.ByName("WatchAll")),
+			connect.WithClientOptions(opts...),
+		),
 		grant: connect.NewClient[GrantRequest, GrantResponse](
 			httpClient,
 			baseURL+KeyValueGrantProcedure,
@@ -117,13 +126,14 @@
 
 // keyValueClient implements KeyValueClient.
 type keyValueClient struct {
-	get    *connect.Client[GetRequest, GetResponse]
-	list   *connect.Client[ListRequest, ListResponse]
-	swap   *connect.Client[SwapRequest, SwapResponse]
-	watch  *connect.Client[WatchRequest, WatchResponse]
-	grant  *connect.Client[GrantRequest, GrantResponse]
-	renew  *connect.Client[RenewRequest, RenewResponse]
-	revoke *connect.Client[RevokeRequest, RevokeResponse]
+	get      *connect.Client[GetRequest, GetResponse]
+	list     *connect.Client[ListRequest, ListResponse]
+	swap     *connect.Client[SwapRequest, SwapResponse]
+	watch    *connect.Client[WatchRequest, WatchResponse]
+	watchAll *connect.Client[WatchAllRequest, WatchAllResponse]
+	grant    *connect.Client[GrantRequest, GrantResponse]
+	renew    *connect.Client[RenewRequest, RenewResponse]
+	revoke   *connect.Client[RevokeRequest, RevokeResponse]
 }
 
 // Get calls flamingomast.kv.v1.KeyValue.Get.
@@ -146,6 +156,11 @@
 	return c.watch.CallUnary(ctx, req)
 }
 
+// WatchAll calls flamingomast.kv.v1.KeyValue.WatchAll.
+func (c *keyValueClient) WatchAll(ctx context.Context, req *connect.Request[WatchAllRequest]) (*connect.Response[WatchAllResponse], error) {
+	return c.watchAll.CallUnary(ctx, req)
+}
+
 // Grant calls flamingomast.kv.v1.KeyValue.Grant.
 func (c *keyValueClient) Grant(ctx context.Context, req *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error) {
 	return c.grant.CallUnary(ctx, req)
@@ -167,6 +182,7 @@
 	List(context.Context, *connect.Request[ListRequest]) (*connect.Response[ListResponse], error)
 	Swap(context.Context, *connect.Request[SwapRequest]) (*connect.Response[SwapResponse], error)
 	Watch(context.Context, *connect.Request[WatchRequest]) (*connect.Response[WatchResponse], error)
+	WatchAll(context.Context, *connect.Request[WatchAllRequest]) (*connect.Response[WatchAllResponse], error)
 	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error)
 	Renew(context.Context, *connect.Request[RenewRequest]) (*connect.Response[RenewResponse], error)
 	Revoke(context.Context, *connect.Request[RevokeRequest]) (*connect.Response[RevokeResponse], error)
@@ -203,6 +219,12 @@
 		connect.WithSchema(keyValueMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	keyValueWatchAllHandler := connect.NewUnaryHandler(
+		KeyValueWatchAllProcedure,
+		svc.WatchAll,
+		connect.WithSchema(keyValueMethods.ByName("WatchAll")),
+		connect.WithHandlerOptions(opts...),
+	)
 	keyValueGrantHandler := connect.NewUnaryHandler(
 		KeyValueGrantProcedure,
 		svc.Grant,
@@ -231,6 +253,8 @@
 			keyValueSwapHandler.ServeHTTP(w, r)
 		case KeyValueWatchProcedure:
 			keyValueWatchHandler.ServeHTTP(w, r)
+		case KeyValueWatchAllProcedure:
+			keyValueWatchAllHandler.ServeHTTP(w, r)
 		case KeyValueGrantProcedure:
 			keyValueGrantHandler.ServeHTTP(w, r)
 		case KeyValueRenewProcedure:
@@ -262,6 +286,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.Watch is not implemented"))
 }
 
+func (UnimplementedKeyValueHandler) WatchAll(context.Context, *connect.Request[WatchAllRequest]) (*connect.Response[WatchAllResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.WatchAll is not implemented"))
+}
+
 func (UnimplementedKeyValueHandler) Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("flamingomast.kv.v1.KeyValue.Grant is not implemented"))
 }
--- a/internal/plat/kvtest/kvtest.go
+++ b/internal/plat/kvtest/kvtest.go
@@ -19,6 +19,10 @@
 	}
 }
 
+// epochWait is how long a watch waits that may reach the store just after it came back: a
+// store that is not told the epoch shows it with the next answer only.
+const epochWait = 2 * time.Second
+
 // contract is what every implementation of the platform's interface must do.
 var contract = []struct {
 	name string
@@ -142,6 +146,38 @@
 		WantKind(t, err, store.Unknown)
 		wantValue(t, kv, "a", "1")
 	}},
+	{"watch of a prefix", func(t *testing.T, kv store.Store, st *stand.Stand) {
+		wantSwap(t, kv, store.Change{Key: "a/1", Value: []byte("1")}, true)
+		wantSwap(t, kv, store.Change{Key: "b/1", Value: []byte("1")}, true)
+		li, err := kv.WatchAll(t.Context(), "a/", store.Revision{}, time.Minute)
+		if err != nil || !li.Changed || len(li.Items) != 1 || li.Items[0].Key != "a/1" {
+			t.Fatalf("WatchAll: %+v, %v", li, err)
+		}
+		wantSwap(t, kv, store.Change{Key: "b/2", Value: []byte("1")}, true)
+		if li, err = kv.WatchAll(t.Context(), "a/", li.At, 10*time.Millisecond); err != nil || li.Changed || len(li.Items) != 0 {
+			t.Fatalf("WatchAll without a change: %+v, %v", li, err)
+		}
+		got := make(chan store.Listing, 1)
+		watch := func(after store.Revision) {
+			li, _ := kv.WatchAll(t.Context(), "a/", after, epochWait)
+			got <- li
+		}
+		go watch(li.At)
+		two := wantSwap(t, kv, store.Change{Key: "a/2", Value: []byte("2")}, true)
+		if li = <-got; !li.Changed || len(li.Items) != 2 {
+			t.Fatalf("WatchAll after a write: %+v", li)
+		}
+		go watch(li.At)
+		wantSwap(t, kv, store.Change{Key: "a/2", Revision: two.Revision, Remove: true}, true)
+		if li = <-got; !li.Changed || len(li.Items) != 1 {
+			t.Fatalf("WatchAll after a removal: %+v", li)
+		}
+		go watch(li.At)
+		st.ComeBack(st.Backup())
+		if li = <-got; !li.Changed || len(li.Items) != 1 || li.At.Epoch == two.Revision.Epoch {
+			t.Fatalf("WatchAll in a new epoch: %+v", li)
+		}
+	}},
 	{"a new epoch is another revision", func(t *testing.T, kv store.Store, st *stand.Stand) {
 		one := wantSwap(t, kv, store.Change{Key: "a", Value: []byte("1")}, true)
 		st.ComeBack(st.Backup())
@@ -156,7 +192,7 @@
 		two := wantSwap(t, kv, store.Change{Key: "a", Revision: one.Revision, Value: []byte("2")}, true)
 		got := make(chan store.Entry, 1)
 		go func() {
-			ent, _ := kv.Watch(t.Context(), "a", two.Revision, time.Minute)
+			ent, _ := kv.Watch(t.Context(), "a", two.Revision, epochWait)
 			got <- ent
 		}()
 		st.ComeBack(bk)
--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -37,7 +37,7 @@
 // Store returns the functions of the platform's interface.
 func (cl *Client) Store() store.Store {
 	return store.Store{
-		Get: cl.get, List: cl.list, Swap: cl.swap, Watch: cl.watch, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke,
+		Get: cl.get, List: cl.list, Swap: cl.swap, Watch: cl.watch, WatchAll: cl.watchAll, Grant: cl.grant, Renew: cl.renew, Revoke: cl.revoke,
 		Epoch: func() store.Epoch { return store.Epoch(cl.epoch.Load()) },
 	}
 }
@@ -101,11 +101,15 @@
 		return nil, err
 	}
 	cl.sawEpoch(res.Epoch)
-	var items []store.Item
-	for _, it := range res.Items {
+	return cl.itemsOf(res.Items), nil
+}
+
+// itemsOf reads the items of an answer.
+func (cl *Client) itemsOf(list []*kvpb.Item) (items []store.Item) {
+	for _, it := range list {
 		items = append(items, store.Item{Key: it.Key, Entry: cl.entryOf(it.Entry)})
 	}
-	return items, nil
+	return items
 }
 
 func (cl *Client) swap(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
@@ -129,6 +133,17 @@
 	return cl.entryOf(res.Entry), nil
 }
 
+func (cl *Client) watchAll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error) {
+	req := &kvpb.WatchAllRequest{Prefix: prefix, After: after.Number, Epoch: int64(after.Epoch), WaitMs: wait.Milliseconds()}
+	res, err := call(ctx, "watch", prefix, false, wait+CallTimeout, req, cl.kv.WatchAll)
+	if err != nil {
+		return store.Listing{}, err
+	}
+	cl.sawEpoch(res.Epoch)
+	at := store.Revision{Epoch: store.Epoch(res.Epoch), Number: res.Revision}
+	return store.Listing{Changed: res.Changed, Items: cl.itemsOf(res.Items), At: at}, nil
+}
+
 func (cl *Client) grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	res, err := call(ctx, "grant", "", true, CallTimeout, &kvpb.GrantRequest{TtlMs: ttl.Milliseconds()}, cl.kv.Grant)
 	if err != nil {
--- a/internal/plat/remote/handler.go
+++ b/internal/plat/remote/handler.go
@@ -77,10 +77,27 @@
 		return nil, codeOf(err)
 	}
 	res := &kvpb.ListResponse{Epoch: int64(sr.kv.Epoch())}
+	res.Items = itemsPB(items)
+	return connect.NewResponse(res), nil
+}
+
+func itemsPB(items []store.Item) (list []*kvpb.Item) {
 	for _, it := range items {
-		res.Items = append(res.Items, &kvpb.Item{Key: it.Key, Entry: entryPB(it.Entry)})
+		list = append(list, &kvpb.Item{Key: it.Key, Entry: entryPB(it.Entry)})
 	}
-	return connect.NewResponse(res), nil
+	return list
+}
+
+// WatchAll serves store.Store.WatchAll.
+func (sr *server) WatchAll(ctx context.Context, req *connect.Request[kvpb.WatchAllRequest]) (*connect.Response[kvpb.WatchAllResponse], error) {
+	ms := req.Msg
+	li, err := sr.kv.WatchAll(ctx, ms.Prefix, revision(ms.Epoch, ms.After), time.Duration(ms.WaitMs)*time.Millisecond)
+	if err != nil {
+		return nil, codeOf(err)
+	}
+	return connect.NewResponse(&kvpb.WatchAllResponse{
+		Changed: li.Changed, Items: itemsPB(li.Items), Revision: li.At.Number, Epoch: int64(li.At.Epoch),
+	}), nil
 }
 
 // Swap serves store.Store.Swap.
--- a/internal/plat/stand/stand.go
+++ b/internal/plat/stand/stand.go
@@ -49,6 +49,8 @@
 	mu      sync.Mutex
 	faults  Faults
 	entries map[string]entry
+	// touched has the number of the last write or removal of each key.
+	touched map[string]int64
 	leases  map[int64]*lease
 	nextID  int64
 	rev     int64
@@ -80,6 +82,7 @@
 		reads:   rate.NewLimiter(ReadRate, ReadRate),
 		writes:  rate.NewLimiter(WriteRate, WriteRate),
 		entries: map[string]entry{},
+		touched: map[string]int64{},
 		leases:  map[int64]*lease{},
 		epoch:   1,
 		changed: make(chan struct{}),
@@ -118,9 +121,18 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.entries, st.rev = maps.Clone(bk.entries), bk.rev
+	st.touchAll()
 	st.wake()
 }
 
+// touchAll takes all entries for changed by their last writes; st.mu is held.
+func (st *Stand) touchAll() {
+	clear(st.touched)
+	for key, ent := range st.entries {
+		st.touched[key] = ent.number
+	}
+}
+
 // ComeBack goes on from a backup in a new epoch: what was written since is gone, the
 // leases of the backup begin anew, and the numbers of writes and leases are given out
 // again.
@@ -135,6 +147,7 @@
 	for id, ttl := range bk.leases {
 		st.hold(id, ttl)
 	}
+	st.touchAll()
 	st.epoch++
 	st.wake()
 }
@@ -151,7 +164,8 @@
 // Store returns the functions that clients call.
 func (st *Stand) Store() store.Store {
 	return store.Store{
-		Get: st.get, List: st.list, Swap: st.swap, Watch: st.watch, Grant: st.grant, Renew: st.renew, Revoke: st.revoke, Epoch: st.Epoch,
+		Get: st.get, List: st.list, Swap: st.swap, Watch: st.watch, WatchAll: st.watchAll,
+		Grant: st.grant, Renew: st.renew, Revoke: st.revoke, Epoch: st.Epoch,
 	}
 }
 
@@ -206,13 +220,57 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	var items []store.Item
+	return st.under(prefix), nil
+}
+
+// under returns the entries of all keys under a prefix; st.mu is held.
+func (st *Stand) under(prefix string) (items []store.Item) {
 	for _, key := range slices.Sorted(maps.Keys(st.entries)) {
 		if strings.HasPrefix(key, prefix) {
 			items = append(items, store.Item{Key: key, Entry: st.at(key)})
 		}
 	}
-	return items, nil
+	return items
+}
+
+// touchedAfter tells whether a key under a prefix changed after a write; st.mu is held.
+func (st *Stand) touchedAfter(prefix string, number int64) bool {
+	for key, n := range st.touched {
+		if n > number && strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func (st *Stand) watchAll(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error) {
+	if err := st.admit(ctx, "watch", prefix, &st.Calls.Watches, st.reads); err != nil {
+		return store.Listing{}, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		st.mu.Lock()
+		li := store.Listing{At: store.Revision{Epoch: st.epoch, Number: st.rev}}
+		if after == (store.Revision{}) || after.Epoch != st.epoch || st.touchedAfter(prefix, after.Number) {
+			li.Changed, li.Items = true, st.under(prefix)
+		}
+		changed, down := st.changed, st.faults.Down
+		st.mu.Unlock()
+		if down {
+			return store.Listing{}, &store.Error{Kind: store.Unavailable, Op: "watch", Key: prefix}
+		}
+		if li.Changed {
+			return li, nil
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return li, nil
+		case <-ctx.Done():
+			return store.Listing{}, &store.Error{Kind: store.Unavailable, Op: "watch", Key: prefix, Err: ctx.Err()}
+		}
+	}
 }
 
 func (st *Stand) swap(ctx context.Context, ch store.Change) (bool, store.Entry, error) {
@@ -232,6 +290,7 @@
 		return false, store.Entry{}, &store.Error{Kind: store.Gone, Op: "swap", Key: ch.Key}
 	}
 	st.rev++
+	st.touched[ch.Key] = st.rev
 	if ch.Remove {
 		delete(st.entries, ch.Key)
 	} else {
@@ -339,9 +398,11 @@
 	}
 	ls.timer.Stop()
 	delete(st.leases, id)
+	st.rev++
 	for key, ent := range st.entries {
 		if ent.lease == id {
 			delete(st.entries, key)
+			st.touched[key] = st.rev
 		}
 	}
 	st.wake()
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -50,6 +50,16 @@
 	Entry
 }
 
+// Listing is what a store has under a prefix.
+type Listing struct {
+	// Changed says that something changed since the write asked for; without it Items is
+	// empty.
+	Changed bool
+	Items   []Item
+	// At is the write up to which this holds.
+	At Revision
+}
+
 // Change is a compare-and-swap: it takes effect only while the key is still at
 // Revision. A revision without an epoch holds in each one; any other, and a lease, only
 // in its own.
@@ -79,6 +89,9 @@
 	// as wait, and returns the entry. It counts as one call. A new epoch is another
 	// revision, whatever became of the key.
 	Watch func(ctx context.Context, key string, after Revision, wait time.Duration) (Entry, error)
+	// WatchAll waits until a key under prefix is written or removed after a write, or for
+	// as long as wait. It returns at once after the zero revision, and in a new epoch.
+	WatchAll func(ctx context.Context, prefix string, after Revision, wait time.Duration) (Listing, error)
 	// Grant opens a lease that ends when it is not renewed for ttl.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// Renew starts the lease's time anew; Gone says that it has ended.
@@ -184,6 +197,13 @@
 			})
 			return ent, err
 		},
+		WatchAll: func(ctx context.Context, prefix string, after Revision, wait time.Duration) (li Listing, err error) {
+			err = fn(ctx, "watch", prefix, func() (err error) {
+				li, err = kv.WatchAll(ctx, prefix, after, wait)
+				return err
+			})
+			return li, err
+		},
 		Grant: func(ctx context.Context, ttl time.Duration) (id LeaseID, err error) {
 			err = fn(ctx, "grant", "", func() (err error) {
 				id, err = kv.Grant(ctx, ttl)
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -42,7 +42,12 @@
 	Outcome = "outcome"
 	Reason  = "reason"
 	// VM is the one that a request was sent to, Lifetime its backend server.
-	VM       = "to-vm"
+	VM = "to-vm"
+	// Service is the one that a line is about.
+	Service = "service"
+	// Software is the version of its software, on the lines of services that are being
+	// rolled out.
+	Software = "software"
 	Lifetime = "lifetime"
 	// Took is the time from the arrival to the end, in nanoseconds.
 	Took = "took"
