node, roll: commands for roll-outs, and a soak of real processes, thin

flamingomast rollout start, status and abort write and read orders in the project's own format; dev-server announces a version and fails a share of its requests, later or below a path, and dev-platform takes a copy and comes back from it by signals. flamingomast soak runs a platform, nine daemons and their servers as processes, injects faults from a seed (kill, stop, pause, a store that comes back older, a good or a bad version) and checks answers, at most once, not run, never older, in force, exposure, served again.

Found by the race detector: the flag of a state that is written was read without the lock.

Not in it yet: a proxy between processes, clocks, store faults besides pauses and copies, servers whose socket outlives them, plots, replay of a plan that was cut down.

--- /dev/null
+++ b/cmd/flamingomast/soak_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/node/soak"
+)
+
+// TestSoak runs real processes under a short plan: a bad rollout, a store that comes back
+// older, and daemons and servers that are killed, stopped and paused.
+func TestSoak(t *testing.T) {
+	plan := []soak.Step{
+		{At: 500 * time.Millisecond, Kind: soak.RollBad},
+		{At: time.Second, Kind: soak.CopyPlatform},
+		{At: 2 * time.Second, Kind: soak.Change},
+		{At: 2500 * time.Millisecond, Kind: soak.KillDaemon, VM: 1, For: 500 * time.Millisecond},
+		{At: 3 * time.Second, Kind: soak.OlderPlatform},
+		{At: 4 * time.Second, Kind: soak.StopDaemon, VM: 2, For: 300 * time.Millisecond},
+		{At: 5 * time.Second, Kind: soak.KillServer, VM: 0, For: 300 * time.Millisecond},
+		{At: 6 * time.Second, Kind: soak.PauseDaemon, VM: 3, For: time.Second},
+		{At: 7 * time.Second, Kind: soak.DrainServer, VM: 4, For: 300 * time.Millisecond},
+	}
+	re, err := soak.Run(t.Context(), soak.Options{
+		Binary: build(t), Dir: t.TempDir(), For: 14 * time.Second, VMs: 6, Plan: plan, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d requests, rollout %s", re.Sent, re.Rollout)
+	for _, one := range re.Failed() {
+		t.Errorf("%s: %d cases, %q", one.Check, one.Cases, one.Failures)
+	}
+}
--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
@@ -58,7 +59,7 @@
 	// written yet.
 	complete bool
 	// writing is set while the state is written.
-	writing bool
+	writing atomic.Bool
 	// told is when the others were told last.
 	told time.Time
 }
@@ -229,18 +230,20 @@
 	for _, cur := range vw.All() {
 		tr := ro.trials[cur.Order.Service]
 		if tr == nil || tr.order.Revision != cur.Order.Revision {
-			tr = &trial{order: cur.Order, judge: judge.New(cur.Order.Target, cur.Order.Duration)}
+			tr = &trial{
+				order: cur.Order, judge: judge.New(cur.Order.Target, cur.Order.Duration),
+				ramp: judge.Resume(cur.Share),
+			}
 			ro.trials[cur.Order.Service] = tr
 		}
 		if cur.State == canary.InProgress {
 			cur = ro.decide(tr, cur)
 		}
-		if !cur.Stored && !tr.writing {
-			tr.writing = true
-			done := func() { ro.write(ctx, tr, cur) }
-			if !ro.nd.background(done) {
-				return
-			}
+		if cur.Stored || !tr.writing.CompareAndSwap(false, true) {
+			continue
+		}
+		if !ro.nd.background(func() { ro.write(ctx, tr, cur) }) {
+			return
 		}
 	}
 }
@@ -304,9 +307,7 @@
 		}
 		nd.mergeRollout(nil, &next)
 	}
-	nd.mu.Lock()
-	tr.writing = false
-	nd.mu.Unlock()
+	tr.writing.Store(false)
 }
 
 // swap makes the store have a state. Where it has an end of the same order, that one is
--- a/internal/node/cmds/cmds.go
+++ b/internal/node/cmds/cmds.go
@@ -133,7 +133,7 @@
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
 			ap.daemonCmd(), ap.checkCmd(), ap.planCmd(), ap.applyCmd(), ap.statusCmd(), ap.historyCmd(),
-			ap.showCmd(), ap.revertCmd(), ap.routeCmd(), ap.statsCmd(), ap.explainCmd(), ap.accountCmd(), ap.drainCmd(), ap.devCmd(), ap.devPlatformCmd(), ap.devServerCmd(), ap.devLoadCmd(), ap.devMeshCmd(),
+			ap.showCmd(), ap.revertCmd(), ap.rolloutCmd(), ap.routeCmd(), ap.statsCmd(), ap.explainCmd(), ap.accountCmd(), ap.drainCmd(), ap.devCmd(), ap.devPlatformCmd(), ap.devServerCmd(), ap.devLoadCmd(), ap.devMeshCmd(), ap.soakCmd(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -102,6 +102,11 @@
 	fs.StringVar(&sr.Listen, "listen", "127.0.0.1:0", "address to serve, IP:PORT")
 	fs.StringVar(&sr.Admin, "daemon", "", "admin address of the VM's daemon, IP:PORT")
 	fs.DurationVar(&sr.Work, "work", 0, "mean time that a request takes")
+	fs.StringVar(&sr.Software, "software", "", "version of its software to announce")
+	fs.Float64Var(&sr.Failing, "failing", 0, "share of the requests, 0 to 1, that it answers with 500")
+	fs.StringVar(&sr.FailingPath, "failing-path", "/", "prefix of the paths of the requests that it fails")
+	fs.DurationVar(&sr.FailingAfter, "failing-after", 0, "time from its start until it fails any")
+	runs := fs.Bool("print-runs", false, "print a line for each request that it begins")
 	fault := fs.String("fault", "", "fail in this way in place of answering: "+faultNames())
 	return &ffcli.Command{
 		Name: "dev-server", ShortUsage: "flamingomast dev-server --vm VM --service SERVICE --daemon ADDR", FlagSet: fs, Options: envOption(),
@@ -117,6 +122,12 @@
 				}
 				sr.Fault = fa.Behave
 			}
+			if *runs {
+				sr.Began = func(ran demo.Ran) {
+					// Whoever reads the lines has gone if they cannot be written.
+					_ = ap.printJSON(ran)
+				}
+			}
 			if err := sr.Run(ctx); err != nil {
 				return fmt.Errorf("backend server: %w", err)
 			}
--- /dev/null
+++ b/internal/node/cmds/rollout.go
@@ -0,0 +1,194 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/roll/canary"
+	"github.com/flamingomast/flamingomast/internal/roll/order"
+)
+
+func (ap *app) rolloutCmd() *ffcli.Command {
+	fs := ap.flags("rollout")
+	return &ffcli.Command{
+		Name: "rollout", ShortUsage: "flamingomast rollout start|status|abort [flags] [arguments]", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Move a service's requests to another version of its software.",
+		LongHelp: "The servers of the new version are started beside the others and announce it. The fleet sends\n" +
+			"them few requests, compares both versions, and ends the rollout complete or rolled back.",
+		Subcommands: []*ffcli.Command{ap.rolloutStartCmd(), ap.rolloutStatusCmd(), ap.rolloutAbortCmd()},
+		Exec: func(context.Context, []string) error {
+			return usageError("flamingomast rollout: name start, status or abort")
+		},
+	}
+}
+
+func (ap *app) rolloutStartCmd() *ffcli.Command {
+	fs := ap.flags("rollout start")
+	ap.platformFlag(fs)
+	within := fs.Duration("within", time.Minute, "time within which the rollout has to end")
+	wait := fs.Bool("wait", false, "wait for the end; status 1 if it was rolled back")
+	return &ffcli.Command{
+		Name: "start", ShortUsage: "flamingomast rollout start --platform ADDR [--within DURATION] [--wait] SERVICE VERSION", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Order a rollout.",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 2 {
+				return usageError("name a service and the version that its new servers announce")
+			}
+			or := order.Order{Service: args[0], Target: args[1], DurationMs: within.Milliseconds()}
+			kv, err := ap.writeOrder(ctx, or)
+			if err != nil || !*wait {
+				return err
+			}
+			return ap.waitRollout(ctx, kv, or)
+		},
+	}
+}
+
+func (ap *app) rolloutAbortCmd() *ffcli.Command {
+	fs := ap.flags("rollout abort")
+	ap.platformFlag(fs)
+	return &ffcli.Command{
+		Name: "abort", ShortUsage: "flamingomast rollout abort --platform ADDR SERVICE", FlagSet: fs, Options: envOption(),
+		ShortHelp: "End a rollout at once, with the servers of before.",
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return usageError("name one service")
+			}
+			kv, err := ap.store()
+			if err != nil {
+				return err
+			}
+			or, err := readOrder(ctx, kv, args[0])
+			if err != nil {
+				return err
+			}
+			or.Abort = true
+			_, err = ap.writeOrder(ctx, or)
+			return err
+		},
+	}
+}
+
+// readOrder reads the order for a service.
+func readOrder(ctx context.Context, kv store.Store, service string) (or order.Order, err error) {
+	ent, err := kv.Get(ctx, order.Prefix+service)
+	if err != nil {
+		return or, err
+	}
+	if !ent.Revision.Exists() {
+		return or, fmt.Errorf("no rollout of %q was ordered; see flamingomast rollout status", service)
+	}
+	return or, json.Unmarshal(ent.Value, &or)
+}
+
+// writeOrder writes an order over whatever was ordered for the service before.
+func (ap *app) writeOrder(ctx context.Context, or order.Order) (store.Store, error) {
+	if err := or.Check(); err != nil {
+		return store.Store{}, usageError(err.Error())
+	}
+	kv, err := ap.store()
+	if err != nil {
+		return kv, err
+	}
+	value, err := json.Marshal(or)
+	if err != nil {
+		return kv, err
+	}
+	cur, err := kv.Get(ctx, or.Key())
+	if err != nil {
+		return kv, err
+	}
+	ok, _, err := kv.Swap(ctx, store.Change{Key: or.Key(), Revision: cur.Revision, Value: value})
+	if err == nil && !ok {
+		err = fmt.Errorf("another order for %q was written at the same time; look at flamingomast rollout status", or.Service)
+	}
+	if err == nil {
+		fmt.Fprintf(ap.out, "ordered: %s to %s within %s\n", or.Service, or.Target, time.Duration(or.DurationMs)*time.Millisecond)
+	}
+	return kv, err
+}
+
+// rolloutPoll is how often the state of a rollout is read while waiting for its end.
+const rolloutPoll = 500 * time.Millisecond
+
+// waitRollout waits for the end of a rollout.
+func (ap *app) waitRollout(ctx context.Context, kv store.Store, or order.Order) error {
+	for {
+		ent, err := kv.Get(ctx, order.StatusKey(or.Service))
+		if err != nil {
+			return err
+		}
+		target, st, err := order.DecodeStatus(ent.Value)
+		if ent.Revision.Exists() && err == nil && target == or.Target && st.Final() {
+			fmt.Fprintf(ap.out, "%s\n", st)
+			if st == canary.RolledBack {
+				return fmt.Errorf("%s was rolled back; see the event rollout-decided in the daemons' logs", or.Target)
+			}
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(rolloutPoll):
+		}
+	}
+}
+
+func (ap *app) rolloutStatusCmd() *ffcli.Command {
+	fs := ap.flags("rollout status")
+	ap.platformFlag(fs)
+	ap.jsonFlag(fs)
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "flamingomast rollout status --platform ADDR [--json]", FlagSet: fs, Options: envOption(),
+		ShortHelp: "Show the newest rollout of each service.",
+		Exec:      func(ctx context.Context, _ []string) error { return ap.rolloutStatus(ctx) },
+	}
+}
+
+// rolloutLine is a rollout as it is printed.
+type rolloutLine struct {
+	order.Order
+	State string `json:"state"`
+}
+
+func (ap *app) rolloutStatus(ctx context.Context) error {
+	kv, err := ap.store()
+	if err != nil {
+		return err
+	}
+	items, err := kv.List(ctx, order.Prefix)
+	if err != nil {
+		return err
+	}
+	if !ap.json {
+		fmt.Fprintf(ap.out, "%-20s %-16s %-14s %s\n", "SERVICE", "TARGET", "STATE", "WITHIN")
+	}
+	for _, it := range items {
+		line := rolloutLine{State: "not-seen-yet"}
+		if err := json.Unmarshal(it.Value, &line.Order); err != nil {
+			fmt.Fprintf(ap.err, "%s cannot be read: %v\n", strings.TrimPrefix(it.Key, order.Prefix), err)
+			continue
+		}
+		ent, err := kv.Get(ctx, order.StatusKey(line.Service))
+		if err != nil {
+			return err
+		}
+		if target, st, err := order.DecodeStatus(ent.Value); err == nil && target == line.Target {
+			line.State = st.String()
+		}
+		if ap.json {
+			if err := ap.printJSON(line); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(ap.out, "%-20s %-16s %-14s %s\n", line.Service, line.Target, line.State, time.Duration(line.DurationMs)*time.Millisecond)
+	}
+	return nil
+}
--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,11 @@
 	return n
 }
 
+// Ran is a line that says that a request began.
+type Ran struct {
+	ID string `json:"ran"`
+}
+
 // Server is a small backend server. It answers with the name of its VM and the
 // body that it got.
 type Server struct {
@@ -57,6 +63,16 @@
 	// Work is the mean time that a request takes.
 	Work   time.Duration
 	Ledger *Ledger
+	// Software is the version that it announces, empty for none.
+	Software string
+	// Failing is the share of the requests, 0 to 1, that it answers with 500: those whose
+	// path begins with FailingPath, once it has run for FailingAfter.
+	Failing      float64
+	FailingPath  string
+	FailingAfter time.Duration
+	started      time.Time
+	// Began, if set, is called for each request that it begins.
+	Began func(Ran)
 	// Fault, when set, is how it fails in place of answering.
 	Fault faulty.Behave
 }
@@ -65,6 +81,9 @@
 func (sr *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get(IDHeader); id != "" && sr.Ledger != nil {
 		sr.Ledger.Run(id)
+		if sr.Began != nil {
+			sr.Began(Ran{ID: id})
+		}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
 	if err != nil {
@@ -77,16 +96,26 @@
 			return
 		}
 	}
+	if sr.fails(r.URL.Path) {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Served-By", sr.VM)
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", sr.VM, r.Method, r.URL.Path, body)
 }
 
+// fails tells whether it fails a request for a path.
+func (sr *Server) fails(path string) bool {
+	return sr.Failing > 0 && time.Since(sr.started) >= sr.FailingAfter && strings.HasPrefix(path, sr.FailingPath) && rand.Float64() < sr.Failing
+}
+
 // announceEvery is how often a server renews its announcement.
 const announceEvery = 2 * time.Second
 
 // Run serves and announces itself until ctx ends; then it withdraws and waits
 // for running requests.
 func (sr *Server) Run(ctx context.Context) error {
+	sr.started = time.Now()
 	ln, err := net.Listen("tcp", sr.Listen)
 	if err != nil {
 		return err
@@ -122,7 +151,7 @@
 }
 
 func (sr *Server) announce(ctx context.Context, method, addr string) error {
-	body, err := json.Marshal(admin.Announcement{Service: sr.Service, Address: addr})
+	body, err := json.Marshal(admin.Announcement{Service: sr.Service, Address: addr, Software: sr.Software})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/node/soak/plan.go
@@ -0,0 +1,87 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what happens in a step of a plan.
+type Kind string
+
+// The kinds of steps.
+const (
+	KillDaemon    Kind = "kill-daemon"
+	StopDaemon    Kind = "stop-daemon"
+	PauseDaemon   Kind = "pause-daemon"
+	KillServer    Kind = "kill-server"
+	DrainServer   Kind = "drain-server"
+	PausePlatform Kind = "pause-platform"
+	CopyPlatform  Kind = "copy-platform"
+	OlderPlatform Kind = "older-platform"
+	Change        Kind = "change"
+	RollGood      Kind = "roll-good"
+	RollBad       Kind = "roll-bad"
+)
+
+// Step is one thing that happens to one process.
+type Step struct {
+	At   time.Duration `json:"at"`
+	Kind Kind          `json:"kind"`
+	// VM is the index of the VM, For how long it lasts, where the kind has either.
+	VM  int           `json:"vm,omitempty"`
+	For time.Duration `json:"for,omitempty"`
+}
+
+// String returns the step as it is printed.
+func (st Step) String() string {
+	text := fmt.Sprintf("%6.2fs %s", st.At.Seconds(), st.Kind)
+	switch st.Kind {
+	case PausePlatform, CopyPlatform, OlderPlatform, Change, RollGood, RollBad:
+	default:
+		text += fmt.Sprintf(" vm-%d", st.VM)
+	}
+	if st.For > 0 {
+		text += fmt.Sprintf(" for %s", st.For)
+	}
+	return text
+}
+
+// faults are the kinds that are drawn any number of times.
+var faults = []Kind{KillDaemon, StopDaemon, PauseDaemon, KillServer, DrainServer, PausePlatform, Change}
+
+// The times of a plan.
+const (
+	// quietTime is without a fault at its beginning and end.
+	quietTime = 2 * time.Second
+	// rollTime is the time that an order of a rollout gives.
+	rollTime = 12 * time.Second
+	// faultEvery is the mean time between two faults.
+	faultEvery = 1500 * time.Millisecond
+)
+
+// Draw returns the plan of a seed: a rollout, a store that comes back older, and faults in
+// series that overlap.
+func Draw(seed uint64, vms int, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 11))
+	kind := RollGood
+	if rnd.IntN(2) == 0 {
+		kind = RollBad
+	}
+	older := quietTime + time.Duration(rnd.Int64N(int64(max(1, length-3*quietTime))))
+	steps := []Step{
+		{At: quietTime / 2, Kind: kind},
+		{At: max(0, older-quietTime), Kind: CopyPlatform},
+		{At: older, Kind: OlderPlatform},
+	}
+	for at := quietTime; at < length-quietTime; at += time.Duration(rnd.ExpFloat64() * float64(faultEvery)) {
+		steps = append(steps, Step{
+			At: at, Kind: faults[rnd.IntN(len(faults))], VM: rnd.IntN(vms),
+			For: time.Duration(200+rnd.IntN(2000)) * time.Millisecond,
+		})
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- /dev/null
+++ b/internal/node/soak/proc.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// proc is a process that the soak started.
+type proc struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// launcher starts processes of one binary, with their output in files of a directory.
+type launcher struct {
+	ctx    context.Context
+	binary string
+	dir    string
+
+	mu     sync.Mutex
+	starts int
+	procs  []*proc
+}
+
+// start starts a process. Each line that it prints is given to lines, if that is set.
+func (la *launcher) start(name string, lines func(string), args ...string) (*proc, error) {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	la.starts++
+	log, err := os.Create(filepath.Join(la.dir, fmt.Sprintf("%03d-%s.log", la.starts, name)))
+	if err != nil {
+		return nil, err
+	}
+	pr := &proc{cmd: exec.CommandContext(la.ctx, la.binary, args...), done: make(chan struct{})}
+	pr.cmd.Stderr = log
+	out, err := pr.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := pr.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(pr.done)
+		defer log.Close()
+		sc := bufio.NewScanner(io.TeeReader(out, log))
+		for sc.Scan() {
+			if lines != nil {
+				lines(sc.Text())
+			}
+		}
+		// How it ended stands in its log; being killed is part of the plan.
+		_ = pr.cmd.Wait()
+	}()
+	la.procs = append(la.procs, pr)
+	return pr, nil
+}
+
+// signal sends a signal; a process that has ended takes none.
+func (pr *proc) signal(sig syscall.Signal) { _ = pr.cmd.Process.Signal(sig) }
+
+// end sends a signal and waits for the end of the process.
+func (pr *proc) end(sig syscall.Signal) {
+	pr.signal(sig)
+	<-pr.done
+}
+
+// ended tells whether the process has ended.
+func (pr *proc) ended() bool {
+	select {
+	case <-pr.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// endAll kills all processes that are left.
+func (la *launcher) endAll() {
+	la.mu.Lock()
+	defer la.mu.Unlock()
+	for _, pr := range la.procs {
+		pr.end(syscall.SIGKILL)
+	}
+}
--- a/internal/roll/judge/ramp.go
+++ b/internal/roll/judge/ramp.go
@@ -43,6 +43,19 @@
 	since time.Duration
 }
 
+// Resume returns the ramp of a rollout in which the target gets a share already: another
+// daemon has decided on it until now. The step is taken to have lasted long enough.
+func Resume(share float64) Ramp {
+	ra := Ramp{}
+	for i, one := range rampShares {
+		// Shares come in thousandths.
+		if share >= one-0.001 {
+			ra = Ramp{step: i + 1}
+		}
+	}
+	return ra
+}
+
 func exp2(x float64) float64 { return math.Exp2(x) }
 
 // Step returns what is to be done some time after the order.
