node, path/proxy: a smaller heap, and fewer idle connections between daemons

Of the 36 MB of the middle daemon 11 were heap objects, 5 stacks of 590 goroutines, two for each connection.

Kept: both, 15 to 60; the connections to backend servers stay as they were.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -53,6 +53,13 @@
 	reserve = 400 * time.Millisecond
 )
 
+// The idle connections that an outlet keeps to each inlet. A connection costs memory at both
+// ends, and another one is made at no cost to the backend server.
+const (
+	idleToInlet    = 12
+	idleToInletFor = 3 * time.Second
+)
+
 // Daemon is one daemon.
 type Daemon struct {
 	Node   *ctrl.Node
@@ -132,7 +139,7 @@
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, Sample: se.AccessSample, Token: se.Token, Names: dm.ad.Names, Service: se.Service, Link: se.Link,
 		Work: func() limit.Work { return dm.Inlet.Gate.Work() }, Repeats: &se.Repeats, Poison: dm.Node.Board.Poison.Get,
-		Forwarder: proxy.New(proxy.Options{Dial: dm.pathBytes.Dialer(dialer.Dial)}),
+		Forwarder: proxy.New(proxy.Options{Dial: dm.pathBytes.Dialer(dialer.Dial), MaxIdle: idleToInlet, IdleTimeout: idleToInletFor}),
 	})
 	dm.Inlet = inlet.New(proxy.Options{}, link)
 	dm.Inlet.Names, dm.Inlet.Log = dm.ad.Names, dm.log
--- a/internal/node/heap/heap.go
+++ b/internal/node/heap/heap.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// Least is the growth in percent that a daemon starts with, half of the runtime's
+	// Least is the growth in percent that a daemon starts with, well below the runtime's
 	// own: a calm daemon collects seldom, and its memory is dear.
-	Least = 50
-	// most bounds it: a heap then takes three times what is in use.
-	most = 200
+	Least = 15
+	// most bounds the growth of a pressed daemon.
+	most = 60
 	// often is the time that should be between two collections of a pressed daemon. A
 	// collection keeps a VM with a small part of a core from its requests for a tenth of
 	// a second.
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -41,6 +41,8 @@
 	MaxConns int
 	// MaxIdle bounds those that are kept; 0 stands for 128.
 	MaxIdle int
+	// IdleTimeout is for how long one is kept; 0 stands for 10 s.
+	IdleTimeout time.Duration
 }
 
 // New returns a forwarder.
@@ -52,6 +54,9 @@
 	if op.MaxIdle == 0 {
 		op.MaxIdle = 128
 	}
+	if op.IdleTimeout == 0 {
+		op.IdleTimeout = idleTimeout
+	}
 	return &Forwarder{dial: dial, tr: &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			nc, err := dial(ctx, addr)
@@ -62,7 +67,7 @@
 		},
 		MaxConnsPerHost:        op.MaxConns,
 		MaxIdleConnsPerHost:    op.MaxIdle,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        op.IdleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxAnswerHead,
 		DisableCompression:     true,
