mesh/ctrl: order tallies by process and number, not by the time of day

TestNoTimeOfDay found it: a VM whose clock jumped back had its counts ignored for as long, so that a roll-out there ran on old counts. When a roll-out began is kept by the time of day for a start of all daemons; what a jump does stands beside the test's list. TestNoTimeOfDay failed before, passes after.

--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -159,6 +159,7 @@
 	// following is set while this daemon follows the store.
 	following board.Cell[bool]
 	tallies   tallies
+	stamps    atomic.Uint64
 	// restoring is set while a version that the store lost is written again.
 	restoring atomic.Bool
 	// registered is set while the daemon's key is in the directory.
--- a/internal/mesh/ctrl/tallies.go
+++ b/internal/mesh/ctrl/tallies.go
@@ -35,6 +35,18 @@
 	at time.Time
 }
 
+// gives tells whether a sum takes the place of the one that is kept: a later one of the same
+// relay, or that of another relay once the former has sent none for a while.
+func (ht heardTally) gives(ta *wirepb.Tally, now time.Time) bool {
+	if ht.Process == ta.Process {
+		return ta.Stamp > ht.Stamp
+	}
+	return now.Sub(ht.at) > 3*tallyInterval
+}
+
+// nextStamp returns a number that rises with each message of this process.
+func (nd *Node) nextStamp() uint64 { return nd.stamps.Add(1) }
+
 // runTallies sends counts while the rollout of any service is in progress: those of the own
 // backend server to the relays of the failure domain, and their sum to all other relays.
 func (nd *Node) runTallies(ctx context.Context) {
@@ -77,7 +89,7 @@
 func (nd *Node) ownTally(cs *Counts) *wirepb.Tally {
 	self := nd.Board.Self.Get()
 	return &wirepb.Tally{
-		Service: cs.Service, Vm: nd.cf.VM, Domain: nd.cf.Domain, Process: self.Lifetime, Stamp: uint64(time.Now().UnixMilli()),
+		Service: cs.Service, Vm: nd.cf.VM, Domain: nd.cf.Domain, Process: self.Process(), Stamp: nd.nextStamp(),
 		Cohorts: link.TallyToWire(tally.Sum{cs.Software: &cs.Cohort}),
 	}
 }
@@ -87,7 +99,7 @@
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	sum := &wirepb.Tally{
-		Service: service, Domain: nd.cf.Domain, Process: nd.cf.VM, Stamp: uint64(now.UnixMilli()),
+		Service: service, Domain: nd.cf.Domain, Process: nd.Board.Self.Get().Process(), Stamp: nd.nextStamp(),
 		Cohorts: link.TallyToWire(nd.domainSum(service, now)),
 	}
 	for pr := range nd.peers {
@@ -138,7 +150,7 @@
 	}
 	if ta.Vm == "" {
 		key := ta.Domain + "/" + ta.Service
-		if cur, ok := nd.tallies.domains[key]; ta.Domain == nd.cf.Domain || ok && cur.Stamp >= ta.Stamp {
+		if cur, ok := nd.tallies.domains[key]; ta.Domain == nd.cf.Domain || ok && !cur.gives(ta, now) {
 			return
 		}
 		nd.tallies.domains[key] = heardTally{ta, now}
@@ -152,7 +164,7 @@
 	if ta.Domain != nd.cf.Domain || len(nd.tallies.vms) >= maxLeavers {
 		return
 	}
-	if cur, ok := nd.tallies.vms[ta.Vm]; ok && cur.Stamp >= ta.Stamp {
+	if cur, ok := nd.tallies.vms[ta.Vm]; ok && cur.Process == ta.Process && cur.Stamp >= ta.Stamp {
 		return
 	}
 	nd.tallies.vms[ta.Vm] = heardTally{ta, now}
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -113,6 +114,11 @@
 	return rc.Incarnation == other.Incarnation && rc.Nonce == other.Nonce
 }
 
+// Process names the process of the record's owner.
+func (rc *Record) Process() string {
+	return strconv.FormatUint(rc.Incarnation, 36) + "-" + strconv.FormatUint(rc.Nonce, 36)
+}
+
 // Live tells whether the VM's daemon is taken to be running.
 func (rc *Record) Live() bool { return rc.Mark != MarkGone && rc.State != StateLeft }
 
--- a/internal/path/pick/process.go
+++ b/internal/path/pick/process.go
@@ -1,14 +1,8 @@
 package pick
 
-import (
-	"strconv"
-
-	"github.com/flamingomast/flamingomast/internal/mesh/member"
-)
+import "github.com/flamingomast/flamingomast/internal/mesh/member"
 
 // Process returns the text that names the process of a record's owner. An
 // inlet compares it with its own: a request that was meant for a former
 // process, or for another VM that had the same address, is refused as not run.
-func Process(rc *member.Record) string {
-	return strconv.FormatUint(rc.Incarnation, 36) + "-" + strconv.FormatUint(rc.Nonce, 36)
-}
+func Process(rc *member.Record) string { return rc.Process() }
--- a/internal/plat/steady/steady_test.go
+++ b/internal/plat/steady/steady_test.go
@@ -38,6 +38,7 @@
 	"internal/mesh/member/member.go": "when a server began to serve, for other VMs: a share that grows sooner or later",
 	"internal/mesh/ctrl/node.go":     "the incarnation of a process, raised above what peers know of the VM",
 	"internal/mesh/ctrl/holds.go":    "a stamp that orders the reports of one relay, for status alone",
+	"internal/mesh/ctrl/rollout.go":  "when a rollout began, for daemons that start after all were killed: it ends sooner or later by as much, or is rolled back",
 	"internal/mesh/poison/keep.go":   "when a server ended, for later processes: a request is tried again sooner or later by as much",
 }
 
