--- a/internal/mesh/ctrl/ends.go
+++ b/internal/mesh/ctrl/ends.go
@@ -26,11 +26,11 @@
 
 // ReportEnds tells all daemons of requests that a backend server ended under, or that
 // were answered since.
-func (nd *Node) ReportEnds(list []poison.Report) { nd.takeEnds(nil, list) }
+func (nd *Node) ReportEnds(list []poison.Report) { nd.handleCrashReports(nil, list) }
 
-// takeEnds keeps reports of a peer, or this daemon's own, and passes on what is new.
+// handleCrashReports keeps reports of a peer, or this daemon's own, and passes on what is new.
 // Reports reach all daemons as records do, by relays.
-func (nd *Node) takeEnds(from *link.Peer, list []poison.Report) {
+func (nd *Node) handleCrashReports(from *link.Peer, list []poison.Report) {
 	var news []poison.Report
 	var was, is *poison.View
 	nd.Board.Poison.Update(func(vw *poison.View) *poison.View {
@@ -41,7 +41,7 @@
 	if len(news) == 0 {
 		return
 	}
-	tell := nd.worthTelling(news, was, is)
+	tell := nd.shouldAnnounce(news, was, is)
 	nd.eachPeer(func(pr *link.Peer) {
 		if pr != from {
 			pr.SendEnds(tell)
@@ -52,14 +52,14 @@
 		keys[re.Key] = true
 	}
 	for key := range keys {
-		nd.notePoison(key, was.Ends(key), is.Ends(key))
+		nd.recordPoison(key, was.Ends(key), is.Ends(key))
 	}
 }
 
-// worthTelling returns what is passed on of the news between two views: all that is known
+// shouldAnnounce returns what is passed on of the news between two views: all that is known
 // of a request that more than one server ended under, as its first end may not have been
 // told, and of others as long as there are not too many.
-func (nd *Node) worthTelling(news []poison.Report, was, is *poison.View) (tell []poison.Report) {
+func (nd *Node) shouldAnnounce(news []poison.Report, was, is *poison.View) (tell []poison.Report) {
 	left := 0
 	for _, re := range news {
 		switch {
@@ -77,9 +77,9 @@
 	return tell
 }
 
-// notePoison logs that a request is not run any more, or is again, and has the platform's
+// recordPoison logs that a request is not run any more, or is again, and has the platform's
 // store changed accordingly.
-func (nd *Node) notePoison(key ident.Key, was, is int) {
+func (nd *Node) recordPoison(key ident.Key, was, is int) {
 	event, level := logs.PoisonFound, slog.LevelWarn
 	switch {
 	case (was < poison.Most) == (is < poison.Most):
--- a/internal/mesh/ctrl/epoch.go
+++ b/internal/mesh/ctrl/epoch.go
@@ -87,7 +87,7 @@
 		}
 		known := nd.knowsAll(version)
 		switch {
-		case nd.noteMark(ent, ep):
+		case nd.isMarked(ent, ep):
 			return nil
 		case ent.Revision.Exists() && !known:
 			return nil
@@ -100,12 +100,12 @@
 	}
 	ch := store.Change{Key: epochKey, Revision: at, Value: strconv.AppendInt(nil, int64(ep), 10)}
 	_, cur, err := nd.cf.Store.Swap(ctx, ch)
-	nd.noteMark(cur, ep)
+	nd.isMarked(cur, ep)
 	return err
 }
 
-// noteMark notes that an entry of epochKey names an epoch, and tells whether it does.
-func (nd *Node) noteMark(ent store.Entry, ep store.Epoch) bool {
+// isMarked notes that an entry of epochKey names an epoch, and tells whether it does.
+func (nd *Node) isMarked(ent store.Entry, ep store.Epoch) bool {
 	if !ent.Revision.Exists() {
 		return false
 	}
--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -109,9 +109,9 @@
 	return wt.order
 }
 
-// tellFollow tells the other relays that the store answered this daemon, now and then
+// announceFollow tells the other relays that the store answered this daemon, now and then
 // while it does, or that it no longer does.
-func (wt *watcher) tellFollow(err error) {
+func (wt *watcher) announceFollow(err error) {
 	nd, now := wt.nd, time.Now()
 	fo := link.Follow{VM: nd.cf.VM, At: now, Lost: err != nil}
 	if !fo.Lost && now.Sub(wt.told) < follow.TellEvery-follow.Wait/2 {
@@ -126,7 +126,7 @@
 	}
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
-	if nd.noteFollow(fo) {
+	if nd.recordFollow(fo) {
 		nd.passFollow(fo, nil)
 	}
 }
@@ -145,9 +145,9 @@
 	}
 }
 
-// noteFollow keeps news of a daemon that follows, and tells whether it is any; nd.mu is
+// recordFollow keeps news of a daemon that follows, and tells whether it is any; nd.mu is
 // held.
-func (nd *Node) noteFollow(fo link.Follow) bool {
+func (nd *Node) recordFollow(fo link.Follow) bool {
 	if fo.Lost {
 		nd.lookSoon()
 		return nd.followers.Lost(fo.VM, fo.At)
@@ -155,24 +155,24 @@
 	return nd.followers.Answered(fo.VM, fo.At)
 }
 
-// takeFollow notes that a daemon follows the store, or no longer does.
-func (nd *Node) takeFollow(from *link.Peer, fo link.Follow) {
+// handleFollow notes that a daemon follows the store, or no longer does.
+func (nd *Node) handleFollow(from *link.Peer, fo link.Follow) {
 	if !nd.isRelay() || fo.VM == nd.cf.VM {
 		return
 	}
 	nd.mu.Lock()
-	news := nd.noteFollow(fo)
+	news := nd.recordFollow(fo)
 	if news {
 		nd.passFollow(fo, from)
 	}
 	nd.mu.Unlock()
 	if news && !fo.Lost && fo.Version > 0 {
-		nd.noteFollowed(fo)
+		nd.recordStore(fo)
 	}
 }
 
-// noteFollowed keeps what another daemon saw in the store, where this one does not look.
-func (nd *Node) noteFollowed(fo link.Follow) {
+// recordStore keeps what another daemon saw in the store, where this one does not look.
+func (nd *Node) recordStore(fo link.Follow) {
 	nd.Board.Platform.Update(func(cur *board.Platform) *board.Platform {
 		if cur != nil && cur.Err == nil && cur.Version == fo.Version && cur.Behind == fo.Behind {
 			return cur
@@ -210,10 +210,10 @@
 	version uint64
 }
 
-// noteProof keeps that a read of the store which began at a moment showed the newest
+// recordProof keeps that a read of the store which began at a moment showed the newest
 // version, and tells the peers whose processes ran by then: they may hold that version,
 // since none that a former process of their VM held can be newer.
-func (nd *Node) noteProof(began time.Time, version uint64) {
+func (nd *Node) recordProof(began time.Time, version uint64) {
 	if !nd.cf.Source.Newest || version == 0 || version < nd.Board.LatestVersion() || !nd.complete() {
 		return
 	}
@@ -262,7 +262,7 @@
 		began := time.Now()
 		ent, err := nd.cf.Store.Watch(ctx, nd.cf.Source.Key, seen, 0)
 		if err == nil && ent.Revision == seen {
-			nd.noteProof(began, version)
+			nd.recordProof(began, version)
 		}
 	}
 }
--- a/internal/mesh/ctrl/follow_test.go
+++ b/internal/mesh/ctrl/follow_test.go
@@ -150,7 +150,7 @@
 				time.Sleep(time.Minute)
 				nd := New(Config{VM: "vm-p", Domain: "d0", Control: "p:1", Source: Source{Newest: true, Read: headSource().Read}})
 				defer nd.end()
-				nd.noteProof(time.Now().Add(-tc.read), 7)
+				nd.recordProof(time.Now().Add(-tc.read), 7)
 				sent := make(chan *wirepb.Packet, 9)
 				pr := link.New(link.Stream{
 					Send:    func(pk *wirepb.Packet) error { sent <- pk; return nil },
@@ -162,7 +162,7 @@
 				told := 0
 				for range 2 {
 					nd.handle(pr, &wirepb.Packet{Hello: hello})
-					nd.noteProof(time.Now().Add(-tc.read), 7)
+					nd.recordProof(time.Now().Add(-tc.read), 7)
 					time.Sleep(100 * time.Millisecond)
 				}
 				for len(sent) > 0 {
--- a/internal/mesh/ctrl/holds.go
+++ b/internal/mesh/ctrl/holds.go
@@ -34,10 +34,10 @@
 	return &wirepb.Held{Vm: vm, Version: hd.version, Refused: hd.refused, Reason: hd.reason}
 }
 
-// floorOf returns the lowest version that a new process of the VM may hold:
+// minVersionFor returns the lowest version that a new process of the VM may hold:
 // what the VM said it held or, where that memory died with the relays of the
 // VM's failure domain, the newest version that was known there. nd.mu is held.
-func (nd *Node) floorOf(rc *member.Record) uint64 {
+func (nd *Node) minVersionFor(rc *member.Record) uint64 {
 	floor := nd.holds[rc.VM].version
 	if su := nd.summaries[rc.Domain]; su != nil && rc.Domain != nd.cf.Domain {
 		floor = max(floor, su.Highest)
@@ -45,10 +45,10 @@
 	return floor
 }
 
-// takeHeld notes what a VM of the own failure domain holds. What a VM says of
+// handleHeld notes what a VM of the own failure domain holds. What a VM says of
 // itself is passed on to the other relays, so that each can tell a new process
 // of the VM what the one before held.
-func (nd *Node) takeHeld(pr *link.Peer, hd *wirepb.Held) {
+func (nd *Node) handleHeld(pr *link.Peer, hd *wirepb.Held) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	if pr.Record.Domain != nd.cf.Domain || hd.Vm == nd.cf.VM {
@@ -65,13 +65,13 @@
 	nd.holds[hd.Vm] = next
 	nd.sumDirty = true
 	if hd.Vm == pr.Record.VM {
-		nd.tellRelays(pr, next.toWire(hd.Vm))
+		nd.broadcastHeld(pr, next.toWire(hd.Vm))
 	}
 }
 
-// tellRelays sends a statement to the other relays of the own failure domain;
+// broadcastHeld sends a statement to the other relays of the own failure domain;
 // nd.mu is held.
-func (nd *Node) tellRelays(from *link.Peer, hd *wirepb.Held) {
+func (nd *Node) broadcastHeld(from *link.Peer, hd *wirepb.Held) {
 	for pr := range nd.peers {
 		if pr != from && nd.isUpward(pr) {
 			pr.SendHeld(hd)
@@ -85,8 +85,8 @@
 	return pr.Record.Domain == nd.cf.Domain && (pr.Relay || pr.Outgoing)
 }
 
-// takeHeard notes which VMs a peer of the own failure domain has links to.
-func (nd *Node) takeHeard(pr *link.Peer, vms []string) {
+// handleLiveness notes which VMs a peer of the own failure domain has links to.
+func (nd *Node) handleLiveness(pr *link.Peer, vms []string) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	if pr.Record.Domain != nd.cf.Domain {
@@ -169,7 +169,7 @@
 	return su
 }
 
-func (nd *Node) takeSummary(from *link.Peer, su *wirepb.Summary) {
+func (nd *Node) handleSummary(from *link.Peer, su *wirepb.Summary) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	cur := nd.summaries[su.Domain]
@@ -187,9 +187,9 @@
 	}
 }
 
-// takeReach notes which failure domains a relay of the own one reaches. A
+// handleReach notes which failure domains a relay of the own one reaches. A
 // member takes its relay's word; relays put theirs together.
-func (nd *Node) takeReach(pr *link.Peer, re *wirepb.Reach) {
+func (nd *Node) handleReach(pr *link.Peer, re *wirepb.Reach) {
 	if pr.Record.Domain != nd.cf.Domain {
 		return
 	}
@@ -231,7 +231,7 @@
 	for ctx.Err() == nil {
 		links, changed := nd.Board.Links.Watch()
 		if links.Relay {
-			nd.keepHouse(ctx, hrd.C)
+			nd.runMaintenance(ctx, hrd.C)
 			continue
 		}
 		select {
@@ -243,8 +243,8 @@
 	}
 }
 
-// keepHouse does what a relay does at intervals, until the daemon is none any more.
-func (nd *Node) keepHouse(ctx context.Context, heard <-chan time.Time) {
+// runMaintenance does what a relay does at intervals, until the daemon is none any more.
+func (nd *Node) runMaintenance(ctx context.Context, heard <-chan time.Time) {
 	sum := time.NewTicker(summaryEvery)
 	defer sum.Stop()
 	tick := time.NewTicker(expire.Tick)
--- a/internal/mesh/ctrl/keeper.go
+++ b/internal/mesh/ctrl/keeper.go
@@ -71,7 +71,7 @@
 			// Something else wrote it; it is written anew once there is anything to keep.
 			ke.nd.log.Warn("poison-unreadable", slog.Any("error", bad))
 		}
-		ke.nd.takeEnds(nil, list)
+		ke.nd.handleCrashReports(nil, list)
 		ke.due.Store(false)
 		refused := ke.nd.Board.Poison.Get().Refused()
 		if poison.Same(refused, list) {
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -229,9 +229,9 @@
 	nd.sumDirty = true
 	nd.mu.Unlock()
 	nd.eachPeer(func(pr *link.Peer) {
-		nd.sayHello(pr)
+		nd.sendHello(pr)
 		if chosen {
-			floor := nd.floorOf(pr.Record)
+			floor := nd.minVersionFor(pr.Record)
 			pr.Next(func(pk *wirepb.Packet) { pk.Welcome = &wirepb.Welcome{Floor: floor} })
 		}
 	})
@@ -404,7 +404,7 @@
 		},
 	}, nd.offer)
 	pr.Outgoing, pr.Addr, pr.Sent = true, addr, nd.countSent
-	nd.sayHello(pr)
+	nd.sendHello(pr)
 	err := pr.Run(ctx, nd.handle)
 	nd.drop(pr, err)
 	return !pr.Ready || errors.Is(err, link.ErrSilent)
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -31,8 +31,8 @@
 	return vn
 }
 
-// sayHello queues a Hello for a peer.
-func (nd *Node) sayHello(pr *link.Peer) {
+// sendHello queues a Hello for a peer.
+func (nd *Node) sendHello(pr *link.Peer) {
 	hello := &wirepb.Hello{
 		Protocol: Protocol, Record: nd.Board.Self.Get().ToWire(), Relay: nd.isRelay(),
 		AgeMs: uint64(time.Since(nd.started).Milliseconds()),
@@ -67,43 +67,43 @@
 // of order: versions and records only replace older ones.
 func (nd *Node) handle(pr *link.Peer, pk *wirepb.Packet) {
 	if pk.Hello != nil {
-		nd.takeHello(pr, pk.Hello)
+		nd.handleHello(pr, pk.Hello)
 	}
 	if !pr.Ready {
 		return
 	}
 	if pk.Welcome != nil {
-		nd.takeWelcome(pr, pk.Welcome)
+		nd.handleWelcome(pr, pk.Welcome)
 	}
 	if recs := link.Records(pk); len(recs) > 0 {
-		nd.takeRecords(pr, recs)
+		nd.handleRecords(pr, recs)
 	}
 	if pk.Hashes != nil {
 		nd.repair(pr, pk.Hashes)
 	}
 	for _, hd := range pk.Held {
-		nd.takeHeld(pr, hd)
+		nd.handleHeld(pr, hd)
 	}
 	if pk.Heard != nil {
-		nd.takeHeard(pr, pk.Heard)
+		nd.handleLiveness(pr, pk.Heard)
 	}
 	for _, su := range pk.Summaries {
-		nd.takeSummary(pr, su)
+		nd.handleSummary(pr, su)
 	}
 	for _, re := range pk.Reach {
-		nd.takeReach(pr, re)
+		nd.handleReach(pr, re)
 	}
 	for _, fo := range pk.Follows {
-		nd.takeFollow(pr, fromWireFollow(fo, time.Now()))
+		nd.handleFollow(pr, fromWireFollow(fo, time.Now()))
 	}
 	if len(pk.Ends) > 0 {
-		nd.takeEnds(pr, link.Ends(pk, time.Now()))
+		nd.handleCrashReports(pr, link.Ends(pk, time.Now()))
 	}
 	if pk.Newest > 0 && nd.cf.Source.Newest {
 		nd.Board.RaiseFloor(pk.Newest, true)
 	}
 	if pk.Version != nil {
-		nd.takeVersion(pr, pk.Version)
+		nd.handleVersion(pr, pk.Version)
 	}
 	nd.enterEpoch(store.Epoch(pk.Epoch))
 	now := time.Now()
@@ -111,11 +111,11 @@
 		nd.mergeRollout(pr, ro)
 	}
 	for _, ta := range pk.Tallies {
-		nd.takeTally(pr, ta, now)
+		nd.handleTally(pr, ta, now)
 	}
 }
 
-func (nd *Node) takeHello(pr *link.Peer, hello *wirepb.Hello) {
+func (nd *Node) handleHello(pr *link.Peer, hello *wirepb.Hello) {
 	rc := member.FromWire(hello.Record)
 	first := !pr.Ready
 	known := nd.Board.Members.Get().Get(rc.VM)
@@ -129,7 +129,7 @@
 		nd.proveTo(pr)
 	}
 	proven := pr.Proven
-	floor := nd.floorOf(rc)
+	floor := nd.minVersionFor(rc)
 	leaving := nd.leavers[rc.VM]
 	nd.mu.Unlock()
 	if len(hello.Digest) == len(pack.Digest{}) {
@@ -145,11 +145,11 @@
 		}
 		wc.Leaving, wc.LeavingStartedMs, wc.LeftAt = leaving.Lifetime, leaving.StartedMs, leaving.At
 		if !pr.Outgoing {
-			nd.sayHello(pr)
+			nd.sendHello(pr)
 		}
 		pr.Next(func(pk *wirepb.Packet) { pk.Welcome = wc })
 	}
-	nd.takeRecords(pr, []*member.Record{rc})
+	nd.handleRecords(pr, []*member.Record{rc})
 	nd.repair(pr, hello.Hashes)
 	if first {
 		nd.log.Debug("link-up", slog.String("peer", rc.VM), slog.Bool("outgoing", pr.Outgoing))
@@ -231,13 +231,13 @@
 	}
 }
 
-// takeWelcome learns from a peer what the VM's former process was and held.
+// handleWelcome learns from a peer what the VM's former process was and held.
 // Only relays keep what members hold, so only their word settles the floor.
-func (nd *Node) takeWelcome(pr *link.Peer, wc *wirepb.Welcome) {
+func (nd *Node) handleWelcome(pr *link.Peer, wc *wirepb.Welcome) {
 	self := nd.Board.Self.Get()
 	nd.learnForerunner(pr.Record.VM, member.Leaver{Lifetime: wc.Leaving, StartedMs: wc.LeavingStartedMs, At: wc.LeftAt})
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
-		nd.takeOther(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
+		nd.handleRival(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
 	nd.Board.RaiseFloor(wc.Floor, pr.Relay)
 }
@@ -261,11 +261,11 @@
 	})
 }
 
-// noteLeavers keeps which lifetimes leave, apart from the records. A new
+// recordLeavers keeps which lifetimes leave, apart from the records. A new
 // process's own record replaces the one that said so as soon as its first Hello
 // is read; were the answer to that Hello lost, the next one would find nothing,
 // and the new process could take a late announcement of the lifetime.
-func (nd *Node) noteLeavers(recs []*member.Record) {
+func (nd *Node) recordLeavers(recs []*member.Record) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	for _, rc := range recs {
@@ -289,12 +289,12 @@
 	maxBumps = 3
 )
 
-// takeOther answers a record of another process under this VM's name with a
+// handleRival answers a record of another process under this VM's name with a
 // higher incarnation. For a new process that is what its forerunner left
 // behind, started by a clock that was ahead: it goes above it. For one that has
 // run for a time, or that was outbid again and again, the other one is newer,
 // and only one of the two may serve.
-func (nd *Node) takeOther(rc *member.Record) {
+func (nd *Node) handleRival(rc *member.Record) {
 	nd.mu.Lock()
 	young := time.Since(nd.started) < youth && nd.bumped < maxBumps
 	if young {
@@ -309,12 +309,12 @@
 	nd.Board.Replaced.Set(rc)
 }
 
-// takeRecords merges records of a peer and passes on what is new.
-func (nd *Node) takeRecords(from *link.Peer, recs []*member.Record) {
+// handleRecords merges records of a peer and passes on what is new.
+func (nd *Node) handleRecords(from *link.Peer, recs []*member.Record) {
 	var others []*member.Record
 	for _, rc := range recs {
 		if rc.VM == nd.cf.VM {
-			nd.takeOwn(rc)
+			nd.handleOwnRecord(rc)
 			continue
 		}
 		others = append(others, rc)
@@ -331,8 +331,8 @@
 	nd.poke()
 }
 
-// takeOwn answers a record that others keep of this VM.
-func (nd *Node) takeOwn(rc *member.Record) {
+// handleOwnRecord answers a record that others keep of this VM.
+func (nd *Node) handleOwnRecord(rc *member.Record) {
 	self := nd.Board.Self.Get()
 	switch {
 	case rc.SameProcess(self):
@@ -342,7 +342,7 @@
 			nd.Announce(func(me *member.Record) { me.Sequence = rc.Sequence })
 		}
 	case rc.Compare(self) > 0:
-		nd.takeOther(rc)
+		nd.handleRival(rc)
 	}
 }
 
@@ -353,7 +353,7 @@
 		next, news = vw.Merge(recs)
 		return next
 	})
-	nd.noteLeavers(news)
+	nd.recordLeavers(news)
 	return news
 }
 
@@ -384,8 +384,8 @@
 	pr.SendRecords(recs)
 }
 
-// takeVersion takes an offered configuration.
-func (nd *Node) takeVersion(pr *link.Peer, vn *wirepb.Version) {
+// handleVersion takes an offered configuration.
+func (nd *Node) handleVersion(pr *link.Peer, vn *wirepb.Version) {
 	if len(vn.Digest) != len(pack.Digest{}) {
 		return
 	}
--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -60,8 +60,8 @@
 	complete bool
 	// writing is set while the state is written.
 	writing atomic.Bool
-	// told is when the others were told last.
-	told time.Time
+	// announced is when a decision was sent to the others last.
+	announced time.Time
 }
 
 // runRollouts watches the orders and decides, while this daemon follows the store.
@@ -100,7 +100,7 @@
 			return
 		case li := <-listings:
 			ro.at = li.At
-			ro.take(ctx, li.Items)
+			ro.handleOrders(ctx, li.Items)
 		case <-tick.C:
 		}
 		ro.round(ctx)
@@ -128,8 +128,8 @@
 	}
 }
 
-// take takes the orders in the store.
-func (ro *roller) take(ctx context.Context, items []store.Item) {
+// handleOrders takes the orders that the store has.
+func (ro *roller) handleOrders(ctx context.Context, items []store.Item) {
 	src := &ro.nd.cf.Source.Rollouts
 	ro.seen = map[string]canary.Order{}
 	for _, it := range items {
@@ -142,13 +142,13 @@
 		ro.seen[or.Service] = or
 	}
 	for _, service := range slices.Sorted(maps.Keys(ro.seen)) {
-		ro.order(ctx, ro.seen[service])
+		ro.handleOrder(ctx, ro.seen[service])
 	}
 }
 
-// order takes an order that the store has. One that is known goes on, also where the store
+// handleOrder takes an order that the store has. One that is known goes on, also where the store
 // has it anew in another epoch.
-func (ro *roller) order(ctx context.Context, or canary.Order) {
+func (ro *roller) handleOrder(ctx context.Context, or canary.Order) {
 	nd := ro.nd
 	cur := nd.Board.Rollouts.Get().Of(or.Service)
 	switch {
@@ -272,22 +272,23 @@
 		tr.complete = true
 		final := next
 		final.State, final.Stored = canary.Complete, false
-		ro.tell(tr, cur, &next, now)
+		ro.announce(tr, cur, &next, now)
 		return &final
 	}
-	ro.tell(tr, cur, &next, now)
+	ro.announce(tr, cur, &next, now)
 	return &next
 }
 
-// tell tells the others of a decision: at once of another share, now and then of the same.
-func (ro *roller) tell(tr *trial, cur, next *canary.Rollout, now time.Time) {
-	if next.Share == cur.Share && next.Servers == cur.Servers && now.Sub(tr.told) < canary.TTL/3 {
+// announce sends a decision to the others: at once where the share changes, else now and
+// then.
+func (ro *roller) announce(tr *trial, cur, next *canary.Rollout, now time.Time) {
+	if next.Share == cur.Share && next.Servers == cur.Servers && now.Sub(tr.announced) < canary.TTL/3 {
 		return
 	}
 	if next.Share != cur.Share {
 		ro.nd.log.Info("rollout-share", slog.String(logs.Service, next.Order.Service), slog.Float64("share", next.Share), slog.Int("servers", next.Servers))
 	}
-	tr.told = now
+	tr.announced = now
 	ro.nd.mergeRollout(nil, next)
 }
 
--- a/internal/mesh/ctrl/tallies.go
+++ b/internal/mesh/ctrl/tallies.go
@@ -78,7 +78,7 @@
 		}
 		service := ro.Order.Service
 		if cs := nd.cf.Counts(); cs.Service == service {
-			nd.takeTally(nil, nd.ownTally(&cs), now)
+			nd.handleTally(nil, nd.ownTally(&cs), now)
 		}
 		if nd.isRelay() {
 			nd.sendSum(service, now)
@@ -141,8 +141,8 @@
 	return sums
 }
 
-// takeTally takes counts of a VM or failure domain and passes them on within the own one.
-func (nd *Node) takeTally(from *link.Peer, ta *wirepb.Tally, now time.Time) {
+// handleTally takes counts of a VM or failure domain and passes them on within the own one.
+func (nd *Node) handleTally(from *link.Peer, ta *wirepb.Tally, now time.Time) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	if nd.tallies.vms == nil {
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -75,8 +75,8 @@
 			return
 		}
 		nd.setFollowing(err == nil)
-		nd.notePlatform(err)
-		wt.tellFollow(err)
+		nd.recordPlatform(err)
+		wt.announceFollow(err)
 		if err == nil {
 			wt.failed = 0
 			nd.keeper.round(ctx)
@@ -146,7 +146,7 @@
 		return err
 	}
 	if ent.Revision == last {
-		return nd.noteRead(ctx, began, version)
+		return nd.handleRead(ctx, began, version)
 	}
 	version, co, err := src.Read(ctx, nd.cf.Store, nd.Board.Latest.Get(), ent.Value)
 	var se *store.Error
@@ -160,20 +160,20 @@
 		nd.setSeen(ent.Revision, 0)
 		return nil
 	}
-	nd.notePlatformVersion(version)
+	nd.recordPlatformVersion(version)
 	if co != nil {
 		nd.take(version, co)
 	}
 	nd.setSeen(ent.Revision, version)
-	return nd.noteRead(ctx, began, version)
+	return nd.handleRead(ctx, began, version)
 }
 
-// noteRead takes that a read of the store which began at a moment showed a version.
-func (nd *Node) noteRead(ctx context.Context, began time.Time, version uint64) error {
+// handleRead takes that a read of the store which began at a moment showed a version.
+func (nd *Node) handleRead(ctx context.Context, began time.Time, version uint64) error {
 	if err := nd.checkEpoch(ctx, version); err != nil {
 		return err
 	}
-	nd.noteProof(began, version)
+	nd.recordProof(began, version)
 	nd.restore(ctx, version)
 	return nil
 }
@@ -184,7 +184,7 @@
 	nd.seen = seen{revision: rev, version: version}
 }
 
-func (nd *Node) notePlatform(err error) {
+func (nd *Node) recordPlatform(err error) {
 	nd.Board.Platform.Update(func(cur *board.Platform) *board.Platform {
 		switch {
 		case cur == nil:
@@ -197,10 +197,10 @@
 	})
 }
 
-// notePlatformVersion compares the platform's version with the newest known. A
+// recordPlatformVersion compares the platform's version with the newest known. A
 // platform that was restored from a backup shows an older one; no daemon
 // follows it, and the operators are told.
-func (nd *Node) notePlatformVersion(version uint64) {
+func (nd *Node) recordPlatformVersion(version uint64) {
 	latest := nd.Board.LatestVersion()
 	behind := version < latest
 	nd.Board.Platform.Update(func(cur *board.Platform) *board.Platform {
--- a/internal/node/daemon/recall.go
+++ b/internal/node/daemon/recall.go
@@ -151,7 +151,7 @@
 func (dm *Daemon) runRecall(ctx context.Context) {
 	began := time.Now()
 	if !dm.se.FirstStart {
-		dm.askForerunner(ctx)
+		dm.recoverFromPredecessor(ctx)
 	}
 	dm.local.mu.Lock()
 	dm.local.recalled = true
@@ -169,9 +169,9 @@
 	}
 }
 
-// askForerunner asks the store and waits for peers. At the first start of a mesh there is
+// recoverFromPredecessor asks the store and waits for peers. At the first start of a mesh there is
 // nobody to ask about, and hundreds of calls to the store tell nothing.
-func (dm *Daemon) askForerunner(ctx context.Context) {
+func (dm *Daemon) recoverFromPredecessor(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recallTime)
 	defer cancel()
 	asked := make(chan struct{})
@@ -179,7 +179,7 @@
 		defer close(asked)
 		dm.recallStored(ctx)
 	}()
-	dm.waitForerunner(ctx, asked)
+	dm.waitForPeers(ctx, asked)
 	cancel()
 	<-asked
 }
@@ -192,10 +192,10 @@
 	dm.local.update(func(tr *server.Tracker) { tr.Recall(fo.Leaver, time.Now()) })
 }
 
-// waitForerunner waits for the peers' word on the former process, until the
+// waitForPeers waits for the peers' word on the former process, until the
 // store has answered and one of these holds: a peer knows of a drain, enough
 // peers know of none, or no more are expected.
-func (dm *Daemon) waitForerunner(ctx context.Context, asked <-chan struct{}) {
+func (dm *Daemon) waitForPeers(ctx context.Context, asked <-chan struct{}) {
 	late := time.NewTimer(recallPeers)
 	defer late.Stop()
 	stored, over, answered := false, false, false
