roll/canary: a release without a roll-out after one, and an order of what serves

Two faults found by reading: after a complete roll-out any version but its target got no request for good, so that a plain release to the next one would have ended the service; and an order for the version that all servers have already made them a target of which three in a hundred requests are sent. A version that a final roll-out does not name now waits 5 s and serves, and a target without a baseline is the baseline.

--- a/internal/roll/canary/admit.go
+++ b/internal/roll/canary/admit.go
@@ -43,16 +43,34 @@
 		}
 	}
 	cohorts = map[string]Cohort{}
-	if ro != nil {
-		clear(vs.admitted)
-		for software := range servers {
-			if cohorts[software] = ro.CohortOf(software); cohorts[software] == Baseline {
-				vs.admitted[software] = true
+	if ro == nil {
+		return vs.admit(servers, now)
+	}
+	for software := range servers {
+		cohort := ro.CohortOf(software)
+		if ro.State.Final() && !ro.names(software) && software != "" {
+			// A release without a rollout, after one.
+			until := vs.seen[software].Add(unorderedHold)
+			cohort = Baseline
+			if now.Before(until) && !vs.admitted[software] {
+				cohort = Idle
+				next = sooner(next, until)
 			}
 		}
-		return cohorts, time.Time{}
+		cohorts[software] = cohort
+		if vs.admitted[software] = cohort == Baseline; !vs.admitted[software] {
+			delete(vs.admitted, software)
+		}
+	}
+	return cohorts, next
+}
+
+// sooner returns the sooner one of two times, of which the zero time is never.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	return vs.admit(servers, now)
+	return a
 }
 
 // admit returns the cohorts of a service without a rollout.
@@ -70,9 +88,7 @@
 			continue
 		}
 		cohorts[software] = Idle
-		if next.IsZero() || until.Before(next) {
-			next = until
-		}
+		next = sooner(next, until)
 	}
 	return cohorts, next
 }
--- a/internal/roll/canary/canary.go
+++ b/internal/roll/canary/canary.go
@@ -161,11 +161,20 @@
 	Idle
 )
 
+// names tells whether a version has a part in the rollout.
+func (ro *Rollout) names(software string) bool {
+	return software == ro.Order.Target || slices.Contains(ro.Baseline, software)
+}
+
 // CohortOf returns the cohort of servers of a version in a rollout; nil stands for none.
 func (ro *Rollout) CohortOf(software string) Cohort {
 	if ro == nil || software == "" {
 		return Baseline
 	}
+	if software == ro.Order.Target && len(ro.Baseline) == 0 {
+		// All servers had the version when it was ordered.
+		return Baseline
+	}
 	switch {
 	case software == ro.Order.Target && ro.State == InProgress:
 		return Target
