path/inlet: see a crash whose broken connections are read after the next start

Cause: the next start announced itself before the broken connection of the one before had been read, and with one request on the server no other evidence came until the next crash. A broken request is now compared with the present start at once. Since that also happens after a drain, the last start that said it leaves is remembered. Two cases in TestCrashEvidence; its own data race, which the same run found, is in the test alone.

--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -123,28 +123,53 @@
 	cd.broken = slices.DeleteFunc(cd.broken, func(br broken) bool { return now.Sub(br.at) > crashWindow })
 }
 
-// leaves drops all broken requests: a server that drains has not crashed.
-func (cd *crashDetector) leaves() {
+// leaves drops all broken requests, and those that a start of the server breaks later: one
+// that drains has not crashed.
+func (cd *crashDetector) leaves(tg *Target) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
-	cd.broken = nil
+	cd.broken, cd.leaving = nil, *tg
+}
+
+// isLeaving tells whether a start of the server was the last that said it leaves.
+func (cd *crashDetector) isLeaving(tg *Target) bool {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	return cd.leaving.sameStart(tg)
 }
 
 // ServerHeard records that the present start of the backend server announced itself again.
 func (in *Inlet) ServerHeard() { in.crashes.alive(time.Now()) }
 
 // ServerLeaves records that the backend server drains or was withdrawn.
-func (in *Inlet) ServerLeaves() { in.crashes.leaves() }
+func (in *Inlet) ServerLeaves() {
+	if tg := in.target.Load(); tg != nil {
+		in.crashes.leaves(tg)
+	}
+}
 
 // interrupted records a request that broke off at a server which accepts connections.
 func (in *Inlet) interrupted(id requestID, tg *Target) {
+	if in.crashes.isLeaving(tg) {
+		return
+	}
 	now := time.Now()
-	if !in.crashes.interrupt(id, tg, now) {
+	first := in.crashes.interrupt(id, tg, now)
+	in.reportRestarted(in.target.Load(), now)
+	if !first {
 		return
 	}
 	time.AfterFunc(crashWindow, func() { in.reportCrash(tg, in.crashes.judge(tg, now)) })
 }
 
+// reportRestarted reports crashes of earlier starts of the server than the present one. A
+// server may be back before its broken connections have been read.
+func (in *Inlet) reportRestarted(tg *Target, now time.Time) {
+	for of, ids := range in.crashes.restarted(tg, now) {
+		in.reportCrash(&of, ids)
+	}
+}
+
 // reportCrash logs and reports that a start of the server crashed while it ran requests.
 func (in *Inlet) reportCrash(tg *Target, ids []requestID) {
 	if len(ids) == 0 || in.Gate.Draining() {
--- a/internal/path/inlet/broken_test.go
+++ b/internal/path/inlet/broken_test.go
@@ -1,6 +1,7 @@
 package inlet
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,6 +84,19 @@
 			in.ServerLeaves()
 			in.SetTarget(target(second))
 		}, 0},
+		{"one, read after another start has followed", func(in *Inlet) {
+			fl, tg := begin(in), in.target.Load()
+			in.SetTarget(target(second))
+			in.crashes.finish(fl)
+			in.interrupted(requestID{key: 1}, tg)
+		}, 1},
+		{"one of a start that left, read after another has followed", func(in *Inlet) {
+			fl, tg := begin(in), in.target.Load()
+			in.ServerLeaves()
+			in.SetTarget(target(second))
+			in.crashes.finish(fl)
+			in.interrupted(requestID{key: 1}, tg)
+		}, 0},
 		{"one, and another start follows much later", func(in *Inlet) {
 			breaks(in, begin(in), 1)
 			time.Sleep(brokenTTL)
@@ -105,13 +119,20 @@
 			synctest.Test(t, func(t *testing.T) {
 				in := New(proxy.Options{}, nil)
 				defer in.Close()
+				var mu sync.Mutex
 				var got []poison.Report
-				in.Report = func(list []poison.Report) { got = append(got, list...) }
+				in.Report = func(list []poison.Report) {
+					mu.Lock()
+					defer mu.Unlock()
+					got = append(got, list...)
+				}
 				in.SetTarget(target(first))
 				time.Sleep(time.Second)
 				tc.play(in)
 				time.Sleep(time.Minute)
 				synctest.Wait()
+				mu.Lock()
+				defer mu.Unlock()
 				if len(got) != tc.want {
 					t.Errorf("%d reports, want %d: %+v", len(got), tc.want, got)
 				}
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -45,6 +45,8 @@
 	// though it accepts connections.
 	flights map[*flight]bool
 	broken  []broken
+	// leaving is the last start that said it leaves.
+	leaving Target
 }
 
 // abandoned is a request that its outlet gave up on.
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -111,9 +111,7 @@
 			in.counts.Store(&tally.Counter{})
 		}
 	}
-	for of, ids := range in.crashes.restarted(&tg, time.Now()) {
-		in.reportCrash(&of, ids)
-	}
+	in.reportRestarted(&tg, time.Now())
 }
 
 // ServeHTTP serves one request of an outlet.
