--- a/cmd/flamingomast/measure_test.go
+++ b/cmd/flamingomast/measure_test.go
@@ -201,7 +201,7 @@
 	return slices.Max(list)
 }
 
-// relay tells whether a VM's daemon is a relay.
+// relay reports whether a VM's daemon is a relay.
 func (v *vm) relay(t *testing.T) bool {
 	res, err := http.Get("http://" + v.admin + "/debug/vars")
 	if err != nil {
--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -29,7 +29,7 @@
 	maxMethod = 20
 )
 
-// named tells whether a text is 1 to most of a-z, 0-9, "-" and ".", with a letter or
+// named reports whether a text is 1 to most of a-z, 0-9, "-" and ".", with a letter or
 // digit at both ends. It stands in place of a regular expression, since a version has
 // thousands of names.
 func named(s string, most int) bool {
@@ -47,7 +47,7 @@
 	return true
 }
 
-// method tells whether a text is 1 to 20 capital letters.
+// method reports whether a text is 1 to 20 capital letters.
 func method(s string) bool {
 	if s == "" || len(s) > maxMethod {
 		return false
--- a/internal/conf/pack/decode.go
+++ b/internal/conf/pack/decode.go
@@ -59,7 +59,7 @@
 	index int
 }
 
-// seek moves on to the first resource that is not before a key, and tells whether it is
+// seek moves on to the first resource that is not before a key, and reports whether it is
 // the one of the key, and its place among those of its kind.
 func (cu *cursor) seek(ky Key) (index int, found bool) {
 	for cu.at < len(cu.resources) {
--- a/internal/conf/pack/pack.go
+++ b/internal/conf/pack/pack.go
@@ -60,7 +60,7 @@
 // String returns the digest in hexadecimal.
 func (dg Digest) String() string { return hex.EncodeToString(dg[:]) }
 
-// IsZero tells whether the digest is unset.
+// IsZero reports whether the digest is unset.
 func (dg Digest) IsZero() bool { return dg == Digest{} }
 
 // ParseDigest reads what String returns.
--- a/internal/conf/snap/match.go
+++ b/internal/conf/snap/match.go
@@ -44,7 +44,7 @@
 	return true
 }
 
-// underPrefix tells whether path is prefix or below it, by whole segments.
+// underPrefix reports whether path is prefix or below it, by whole segments.
 func underPrefix(path, prefix string) bool {
 	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
 }
--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -95,7 +95,7 @@
 
 // Offer takes a configuration if it is newer than the latest known. It is the
 // only writer of Latest, so Latest never goes back, in whatever order offers
-// come. It tells whether the offer was taken.
+// come. It reports whether the offer was taken.
 func (bd *Board) Offer(cfg *Config) bool {
 	taken := false
 	bd.Latest.Update(func(cur *Config) *Config {
@@ -125,7 +125,7 @@
 }
 
 // Install makes sn the configuration in force if it is newer than the one held
-// and not below the floor, and tells whether it did. It is the only writer of
+// and not below the floor, and reports whether it did. It is the only writer of
 // Held.
 func (bd *Board) Install(sn *snap.Snapshot) bool {
 	fl := bd.Floor.Get()
@@ -144,7 +144,7 @@
 }
 
 // EnterEpoch takes an epoch of the platform's store if it is newer than the one known. It
-// tells whether it was, and whether an earlier one was known.
+// reports whether it was, and whether an earlier one was known.
 func (bd *Board) EnterEpoch(ep store.Epoch) (entered, again bool) {
 	bd.Epoch.Update(func(cur *store.Epoch) *store.Epoch {
 		if entered = ep > 0 && (cur == nil || ep > *cur); !entered {
--- a/internal/mesh/ctrl/directory.go
+++ b/internal/mesh/ctrl/directory.go
@@ -189,7 +189,7 @@
 		return
 	}
 	age := time.Since(nd.started)
-	// A store that came back from an older copy may lack the entries of those who are there.
+	// A store that came back from an older copy may lack the entries of live daemons.
 	empty := len(found) == 0 && nd.complete()
 	if age > bootTime && empty || age > othersTime {
 		nd.Board.RaiseFloor(0, true)
@@ -213,7 +213,7 @@
 	lease store.LeaseID
 }
 
-// renew renews the lease and tells whether there is one. That the lease may
+// renew renews the lease and reports whether there is one. That the lease may
 // have ended while this process was paused does no harm: the key is only a
 // hint, and Gone leads to a new registration. A platform that does not answer
 // is asked again with the next round.
--- a/internal/mesh/ctrl/epoch.go
+++ b/internal/mesh/ctrl/epoch.go
@@ -32,10 +32,9 @@
 	})
 }
 
-// enterEpoch notes an epoch that the store or a peer showed. In a new one the store may
-// lack what daemons had written, so each writes again what is its own: the directory
-// entries and leases of relays, the drains of its backend server, and those that follow
-// the store what all daemons share.
+// enterEpoch records an epoch that the store or a peer showed. A new one may lack what
+// daemons had written, so each rewrites its own keys: relays their directory entries and
+// leases, the daemon beside a draining server its drain, followers the shared keys.
 func (nd *Node) enterEpoch(ep store.Epoch) {
 	entered, again := nd.Board.EnterEpoch(ep)
 	if !entered {
@@ -61,8 +60,8 @@
 	nd.lookSoon()
 }
 
-// complete tells whether the store has all versions that were accepted, as far as is
-// known: it has not come back from an older copy, or was seen since then to have them.
+// complete reports whether the store is known to have all accepted versions: it has not
+// come back from an older copy, or was seen to have them since.
 func (nd *Node) complete() bool {
 	ep := nd.Board.KnownEpoch()
 	nd.mu.Lock()
@@ -104,7 +103,7 @@
 	return err
 }
 
-// isMarked notes that an entry of epochKey names an epoch, and tells whether it does.
+// isMarked reports whether an entry of epochKey names an epoch, and remembers that.
 func (nd *Node) isMarked(ent store.Entry, ep store.Epoch) bool {
 	if !ent.Revision.Exists() {
 		return false
@@ -123,14 +122,14 @@
 	return true
 }
 
-// marked tells whether the store keeps an epoch.
+// marked reports whether the store keeps an epoch.
 func (nd *Node) marked(ep store.Epoch) bool {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	return nd.markedIn == ep
 }
 
-// knowsAll tells whether a version of the store is the newest of all failure domains.
+// knowsAll reports whether a version of the store is the newest of all failure domains.
 func (nd *Node) knowsAll(version uint64) bool {
 	fl := nd.Board.Floor.Get()
 	settled := fl != nil && fl.Settled && version >= fl.Version
--- a/internal/mesh/ctrl/epoch_test.go
+++ b/internal/mesh/ctrl/epoch_test.go
@@ -27,7 +27,7 @@
 	poisonLimit = 3 * time.Second
 )
 
-// registered tells whether the directory has a key that was written after a copy of the
+// registered reports whether the directory has a key that was written after a copy of the
 // store was taken, at the write given, for each relay.
 func (fl *fleet) registered(since int64) bool {
 	items, err := fl.st.Store().List(context.Background(), directoryPrefix)
--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -52,7 +52,7 @@
 	return waiting
 }
 
-// mayFollow tells whether this daemon follows the store now: a relay when it is its
+// mayFollow reports whether this daemon follows the store now: a relay when it is its
 // turn, another one while it hears no relay.
 func (wt *watcher) mayFollow(isRelay bool) bool {
 	nd, now := wt.nd, time.Now()
@@ -66,7 +66,7 @@
 	return !nd.hearsRelay() && !nd.waitsForOthers(now.Sub(nd.started))
 }
 
-// waitsForOthers tells whether a process of an age leaves it to others of its failure
+// waitsForOthers reports whether a process of an age leaves it to others of its failure
 // domain to read the store.
 func (nd *Node) waitsForOthers(age time.Duration) bool {
 	nd.mu.Lock()
@@ -145,7 +145,7 @@
 	}
 }
 
-// recordFollow keeps news of a daemon that follows, and tells whether it is any; nd.mu is
+// recordFollow keeps news of a daemon that follows, and reports whether it is any; nd.mu is
 // held.
 func (nd *Node) recordFollow(fo link.Follow) bool {
 	if fo.Lost {
@@ -193,7 +193,7 @@
 	}
 }
 
-// linkedToVM tells whether a link leads to a VM; nd.mu is held.
+// linkedToVM reports whether a link leads to a VM; nd.mu is held.
 func (nd *Node) linkedToVM(vm string) bool {
 	for pr := range nd.peers {
 		if pr.Record.VM == vm {
@@ -237,7 +237,7 @@
 	pr.Next(func(pk *wirepb.Packet) { pk.Newest = version })
 }
 
-// earlier tells whether a time may be before another one. A process that was suspended
+// earlier reports whether a time may be before another one. A process that was suspended
 // between the two takes them for closer than they are by its steady clock, which the
 // clock of the wall shows.
 func earlier(a, b time.Time) bool { return a.Before(b) || a.Round(0).Before(b.Round(0)) }
--- a/internal/mesh/ctrl/holds.go
+++ b/internal/mesh/ctrl/holds.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// isUpward tells whether a peer is a relay of the own failure domain, or is
+// isUpward reports whether a peer is a relay of the own failure domain, or is
 // used as one; nd.mu is held.
 func (nd *Node) isUpward(pr *link.Peer) bool {
 	return pr.Record.Domain == nd.cf.Domain && (pr.Relay || pr.Outgoing)
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -168,7 +168,7 @@
 	return bo == nil || time.Now().After(bo.until)
 }
 
-// failing tells whether the last link to an address failed.
+// failing reports whether the last link to an address failed.
 func (lk *linker) failing(addr string) bool {
 	bo := lk.backoff[addr]
 	return bo != nil && bo.failed && time.Since(bo.until) < failingFor
@@ -237,7 +237,7 @@
 	})
 }
 
-// settled tells whether the daemon knows its failure domain well enough to
+// settled reports whether the daemon knows its failure domain well enough to
 // choose: it has a link, or has looked for one long enough.
 func (lk *linker) settled() bool {
 	lk.nd.mu.Lock()
@@ -386,7 +386,7 @@
 	lk.open[addr] = ol
 }
 
-// runLink opens a link and keeps it until it ends. It tells whether the peer
+// runLink opens a link and keeps it until it ends. It reports whether the peer
 // failed: the link never came up, or fell silent.
 func (nd *Node) runLink(ctx context.Context, addr string) (failed bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -271,7 +271,7 @@
 	nd.http.CloseIdleConnections()
 }
 
-// background runs fn, which must end with the node, and tells whether it did
+// background runs fn, which must end with the node, and reports whether it did
 // so: a node that has ended starts nothing more.
 func (nd *Node) background(fn func()) bool {
 	nd.mu.Lock()
--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -268,7 +268,7 @@
 	}
 	next.Share, next.Servers, next.Until = de.Share, de.Servers, now.Add(canary.TTL)
 	if de.State == canary.Complete {
-		// The servers of before stop once the store has it, so nobody is told before.
+		// Operators stop the baseline once the store says so; until then it may serve again.
 		tr.complete = true
 		final := next
 		final.State, final.Stored = canary.Complete, false
--- a/internal/mesh/ctrl/tallies.go
+++ b/internal/mesh/ctrl/tallies.go
@@ -35,7 +35,7 @@
 	at time.Time
 }
 
-// gives tells whether a sum takes the place of the one that is kept: a later one of the same
+// gives reports whether a sum takes the place of the one that is kept: a later one of the same
 // relay, or that of another relay once the former has sent none for a while.
 func (ht heardTally) gives(ta *wirepb.Tally, now time.Time) bool {
 	if ht.Process == ta.Process {
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -120,7 +120,7 @@
 	return mostRetry
 }
 
-// hearsRelay tells whether a relay sent something lately.
+// hearsRelay reports whether a relay sent something lately.
 func (nd *Node) hearsRelay() bool { return time.Since(nd.relayHeard()) < deaf }
 
 // relayHeard returns when a relay sent something last, the zero time for none.
--- a/internal/mesh/follow/follow.go
+++ b/internal/mesh/follow/follow.go
@@ -34,7 +34,7 @@
 	at map[string]time.Time
 }
 
-// Answered notes that the store answered a daemon, and tells whether that is news.
+// Answered notes that the store answered a daemon, and reports whether that is news.
 func (he *Heard) Answered(vm string, at time.Time) bool {
 	if he.at == nil {
 		he.at = map[string]time.Time{}
@@ -47,7 +47,7 @@
 }
 
 // Lost notes that the store no longer answers a daemon, unless it did so after the time
-// given. It tells whether that is news.
+// given. It reports whether that is news.
 func (he *Heard) Lost(vm string, at time.Time) bool {
 	last, ok := he.at[vm]
 	if !ok || last.After(at) {
@@ -57,7 +57,7 @@
 	return true
 }
 
-// fresh tells whether a daemon follows the store.
+// fresh reports whether a daemon follows the store.
 func (he *Heard) fresh(vm string, now time.Time) bool {
 	at, ok := he.at[vm]
 	return ok && now.Sub(at) <= Fresh
@@ -97,10 +97,10 @@
 	vacant time.Time
 }
 
-// Vacant tells whether too few followed before this one when it was asked last.
+// Vacant reports whether too few followed before this one when it was asked last.
 func (tu *Turn) Vacant() bool { return !tu.vacant.IsZero() }
 
-// Due tells whether the daemon me follows the store now. Whoever stands in waits
+// Due reports whether the daemon me follows the store now. Whoever stands in waits
 // for those before it in order, so that one vacancy is not filled by all at once.
 func (tu *Turn) Due(me string, order []string, he *Heard, now time.Time) bool {
 	before, silent := 0, 0
--- a/internal/mesh/member/member.go
+++ b/internal/mesh/member/member.go
@@ -109,7 +109,7 @@
 	)
 }
 
-// SameProcess tells whether both records come from one process.
+// SameProcess reports whether both records come from one process.
 func (rc *Record) SameProcess(other *Record) bool {
 	return rc.Incarnation == other.Incarnation && rc.Nonce == other.Nonce
 }
@@ -119,10 +119,10 @@
 	return strconv.FormatUint(rc.Incarnation, 36) + "-" + strconv.FormatUint(rc.Nonce, 36)
 }
 
-// Live tells whether the VM's daemon is taken to be running.
+// Live reports whether the VM's daemon is taken to be running.
 func (rc *Record) Live() bool { return rc.Mark != MarkGone && rc.State != StateLeft }
 
-// Serving tells whether the VM's backend server takes new requests.
+// Serving reports whether the VM's backend server takes new requests.
 func (rc *Record) Serving() bool { return rc.Mark != MarkGone && rc.State == StateServing }
 
 func (rc *Record) hash() uint64 {
--- a/internal/mesh/poison/keep.go
+++ b/internal/mesh/poison/keep.go
@@ -32,7 +32,7 @@
 	return slices.DeleteFunc(list, func(re Report) bool { return vw.Ends(re.Key) < Most })
 }
 
-// Same tells whether two lists say the same. When an end was is not compared: each daemon
+// Same reports whether two lists say the same. When an end was is not compared: each daemon
 // reckons it by its own clock.
 func Same(a, b []Report) bool {
 	plain := func(list []Report) []Report {
--- a/internal/mesh/poison/poison.go
+++ b/internal/mesh/poison/poison.go
@@ -83,7 +83,7 @@
 	heads map[uint64]bool
 }
 
-// Suspects tells whether servers may have ended under a request, by its head. It is asked
+// Suspects reports whether servers may have ended under a request, by its head. It is asked
 // for each request: most need no key because of it, and none a head while nothing is known.
 func (vw *View) Suspects(r *http.Request) bool {
 	return vw != nil && len(vw.heads) > 0 && vw.heads[ident.Head(r)]
@@ -97,7 +97,7 @@
 	return vw.requests[key].count()
 }
 
-// Refuses tells whether a request is not to be run. A daemon tries it again later than
+// Refuses reports whether a request is not to be run. A daemon tries it again later than
 // others by its spread.
 func (vw *View) Refuses(key ident.Key, now time.Time, spread time.Duration) bool {
 	return vw.Ends(key) >= Most && now.Sub(vw.requests[key].last) < refuseFor+spread
--- a/internal/node/admin/admin.go
+++ b/internal/node/admin/admin.go
@@ -57,7 +57,7 @@
 	StateDraining = "draining"
 )
 
-// Draining tells whether the server takes no new requests.
+// Draining reports whether the server takes no new requests.
 func (an *Announcement) Draining() bool { return an.State == StateDraining }
 
 // The bounds of an announcement's time.
--- a/internal/node/daemon/ending_test.go
+++ b/internal/node/daemon/ending_test.go
@@ -163,7 +163,7 @@
 	return lasting{mo.socket}, mo.socket.SetDeadline(time.Time{})
 }
 
-// end ends the server with all that it runs, and tells whether it was up.
+// end ends the server with all that it runs, and reports whether it was up.
 func (mo *mortal) end() bool {
 	mo.mu.Lock()
 	defer mo.mu.Unlock()
--- a/internal/node/daemon/probe.go
+++ b/internal/node/daemon/probe.go
@@ -72,7 +72,7 @@
 	return ""
 }
 
-// awaitsServer tells whether no backend server has announced itself yet.
+// awaitsServer reports whether no backend server has announced itself yet.
 func (dm *Daemon) awaitsServer() bool {
 	st, _ := dm.local.watch(time.Now())
 	return st.Announcement == nil
--- a/internal/node/daemon/serve.go
+++ b/internal/node/daemon/serve.go
@@ -57,7 +57,7 @@
 	return sv
 }
 
-// mayRunAhead tells whether a request may be begun before those that its caller sent
+// mayRunAhead reports whether a request may be begun before those that its caller sent
 // before it are answered. Once the daemon drains, the next answer closes the
 // connection, and what stands behind it counts as not read.
 func (dm *Daemon) mayRunAhead(r *http.Request) bool {
--- a/internal/node/demo/demo.go
+++ b/internal/node/demo/demo.go
@@ -45,7 +45,7 @@
 	Behind int `json:"behind"`
 }
 
-// OK tells whether nothing went wrong.
+// OK reports whether nothing went wrong.
 func (sm *Summary) OK() bool { return sm.Failed == 0 && sm.Doubled == 0 && sm.Behind == 0 }
 
 // The times of a demonstration.
--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -104,7 +104,7 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", sr.VM, r.Method, r.URL.Path, body)
 }
 
-// fails tells whether it fails a request for a path.
+// fails reports whether it fails a request for a path.
 func (sr *Server) fails(path string) bool {
 	return sr.Failing > 0 && time.Since(sr.started) >= sr.FailingAfter && strings.HasPrefix(path, sr.FailingPath) && rand.Float64() < sr.Failing
 }
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -78,12 +78,12 @@
 	return st.Announcement.StartedMs
 }
 
-// SameStart tells whether both are of one start of the server.
+// SameStart reports whether both are of one start of the server.
 func (st Status) SameStart(other Status) bool {
 	return st.Lifetime() == other.Lifetime() && st.StartedMs() == other.StartedMs()
 }
 
-// Announce takes an announcement and tells whether it was news.
+// Announce takes an announcement and reports whether it was news.
 //
 // Four of them are late and change nothing. One with a number that is not above the
 // newest of its start was overtaken. One of a start before the newest of the same
@@ -123,7 +123,7 @@
 	return true
 }
 
-// precedes tells whether an announcement is of a later start of the same lifetime.
+// precedes reports whether an announcement is of a later start of the same lifetime.
 //
 // The times of both starts decide. Where that of a start which was taken out is not
 // known, as when only its removal came, a later one is known by its first numbers. And
@@ -148,7 +148,7 @@
 	return an.StartedMs != 0 && an.StartedMs < lf.startedMs || an.Number <= lf.number && !lf.assumed || lf.gone
 }
 
-// displaces tells whether an announcement of another lifetime would displace a
+// displaces reports whether an announcement of another lifetime would displace a
 // present one that was heard lately, without being the first of a new one.
 func (tr *Tracker) displaces(lf *life, an *admin.Announcement, now time.Time) bool {
 	if tr.cur == nil || tr.cur == lf || tr.cur.gone || now.Sub(tr.cur.heard) > freshFor {
@@ -177,7 +177,7 @@
 }
 
 // Assume takes a server that was found to serve before it has announced itself, and
-// tells whether it did. One that left, as far as is known, is not taken; nor is any once
+// reports whether it did. One that left, as far as is known, is not taken; nor is any once
 // a server has announced itself.
 func (tr *Tracker) Assume(an admin.Announcement, now time.Time) bool {
 	if tr.cur != nil {
--- a/internal/node/soak/proc.go
+++ b/internal/node/soak/proc.go
@@ -72,7 +72,7 @@
 	<-pr.done
 }
 
-// ended tells whether the process has ended.
+// ended reports whether the process has ended.
 func (pr *proc) ended() bool {
 	select {
 	case <-pr.done:
--- a/internal/path/again/again.go
+++ b/internal/path/again/again.go
@@ -40,7 +40,7 @@
 }
 
 // Came returns the try of a request that came at a moment, whose caller waits for as
-// long as left from then on, 0 where it does not say. It tells whether it is a
+// long as left from then on, 0 where it does not say. It reports whether it is a
 // further one, and takes that into the account of its route.
 func (me *Memory) Came(r *http.Request, at time.Time, left time.Duration, ro *Route) (tr *Try, further bool) {
 	tr = &Try{First: at}
@@ -61,7 +61,7 @@
 	return tr, false
 }
 
-// same tells whether two tries are of one caller and request.
+// same reports whether two tries are of one caller and request.
 func (tr *Try) same(other *Try) bool {
 	return tr.key == other.key && tr.until.Sub(other.until).Abs() <= tolerance
 }
--- a/internal/path/again/route.go
+++ b/internal/path/again/route.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Came counts a request and tells whether its caller will not come back if it is
+// Came counts a request and reports whether its caller will not come back if it is
 // refused. Short says that the caller stops waiting no later than the operators do,
 // busy that the VM's own backend server runs something.
 //
--- a/internal/path/ident/ident.go
+++ b/internal/path/ident/ident.go
@@ -81,7 +81,7 @@
 func (le *Lead) Close() error { return le.r.Close() }
 
 // Bytes returns the lead of a body of the given length, -1 where that is not known. It
-// tells whether as much of the body has been read.
+// reports whether as much of the body has been read.
 func (le *Lead) Bytes(length int64) (lead []byte, whole bool) {
 	if length == 0 {
 		return nil, true
--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -31,7 +31,7 @@
 	at time.Time
 }
 
-// sameStart tells whether two targets are one start of a backend server.
+// sameStart reports whether two targets are one start of a backend server.
 func (tg *Target) sameStart(other *Target) bool {
 	return tg.VM == other.VM && tg.Lifetime == other.Lifetime && tg.StartedMs == other.StartedMs
 }
@@ -55,7 +55,7 @@
 	delete(cd.flights, fl)
 }
 
-// interrupt records that the connection of a request broke, and tells whether it is the
+// interrupt records that the connection of a request broke, and reports whether it is the
 // first one within crashWindow, after which judge is to be called.
 func (cd *crashDetector) interrupt(id requestID, tg *Target, now time.Time) (first bool) {
 	cd.mu.Lock()
@@ -70,9 +70,9 @@
 	return first
 }
 
-// judge returns the requests that a server ran when it crashed, none where it did not or
-// where that is not known yet. It looks at those that broke off from a moment on: a server
-// that still runs one it began before has not crashed.
+// judge returns the requests that a server ran when it crashed, none if it did not crash or
+// that is not known yet. Only requests that broke after from count, and none if the server
+// still runs one that it began before.
 func (cd *crashDetector) judge(tg *Target, from time.Time) (ids []requestID) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
@@ -131,7 +131,7 @@
 	cd.broken, cd.leaving = nil, *tg
 }
 
-// isLeaving tells whether a start of the server was the last that said it leaves.
+// isLeaving reports whether a start of the server was the last that said it leaves.
 func (cd *crashDetector) isLeaving(tg *Target) bool {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -62,7 +62,7 @@
 	key  ident.Key
 }
 
-// crashed tells whether the server of a target crashed, and names the crash. It calls probe
+// crashed reports whether the server of a target crashed, and names the crash. It calls probe
 // where the result of the last one no longer holds; requests that failed together share one.
 func (cd *crashDetector) crashed(tg *Target, probe func() bool) (end poison.End, ended, first bool) {
 	cd.mu.Lock()
@@ -219,7 +219,7 @@
 	}
 }
 
-// isDown tells whether the backend server of a target refuses connections.
+// isDown reports whether the backend server of a target refuses connections.
 func (in *Inlet) isDown(tg *Target) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -356,7 +356,7 @@
 	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed}
 }
 
-// foreign tells whether an answer is that of another request, or none of the
+// foreign reports whether an answer is that of another request, or none of the
 // backend server at all. A server that sends a second answer late puts it where
 // the next one is due: without the id that it repeats, one caller would get
 // another's answer. A refusal may lack the id; a success may not.
--- a/internal/path/inlet/paced.go
+++ b/internal/path/inlet/paced.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// sameHost tells whether a request came from the VM that it came to.
+// sameHost reports whether a request came from the VM that it came to.
 func sameHost(r *http.Request) bool {
 	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
 	if !ok {
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -164,7 +164,7 @@
 	return &result.Refusal{Outcome: result.NotRun, Reason: re, RetryAfter: after}
 }
 
-// mayRun tells whether a request of the class gets a slot now. A class below
+// mayRun reports whether a request of the class gets a slot now. A class below
 // its own share goes first; above it, a class takes what is idle as long as
 // nobody waits for it. ga.mu is held.
 func (ga *Gate) mayRun(cl *class) bool {
@@ -368,7 +368,7 @@
 	ga.draining = false
 }
 
-// Draining tells whether all new requests are refused.
+// Draining reports whether all new requests are refused.
 func (ga *Gate) Draining() bool {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/path/limit/queue.go
+++ b/internal/path/limit/queue.go
@@ -51,7 +51,7 @@
 // likely returns for how long the request holds a slot at most, as a rule.
 func (wt *waiter) likely() time.Duration { return time.Duration(spread * float64(wt.service)) }
 
-// inTime tells whether an answer can come in time if the request begins at a moment.
+// inTime reports whether an answer can come in time if the request begins at a moment.
 func (wt *waiter) inTime(begin time.Time) bool {
 	return wt.due.IsZero() || !begin.Add(wt.likely()).After(wt.due)
 }
@@ -99,7 +99,7 @@
 	return at
 }
 
-// urgent tells whether a request gets its slot before those that are late already.
+// urgent reports whether a request gets its slot before those that are late already.
 func (wt *waiter) urgent(now time.Time) bool { return wt.Final || wt.inTime(now) }
 
 // before returns for how long those hold a slot that go before a request at a place of
@@ -164,7 +164,7 @@
 	return cl.queue[len(cl.queue)-1]
 }
 
-// single tells whether a waiter is the only one of its priority.
+// single reports whether a waiter is the only one of its priority.
 func (cl *class) single(wt *waiter) bool {
 	return !slices.ContainsFunc(cl.queue, func(one *waiter) bool { return one != wt && one.Priority == wt.Priority })
 }
--- a/internal/path/outlet/edge.go
+++ b/internal/path/outlet/edge.go
@@ -34,7 +34,7 @@
 	return nil
 }
 
-// dotted tells whether a decoded path has a segment that servers resolve in
+// dotted reports whether a decoded path has a segment that servers resolve in
 // ways of their own: a rule for /confirm must not be passed by /x/../confirm.
 func dotted(path string) bool {
 	if !strings.Contains(path, "/.") {
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -245,14 +245,14 @@
 	return time.Now()
 }
 
-// Repeatable tells whether a request may be run again if its answer is lost, and
+// Repeatable reports whether a request may be run again if its answer is lost, and
 // begun before those that its caller sent before it are answered.
 func (ou *Outlet) Repeatable(r *http.Request) bool {
 	_, route := ou.match(r)
 	return route != nil && retry.Allowed(result.MayHaveRun, route.Repeat, r.Method)
 }
 
-// gone tells whether the caller has closed its connection before the request was
+// gone reports whether the caller has closed its connection before the request was
 // read. The server notices that by a read beside the handler, which gets its turn
 // here: without it a request that waited in the queue of new connections until
 // its caller gave up would still be sent to a backend server.
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -85,7 +85,7 @@
 	rq.th.Done(rq.priority, time.Now(), rq.send())
 }
 
-// send sends the request until it is answered or given up on, and tells whether
+// send sends the request until it is answered or given up on, and reports whether
 // an inlet took it.
 func (rq *request) send() (taken bool) {
 	var last *result.Refusal
@@ -131,7 +131,7 @@
 	}
 }
 
-// staleConn tells whether a request met a kept connection that could not take
+// staleConn reports whether a request met a kept connection that could not take
 // it. That says nothing of the server, which may be tried again.
 func staleConn(rf *result.Refusal) bool {
 	return rf.Outcome == result.NotRun && rf.Reason == result.ReasonBroken
@@ -164,7 +164,7 @@
 	return leastBusy
 }
 
-// again tells whether the request is sent again after the refusal rf.
+// again reports whether the request is sent again after the refusal rf.
 func (rq *request) again(rf *result.Refusal) bool {
 	if rq.ctx.Err() != nil || rq.tries >= retry.MaxAttempts || !rq.src.replayable() {
 		return false
@@ -204,7 +204,7 @@
 	return rq.repeat
 }
 
-// reached tells whether a refused request may have reached a backend server,
+// reached reports whether a refused request may have reached a backend server,
 // which then had the work of it.
 func reached(rf *result.Refusal) bool {
 	return rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed
--- a/internal/path/outlet/source.go
+++ b/internal/path/outlet/source.go
@@ -90,7 +90,7 @@
 }
 
 // lead returns the beginning of the body as package ident takes it, and reads as much of
-// a stream for it; what was read is sent all the same. It tells whether it came whole.
+// a stream for it; what was read is sent all the same. It reports whether it came whole.
 func (so *source) lead() (lead []byte, whole bool) {
 	if so.stream == nil {
 		return so.buffered, true
@@ -100,11 +100,11 @@
 	return lead, err == nil
 }
 
-// replayable tells whether the body can be sent from its beginning.
+// replayable reports whether the body can be sent from its beginning.
 func (so *source) replayable() bool { return so.stream == nil || !so.stream.started.Load() }
 
-// streamed tells whether part of the body may not have been read.
+// streamed reports whether part of the body may not have been read.
 func (so *source) streamed() bool { return so.stream != nil }
 
-// tooLarge tells whether the body went beyond proxy.MaxBody.
+// tooLarge reports whether the body went beyond proxy.MaxBody.
 func (so *source) tooLarge() bool { return so.stream != nil && so.stream.over.Load() }
--- a/internal/path/outlet/start.go
+++ b/internal/path/outlet/start.go
@@ -53,7 +53,7 @@
 	return rt, rt.tb.Snap.Match(r.Method, r.Host, r.URL.Path, r.Header)
 }
 
-// serves tells whether enough is known to handle a request: that it has no route, or a
+// serves reports whether enough is known to handle a request: that it has no route, or a
 // server for it.
 func (rt *routing) serves(route *snap.Route) bool {
 	if rt == nil || route == nil {
--- a/internal/path/pacer/pacer.go
+++ b/internal/path/pacer/pacer.go
@@ -61,7 +61,7 @@
 	ready chan struct{}
 }
 
-// Narrow tells whether a link of so many bits a second is paced; 0 stands for one
+// Narrow reports whether a link of so many bits a second is paced; 0 stands for one
 // without a bound.
 func Narrow(bits float64) bool { return bits > 0 && bits/8 < fast }
 
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -208,7 +208,7 @@
 	ep.live.failing.Store(failShare * 3 / 4)
 }
 
-// Out tells whether the server is left out for its failures.
+// Out reports whether the server is left out for its failures.
 func (ep *Endpoint) Out(now time.Time) bool { return ep.live.ejected.Load() > steady.Nanos(now) }
 
 // KeepOut prolongs the time for which an unreachable server is left out.
@@ -267,7 +267,7 @@
 	return ep.load(now, 0), time.Duration(uint32(steady.Millis(now))-uint32(rep)) * time.Millisecond
 }
 
-// starting tells whether a new server is to be passed over this time, so that
+// starting reports whether a new server is to be passed over this time, so that
 // its share grows over its slow start.
 func (ep *Endpoint) starting(now time.Time, rnd Random) bool {
 	age := now.Sub(ep.Since)
@@ -331,7 +331,7 @@
 	return max(0, time.Duration(ep.live.linkFree.Load()-steady.Nanos(now)))
 }
 
-// Large tells whether an answer that is expected to have size bytes is large, so
+// Large reports whether an answer that is expected to have size bytes is large, so
 // that it waits for links.
 func Large(size int64) bool { return size > largeAnswer }
 
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -77,7 +77,7 @@
 // Len returns how many backend servers the group has.
 func (gp *Group) Len() int { return len(gp.all) }
 
-// mayEject tells whether a server may be left out for its failures. At least
+// mayEject reports whether a server may be left out for its failures. At least
 // half stay in use, and it must fail much more often than the others: when most
 // fail alike, the cause is rather the requests or something that all servers
 // share, such as a service that they call, and leaving out some would only load
@@ -202,7 +202,7 @@
 	return gp.lastResort(now, tried, rnd)
 }
 
-// takes tells whether a server of the tier is within reach and not left out.
+// takes reports whether a server of the tier is within reach and not left out.
 func (tr *tier) takes(now time.Time) bool {
 	for _, ep := range tr.strong.list {
 		if !ep.Out(now) {
--- a/internal/path/pick/table.go
+++ b/internal/path/pick/table.go
@@ -63,7 +63,7 @@
 	return tb
 }
 
-// listed tells whether the inventory has the server where it says that it is;
+// listed reports whether the inventory has the server where it says that it is;
 // those of an announced service are in no inventory.
 func listed(sn *snap.Snapshot, sv *snap.Service, rc *member.Record) bool {
 	if sv.Announced {
--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -332,7 +332,7 @@
 	}
 }
 
-// alone tells whether the request that the server has on the connection itself lets
+// alone reports whether the request that the server has on the connection itself lets
 // nothing run beside it, because it may have an effect that what comes behind it
 // must see, or because nothing behind it will be answered; cn.mu is held.
 func (cn *conn) alone() bool {
@@ -359,7 +359,7 @@
 	cn.stuck, cn.since, cn.entering = true, br.arrived, false
 }
 
-// mayBegin tells whether a request may run before those before it are answered;
+// mayBegin reports whether a request may run before those before it are answered;
 // cn.mu is held.
 //
 // One that may run once only must wait: were the connection to close behind an
--- a/internal/path/piping/front.go
+++ b/internal/path/piping/front.go
@@ -33,7 +33,7 @@
 // ConnState and ConnContext hooks and its handler must all be used. The fields are
 // set before use; the zero value runs nothing ahead of its turn.
 type Front struct {
-	// Ahead tells whether a request without a body may run before those that were
+	// Ahead reports whether a request without a body may run before those that were
 	// sent before it have been answered, and run again if its answer is lost.
 	Ahead func(*http.Request) bool
 	// State is told when a caller's connection becomes active and when all that was
--- a/internal/path/piping/head.go
+++ b/internal/path/piping/head.go
@@ -50,5 +50,5 @@
 	}
 }
 
-// http2 tells whether a whole head is the preface of HTTP/2.
+// http2 reports whether a whole head is the preface of HTTP/2.
 func (he *head) http2() bool { return he.preface == len(http2Preface) }
--- a/internal/path/piping/turn.go
+++ b/internal/path/piping/turn.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// sendHeld sends what is held of an answer and tells whether the connection goes on;
+// sendHeld sends what is held of an answer and reports whether the connection goes on;
 // cn.mu is held, but not while it writes.
 func (cn *conn) sendHeld(br *branch) bool {
 	for len(br.held) > 0 {
--- a/internal/path/proxy/bound.go
+++ b/internal/path/proxy/bound.go
@@ -8,7 +8,7 @@
 	used atomic.Int64
 }
 
-// Take takes n and tells whether there was as much.
+// Take takes n and reports whether there was as much.
 func (bo *Bound) Take(n int64) bool {
 	if bo.used.Add(n) > bo.Most {
 		bo.used.Add(-n)
--- a/internal/path/proxy/conn.go
+++ b/internal/path/proxy/conn.go
@@ -49,7 +49,7 @@
 	return cn.before
 }
 
-// wrote tells whether more than before bytes were written.
+// wrote reports whether more than before bytes were written.
 func (cn *conn) wrote(before int64) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- a/internal/path/proxy/header.go
+++ b/internal/path/proxy/header.go
@@ -54,7 +54,7 @@
 	return ""
 }
 
-// Upgrades tells whether a request asks for another protocol on its
+// Upgrades reports whether a request asks for another protocol on its
 // connection, which is not carried.
 func Upgrades(hdr http.Header) bool {
 	for _, list := range hdr["Connection"] {
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -76,7 +76,7 @@
 	}}
 }
 
-// Reach tells whether a connection to addr can be made.
+// Reach reports whether a connection to addr can be made.
 func (fw *Forwarder) Reach(ctx context.Context, addr string) bool {
 	nc, err := fw.dial(ctx, addr)
 	if err != nil {
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -163,7 +163,7 @@
 	return nm
 }
 
-// IsControl tells whether a canonical header name belongs to this system.
+// IsControl reports whether a canonical header name belongs to this system.
 func IsControl(name string) bool { return strings.HasPrefix(name, Prefix) }
 
 // Refusal describes a request that was not answered.
@@ -179,7 +179,7 @@
 	Ends int
 }
 
-// Crowded tells whether the request was refused for want of room.
+// Crowded reports whether the request was refused for want of room.
 func (rf *Refusal) Crowded() bool {
 	if rf.Outcome != NotRun {
 		return false
@@ -187,7 +187,7 @@
 	return rf.Reason.NoRoom() || rf.Reason == ReasonDeadline
 }
 
-// NoRoom tells whether the reason is that a VM had no room for a request.
+// NoRoom reports whether the reason is that a VM had no room for a request.
 func (re Reason) NoRoom() bool {
 	return re == ReasonFull || re == ReasonTooLate || re == ReasonLink || re == ReasonApart
 }
--- a/internal/path/retry/retry.go
+++ b/internal/path/retry/retry.go
@@ -11,7 +11,7 @@
 // three more that cannot be reached or whose kept connections break.
 const MaxAttempts = 6
 
-// Allowed tells whether a request with this outcome may be sent again.
+// Allowed reports whether a request with this outcome may be sent again.
 //
 // What has not run may always be. What may have run may be only where that
 // does no harm: by default requests with safe methods, RFC 9110 section 9.2.1;
--- a/internal/path/shed/shed.go
+++ b/internal/path/shed/shed.go
@@ -72,7 +72,7 @@
 
 func pack(v float64) uint64 { return min(uint64(v*unit), maxSum) }
 
-// Offer tells whether a request of a priority should be offered; draw is a
+// Offer reports whether a request of a priority should be offered; draw is a
 // random number from 0 to 1.
 func (th *Throttle) Offer(priority int, now time.Time, draw float64) bool {
 	co := &th.ranks[rank(priority)]
--- a/internal/plat/faulty/faulty.go
+++ b/internal/plat/faulty/faulty.go
@@ -11,7 +11,7 @@
 )
 
 // Behave handles a request, number n on its connection counting from 1, whose
-// body it has to read itself. It tells whether the connection goes on.
+// body it has to read itself. It reports whether the connection goes on.
 type Behave func(cn net.Conn, n int, req *http.Request) bool
 
 // Server is a backend server that does as Behave says.
--- a/internal/plat/stand/stand.go
+++ b/internal/plat/stand/stand.go
@@ -233,7 +233,7 @@
 	return items
 }
 
-// touchedAfter tells whether a key under a prefix changed after a write; st.mu is held.
+// touchedAfter reports whether a key under a prefix changed after a write; st.mu is held.
 func (st *Stand) touchedAfter(prefix string, number int64) bool {
 	for key, n := range st.touched {
 		if n > number && strings.HasPrefix(key, prefix) {
--- a/internal/plat/store/store.go
+++ b/internal/plat/store/store.go
@@ -22,10 +22,10 @@
 	Number int64
 }
 
-// Exists tells whether the key existed.
+// Exists reports whether the key existed.
 func (rv Revision) Exists() bool { return rv.Number != 0 }
 
-// Is tells whether a key at cur is still as it was at rv. A revision without an epoch
+// Is reports whether a key at cur is still as it was at rv. A revision without an epoch
 // stands for its number in any.
 func (rv Revision) Is(cur Revision) bool {
 	return rv.Number == cur.Number && (rv.Epoch == 0 || rv.Epoch == cur.Epoch)
@@ -156,7 +156,7 @@
 // Unwrap returns the cause.
 func (er *Error) Unwrap() error { return er.Err }
 
-// Is tells whether err is an *Error of kind kd.
+// Is reports whether err is an *Error of kind kd.
 func Is(err error, kd Kind) bool {
 	var er *Error
 	return errors.As(err, &er) && er.Kind == kd
--- a/internal/roll/canary/canary.go
+++ b/internal/roll/canary/canary.go
@@ -42,7 +42,7 @@
 	return "unknown"
 }
 
-// Final tells whether the rollout has ended.
+// Final reports whether the rollout has ended.
 func (st State) Final() bool { return st == Complete || st == RolledBack }
 
 // Rollout is what is known of the newest rollout of a service. It is not changed once it
@@ -126,7 +126,7 @@
 	return list
 }
 
-// Active tells whether any rollout is in progress.
+// Active reports whether any rollout is in progress.
 func (vw *View) Active() bool {
 	return slices.ContainsFunc(vw.All(), func(ro *Rollout) bool { return ro.State == InProgress })
 }
@@ -161,7 +161,7 @@
 	Idle
 )
 
-// names tells whether a version has a part in the rollout.
+// names reports whether a version has a part in the rollout.
 func (ro *Rollout) names(software string) bool {
 	return software == ro.Order.Target || slices.Contains(ro.Baseline, software)
 }
--- a/internal/roll/judge/judge.go
+++ b/internal/roll/judge/judge.go
@@ -68,7 +68,7 @@
 			ju.domains[name] = do
 		}
 		do.sum = sum
-		news[do] = ju.take(do, sum)
+		news[do] = ju.update(do, sum)
 	}
 	normals := map[string]*normal{}
 	for do, rows := range news {
@@ -94,9 +94,9 @@
 	ju.looked, ju.began = elapsed, true
 }
 
-// take adds the news of a failure domain to its baselines, and returns those of the target
-// by route.
-func (ju *Judge) take(do *domain, sum tally.Sum) map[string]*tally.Row {
+// update adds what a failure domain counted since the last look to its baselines, and
+// returns what the target did there by route.
+func (ju *Judge) update(do *domain, sum tally.Sum) map[string]*tally.Row {
 	target := map[string]*tally.Row{}
 	for software, ch := range sum {
 		seen := do.seen[software]
--- a/internal/roll/tally/tally.go
+++ b/internal/roll/tally/tally.go
@@ -29,7 +29,7 @@
 	}
 }
 
-// Since returns what was counted after an earlier state of the row. It tells whether that
+// Since returns what was counted after an earlier state of the row. It reports whether that
 // was an earlier state: the counts of a process that was replaced begin anew.
 func (ro *Row) Since(before *Row) (Row, bool) {
 	next := Row{Requests: ro.Requests - before.Requests, Failures: ro.Failures - before.Failures}
--- a/internal/stat/acct/acct.go
+++ b/internal/stat/acct/acct.go
@@ -150,7 +150,7 @@
 	return ac
 }
 
-// lostUnrun tells whether a request failed though none of its tries was handed over.
+// lostUnrun reports whether a request failed though none of its tries was handed over.
 func (rd *Reader) lostUnrun(ln *trail.Line) bool {
 	tries := int(ln.Number("attempts"))
 	return ln.Text(logs.Outcome) == result.MayHaveRun.String() && tries > 0 && rd.notRun[ln.Text(logs.ID)] >= tries
--- a/internal/stat/acct/slots.go
+++ b/internal/stat/acct/slots.go
@@ -70,7 +70,7 @@
 // with a slot that looks free.
 const onTheWay = 1
 
-// free tells whether a server of a service that answered in the seconds around a moment
+// free reports whether a server of a service that answered in the seconds around a moment
 // had a free slot then.
 func (he held) free(service string, now time.Time) bool {
 	for _, se := range he[service] {
@@ -81,7 +81,7 @@
 	return false
 }
 
-// serves tells whether a request began within a second before a moment and one within a
+// serves reports whether a request began within a second before a moment and one within a
 // second after it: a server that is gone has no free slot.
 func (se *server) serves(now time.Time) bool {
 	i, _ := slices.BinarySearchFunc(se.spans, now, func(sp span, at time.Time) int { return sp.from.Compare(at) })
--- a/internal/stat/logs/limit.go
+++ b/internal/stat/logs/limit.go
@@ -82,7 +82,7 @@
 	return ha.next.Handle(ctx, rec)
 }
 
-// take tells whether a line is kept, and from time to time how many were not.
+// take reports whether a line is kept, and from time to time how many were not.
 func (st *state) take(ky key, now time.Time) (keep bool, lost map[string]int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/stat/trail/cause.go
+++ b/internal/stat/trail/cause.go
@@ -165,7 +165,7 @@
 	return append(list, fmt.Sprintf("the inlet of %s has no line of it: it was lost, the way to it was, or its line was left out%s", to, lo.leftOut(to, end.Time)))
 }
 
-// oldVersion tells whether others held a newer configuration than the request was
+// oldVersion reports whether others held a newer configuration than the request was
 // routed by, and what the daemon knew of the platform.
 func (lo *Log) oldVersion(end *Line) []string {
 	routed := end.Number(logs.Version)
