path/inlet: evidence of a crash outlasts connections that are read late

Cause: 20 ms after the first break a request whose own break had not been read yet, on a busy machine, was taken for one that the server still runs, and the evidence was dropped. Now each break is judged 20 ms later against those of the last half second that ran together; nothing is dropped until a request that ran beside them is answered, the same start announces itself, or it drains.

Ruled out: a longer window alone (breaks one after the other at a server that lives would look like one crash; those count only if they ran together).

--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// crashWindow is the time within which all connections of a crashed server break.
+	// crashWindow is how long after a break the other connections of a crashed server are
+	// given to be read as broken, crashSpan how long that takes on a busy VM.
 	crashWindow = 20 * time.Millisecond
+	crashSpan   = 500 * time.Millisecond
 	// crashBreaks is how many requests must have broken off together, and no other still
 	// run, for a server that accepts connections to be taken for crashed.
 	crashBreaks = 2
@@ -28,7 +30,8 @@
 type broken struct {
 	id requestID
 	of Target
-	at time.Time
+	// since is when the server got it, at when its connection broke.
+	since, at time.Time
 }
 
 // sameStart reports whether two targets are one start of a backend server.
@@ -48,50 +51,59 @@
 	return fl
 }
 
-// finish records that a request has been answered or has failed; it may be called twice.
-func (cd *crashDetector) finish(fl *flight) {
+// finish records that a request has been answered or has failed; it may be called twice. A
+// server that answers a request which it ran when others broke off has not crashed.
+func (cd *crashDetector) finish(fl *flight, answered bool) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	delete(cd.flights, fl)
+	if !answered || len(cd.broken) == 0 {
+		return
+	}
+	now := time.Now()
+	cd.broken = slices.DeleteFunc(cd.broken, func(br broken) bool {
+		return br.of.sameStart(&fl.of) && !fl.since.After(br.at) && now.Sub(br.at) > crashWindow
+	})
 }
 
-// interrupt records that the connection of a request broke, and reports whether it is the
-// first one within crashWindow, after which judge is to be called.
-func (cd *crashDetector) interrupt(id requestID, tg *Target, now time.Time) (first bool) {
+// interrupt records that the connection of a request broke.
+func (cd *crashDetector) interrupt(id requestID, fl *flight, now time.Time) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
-	first = !slices.ContainsFunc(cd.broken, func(br broken) bool {
-		return br.of.sameStart(tg) && now.Sub(br.at) < crashWindow
-	})
-	cd.broken = append(cd.broken, broken{id: id, of: *tg, at: now})
+	delete(cd.flights, fl)
+	cd.broken = append(cd.broken, broken{id: id, of: fl.of, since: fl.since, at: now})
 	if len(cd.broken) > maxBroken {
 		cd.broken = cd.broken[1:]
 	}
-	return first
 }
 
 // judge returns the requests that a server ran when it crashed, none if it did not crash or
-// that is not known yet. Only requests that broke after from count, and none if the server
-// still runs one that it began before.
-func (cd *crashDetector) judge(tg *Target, from time.Time) (ids []requestID) {
+// that is not known yet. Those count that broke off lately and ran together, and none if
+// the server still runs another one that ran beside them.
+func (cd *crashDetector) judge(tg *Target, now time.Time) (ids []requestID) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
-	these := func(br broken) bool { return br.of.sameStart(tg) && !br.at.Before(from) }
+	recent := func(br broken) bool { return br.of.sameStart(tg) && now.Sub(br.at) < crashSpan }
+	first := slices.IndexFunc(cd.broken, recent)
+	if first < 0 {
+		return nil
+	}
+	from := cd.broken[first].at
 	for fl := range cd.flights {
 		if fl.of.sameStart(tg) && !fl.since.After(from) {
-			cd.broken = slices.DeleteFunc(cd.broken, these)
 			return nil
 		}
 	}
+	beside := func(br broken) bool { return recent(br) && !br.since.After(from) }
 	for _, br := range cd.broken {
-		if these(br) {
+		if beside(br) {
 			ids = append(ids, br.id)
 		}
 	}
 	if len(ids) < crashBreaks {
 		return nil
 	}
-	cd.broken = slices.DeleteFunc(cd.broken, these)
+	cd.broken = slices.DeleteFunc(cd.broken, beside)
 	return ids
 }
 
@@ -149,17 +161,16 @@
 }
 
 // interrupted records a request that broke off at a server which accepts connections.
-func (in *Inlet) interrupted(id requestID, tg *Target) {
+func (in *Inlet) interrupted(id requestID, fl *flight) {
+	tg := &fl.of
 	if in.crashes.isLeaving(tg) {
+		in.crashes.finish(fl, false)
 		return
 	}
 	now := time.Now()
-	first := in.crashes.interrupt(id, tg, now)
+	in.crashes.interrupt(id, fl, now)
 	in.reportRestarted(in.target.Load(), now)
-	if !first {
-		return
-	}
-	time.AfterFunc(crashWindow, func() { in.reportCrash(tg, in.crashes.judge(tg, now)) })
+	time.AfterFunc(crashWindow, func() { in.reportCrash(tg, in.crashes.judge(tg, time.Now())) })
 }
 
 // reportRestarted reports crashes of earlier starts of the server than the present one. A
--- a/internal/path/inlet/broken_test.go
+++ b/internal/path/inlet/broken_test.go
@@ -22,9 +22,7 @@
 		return Target{VM: "vm", Service: "booking", Addr: "127.0.0.1:9", Lifetime: lifetime}
 	}
 	breaks := func(in *Inlet, fl *flight, key ident.Key) {
-		tg := in.target.Load()
-		in.crashes.finish(fl)
-		in.interrupted(requestID{key: key}, tg)
+		in.interrupted(requestID{key: key}, fl)
 	}
 	begin := func(in *Inlet) *flight { return in.crashes.begin(in.target.Load()) }
 	for _, tc := range []struct {
@@ -51,7 +49,20 @@
 			breaks(in, a, 1)
 			breaks(in, b, 2)
 			time.Sleep(time.Second)
-			in.crashes.finish(c)
+			in.crashes.finish(c, true)
+			in.SetTarget(target(second))
+		}, 0},
+		{"another one breaks a little later", func(in *Inlet) {
+			a, b, c := begin(in), begin(in), begin(in)
+			breaks(in, a, 1)
+			breaks(in, b, 2)
+			time.Sleep(3 * crashWindow)
+			breaks(in, c, 3)
+		}, 3},
+		{"one, and the next that began after it", func(in *Inlet) {
+			breaks(in, begin(in), 1)
+			time.Sleep(time.Millisecond)
+			breaks(in, begin(in), 2)
 		}, 0},
 		{"one that began later runs on", func(in *Inlet) {
 			a, b := begin(in), begin(in)
@@ -85,17 +96,15 @@
 			in.SetTarget(target(second))
 		}, 0},
 		{"one, read after another start has followed", func(in *Inlet) {
-			fl, tg := begin(in), in.target.Load()
+			fl := begin(in)
 			in.SetTarget(target(second))
-			in.crashes.finish(fl)
-			in.interrupted(requestID{key: 1}, tg)
+			breaks(in, fl, 1)
 		}, 1},
 		{"one of a start that left, read after another has followed", func(in *Inlet) {
-			fl, tg := begin(in), in.target.Load()
+			fl := begin(in)
 			in.ServerLeaves()
 			in.SetTarget(target(second))
-			in.crashes.finish(fl)
-			in.interrupted(requestID{key: 1}, tg)
+			breaks(in, fl, 1)
 		}, 0},
 		{"one, and another start follows much later", func(in *Inlet) {
 			breaks(in, begin(in), 1)
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -127,7 +127,8 @@
 // recordCrash finds out whether a request failed because its backend server crashed, and
 // reports what that server was running. A server that closes a connection by itself still
 // accepts others afterwards; one that drains did not crash.
-func (in *Inlet) recordCrash(r *http.Request, lead *ident.Lead, tg *Target, rf *result.Refusal) {
+func (in *Inlet) recordCrash(r *http.Request, lead *ident.Lead, fl *flight, rf *result.Refusal) {
+	tg := &fl.of
 	gaveUp := rf.Reason == result.ReasonCallerGone || rf.Reason == result.ReasonDeadline
 	switch {
 	case rf.Outcome == result.MayHaveRun && gaveUp:
@@ -141,7 +142,7 @@
 	end, ended, first := in.crashes.crashed(tg, func() bool { return in.isDown(tg) })
 	if !ended {
 		if id, ok := requestIDOf(r, lead); ok && rf.Outcome == result.MayHaveRun && !in.Gate.Draining() {
-			in.interrupted(id, tg)
+			in.interrupted(id, fl)
 		}
 		return
 	}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -260,13 +260,12 @@
 	sr := pa.sr
 	lead := ident.NewLead(r.Body)
 	fl := in.crashes.begin(tg)
-	defer in.crashes.finish(fl)
+	defer in.crashes.finish(fl, false)
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, lead))
 	if at.Response == nil {
-		in.crashes.finish(fl)
 		in.tallyFailure(r, ctx.Err() != nil, pa)
 		rf := in.failure(ctx, r, at, tg)
-		in.recordCrash(r, lead, tg, rf)
+		in.recordCrash(r, lead, fl, rf)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
 		return
@@ -286,18 +285,17 @@
 	size := max(0, at.Response.ContentLength)
 	if in.held.Take(size) {
 		defer in.held.Give(size)
-		err := at.Hold(maxHeld)
-		in.crashes.finish(fl)
-		if err != nil {
+		if err := at.Hold(maxHeld); err != nil {
 			in.tallyFailure(r, false, pa)
 			rf := in.failure(ctx, r, at, tg)
 			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
-			in.recordCrash(r, lead, tg, rf)
+			in.recordCrash(r, lead, fl, rf)
 			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 			in.refuse(w, r, rf)
 			return
 		}
 		if size > 0 {
+			in.crashes.finish(fl, true)
 			pa.tk.Leave()
 			in.clearSuspect(r, lead)
 		}
@@ -310,12 +308,13 @@
 	if err := proxy.Copy(w, at, pa.tf.pace(r.Context(), size)); err != nil {
 		var ce *proxy.CopyError
 		if errors.As(err, &ce) && ce.Reading {
-			in.recordCrash(r, lead, tg, &result.Refusal{Outcome: result.MayHaveRun, Reason: result.ReasonBroken})
+			in.recordCrash(r, lead, fl, &result.Refusal{Outcome: result.MayHaveRun, Reason: result.ReasonBroken})
 		}
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(result.ReasonBroken), 1)
 		panic(http.ErrAbortHandler)
 	}
 	// One that was not held has been read only now.
+	in.crashes.finish(fl, true)
 	in.clearSuspect(r, lead)
 	sr.Outcomes.Add(result.Answered.String(), 1)
 }
