--- a/internal/node/heap/heap.go
+++ b/internal/node/heap/heap.go
@@ -10,9 +10,9 @@
 const (
 	// Least is the growth in percent that a daemon starts with, well below the runtime's
 	// own: a calm daemon collects seldom, and its memory is dear.
-	Least = 15
+	Least = 25
 	// most bounds the growth of a pressed daemon.
-	most = 60
+	most = 100
 	// often is the time that should be between two collections of a pressed daemon. A
 	// collection keeps a VM with a small part of a core from its requests for a tenth of
 	// a second.
