--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -88,8 +88,8 @@
 func (ro *roller) follow(ctx context.Context, over <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	listings := make(chan store.Listing)
-	ro.nd.background(func() { ro.nd.watchOrders(ctx, ro.at, listings) })
+	listings, at := make(chan store.Listing), ro.at
+	ro.nd.background(func() { ro.nd.watchOrders(ctx, at, listings) })
 	tick := time.NewTicker(decideInterval)
 	defer tick.Stop()
 	for {
--- a/internal/node/soak/world.go
+++ b/internal/node/soak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,7 +52,7 @@
 	board  *board
 	ledger ledger
 	// version is the newest one that was accepted.
-	version uint64
+	version atomic.Uint64
 	failing string
 	wg      sync.WaitGroup
 }
@@ -131,15 +132,19 @@
 func (wo *world) change(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	co, err := pack.Encode(wo.mesh(int(wo.version)))
+	base := wo.version.Load()
+	co, err := pack.Encode(wo.mesh(int(base)))
 	if err != nil {
 		return err
 	}
 	res, err := accept.Submit(ctx, wo.kv, accept.Submission{
-		ID: fmt.Sprintf("soak-%d-%d", wo.version, rand.Uint32()), Base: wo.version, Content: co, Whole: true, Floor: wo.version, Resume: true,
+		ID: fmt.Sprintf("soak-%d-%d", base, rand.Uint32()), Base: base, Content: co, Whole: true, Floor: base, Resume: true,
 	})
-	if err == nil {
-		wo.version = max(wo.version, res.Entry.Version)
+	for err == nil {
+		newest := wo.version.Load()
+		if res.Entry.Version <= newest || wo.version.CompareAndSwap(newest, res.Entry.Version) {
+			break
+		}
 	}
 	return err
 }
@@ -203,7 +208,7 @@
 
 // look makes the checks of the versions that daemons hold.
 func (wo *world) look(ctx context.Context) (lowest uint64) {
-	lowest = wo.version
+	lowest = wo.version.Load()
 	for _, v := range wo.all() {
 		held := heldBy(ctx, v)
 		lowest = min(lowest, held)
@@ -222,9 +227,9 @@
 
 // waitHeld waits until all daemons hold the newest version.
 func (wo *world) waitHeld(ctx context.Context, limit time.Duration) error {
-	for end := time.Now().Add(limit); wo.look(ctx) < wo.version; {
+	for end := time.Now().Add(limit); wo.look(ctx) < wo.version.Load(); {
 		if time.Now().After(end) || ctx.Err() != nil {
-			return fmt.Errorf("not all daemons hold version %d after %s", wo.version, limit)
+			return fmt.Errorf("not all daemons hold version %d after %s", wo.version.Load(), limit)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
