path, stat: lines of a request tell its limit, how long it was queued, and what broke

Reported: non-idempotent requests without a whole answer around SIGTERM. No decision changes here.

Before, such a line said deadline-passed and "took" alone.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -198,7 +198,7 @@
 	}
 	in.Log.LogAttrs(context.Background(), slog.LevelWarn, event, slog.String(logs.ID, in.id(r)),
 		slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
-		slog.String(logs.Load, load), slog.Duration("retry-after", rf.RetryAfter))
+		slog.String(logs.Load, load), slog.Duration("retry-after", rf.RetryAfter), rf.CauseAttr())
 	if r.ContentLength > maxUnread && r.Header.Get("Expect") == "" {
 		w.Header().Set("Connection", "close")
 	}
@@ -288,7 +288,7 @@
 		if err := at.Hold(maxHeld); err != nil {
 			in.tallyFailure(r, false, pa)
 			rf := in.failure(ctx, r, at, tg)
-			rf.Outcome, rf.Reason = result.MayHaveRun, result.ReasonBroken
+			rf.Outcome, rf.Reason, rf.Cause = result.MayHaveRun, result.ReasonBroken, err
 			in.recordCrash(r, lead, fl, rf)
 			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 			in.refuse(w, r, rf)
@@ -328,7 +328,7 @@
 
 func (in *Inlet) failure(ctx context.Context, r *http.Request, at *proxy.Attempt, tg *Target) *result.Refusal {
 	oc, re := at.Outcome()
-	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second}
+	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second, Cause: at.Err}
 	switch {
 	case r.Context().Err() != nil:
 		rf.Reason = result.ReasonCallerGone
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
-	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // attempt sends the request to one server. It returns nil once an answer was
@@ -120,8 +118,9 @@
 // that may be repeated can be sent again as long as nothing was passed on.
 func (rq *request) readSmall(at *proxy.Attempt) *result.Refusal {
 	if err := at.Hold(maxHeldAnswer); err != nil {
-		rq.ou.log.Debug("answer-broken", slog.String(logs.ID, rq.id()), slog.Any("error", err))
-		return rq.failure(at, result.MayHaveRun, result.ReasonBroken)
+		rf := rq.failure(at, result.MayHaveRun, result.ReasonBroken)
+		rf.Cause = err
+		return rf
 	}
 	return nil
 }
@@ -153,7 +152,7 @@
 
 // failure describes an attempt without an answer.
 func (rq *request) failure(at *proxy.Attempt, oc result.Outcome, re result.Reason) *result.Refusal {
-	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second}
+	rf := &result.Refusal{Outcome: oc, Reason: re, RetryAfter: time.Second, Cause: at.Err}
 	switch {
 	case rq.r.Context().Err() != nil:
 		rf.Reason = result.ReasonCallerGone
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -223,7 +223,7 @@
 	sv := route.Target(rand.IntN(route.Total()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, base: rt.tb.Group(sv), gp: rt.tb.Group(sv).For(start, rand.Float64()), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, elapsed: elapsed, final: final, priority: priority, repeat: repeat, further: further, try: try,
+		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, repeat: repeat, further: further, try: try,
 	}
 	undo := guardTimes(w, start.Add(limit))
 	defer func() {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -36,6 +36,9 @@
 	src      source
 	tried    pick.Tried
 	start    time.Time
+	// queued is how long after start the outlet began to handle it, limit how long after
+	// start it gives up.
+	queued, limit time.Duration
 	// elapsed is how long the caller had been at it before it came here.
 	elapsed time.Duration
 	// final is set where the caller cannot come back after a refusal.
@@ -60,6 +63,8 @@
 	tries, busy, sent int
 	// ends counts the attempts under which the backend server ended.
 	ends int
+	// failed is the last attempt that was not answered, nil for none.
+	failed *result.Refusal
 }
 
 func (rq *request) serve() {
@@ -101,9 +106,11 @@
 		rq.software = ep.Software
 		rf := rq.attempt(ep)
 		if rf == nil {
+			rq.failed = nil
 			rq.count(result.Answered, "")
 			return true
 		}
+		rq.failed = rf
 		rq.logAttempt(ep, rf)
 		if rf.Reason == result.ReasonServerEnded {
 			rq.ends = max(rq.ends+1, rf.Ends)
@@ -275,6 +282,7 @@
 	sr := rq.ou.Stats.For(rq.sv.Name, rq.route.Class.Name)
 	took := time.Since(rq.start)
 	sr.Latency.Record(took)
+	sr.Queue.Record(rq.queued)
 	name := oc.String()
 	if re != "" {
 		name += "/" + string(re)
@@ -297,6 +305,7 @@
 		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
 		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
 		slog.Int("attempts", rq.tries), slog.String(logs.VM, rq.vm), rq.softwareAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
+		slog.Duration(logs.Queued, rq.queued), slog.Duration(logs.Limit, rq.limit), rq.causeAttr(),
 		slog.Duration(logs.Objective, rq.route.Objective),
 		slog.Duration(logs.Wait, rq.spent.Wait), slog.Duration(logs.Held, rq.spent.Held), slog.Duration(logs.Took, took))
 }
@@ -310,13 +319,22 @@
 	return slog.String(logs.Software, rq.software)
 }
 
+// causeAttr returns what broke the last attempt for the log, nothing where the request was
+// answered.
+func (rq *request) causeAttr() slog.Attr {
+	if rq.failed == nil {
+		return slog.Attr{}
+	}
+	return rq.failed.CauseAttr()
+}
+
 // logAttempt writes the line of a try that did not end in an answer, with what
 // was believed of the server.
 func (rq *request) logAttempt(ep *pick.Endpoint, rf *result.Refusal) {
 	load, age := ep.Believed(time.Now())
 	rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.Attempt, slog.String(logs.ID, rq.id()),
 		slog.String(logs.VM, ep.VM), slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
-		slog.Float64(logs.Load, load), slog.Duration(logs.LoadAge, age), slog.Duration(logs.Took, time.Since(rq.start)))
+		slog.Float64(logs.Load, load), slog.Duration(logs.LoadAge, age), slog.Duration(logs.Took, time.Since(rq.start)), rf.CauseAttr())
 }
 
 // id returns the caller's id of the request, empty where callers give none.
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // Outcome is how one attempt, or a request as a whole, ended. Whether it may
@@ -174,11 +177,21 @@
 	// RetryAfter is when the caller should come back; zero for no advice.
 	RetryAfter time.Duration
 	Detail     string
+	// Cause is the error of the connection, for logs alone; nil where none broke.
+	Cause error
 	// Ends is how many backend servers ended while they ran the request, where one did
 	// in this attempt.
 	Ends int
 }
 
+// CauseAttr returns the cause for a log line, nothing where there is none.
+func (rf *Refusal) CauseAttr() slog.Attr {
+	if rf.Cause == nil {
+		return slog.Attr{}
+	}
+	return slog.Any(logs.Error, rf.Cause)
+}
+
 // Crowded reports whether the request was refused for want of room.
 func (rf *Refusal) Crowded() bool {
 	if rf.Outcome != NotRun {
--- a/internal/stat/hist/hist.go
+++ b/internal/stat/hist/hist.go
@@ -76,7 +76,8 @@
 
 // Series is what is counted for one service and class on one side of the path.
 type Series struct {
-	// Latency is of whole requests, Queue of the wait for a slot.
+	// Latency is of whole requests, Queue of the wait for a slot, or at an outlet of the
+	// time between the reading of a request and its handling.
 	Latency, Queue Durations
 	// Outcomes counts requests by outcome and reason, Attempts by how often
 	// they were sent.
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -51,6 +51,12 @@
 	Lifetime = "lifetime"
 	// Took is the time from the arrival to the end, in nanoseconds.
 	Took = "took"
+	// Queued is how long a request had been read when the outlet began to handle it,
+	// Limit how long after that reading it is given up on, in nanoseconds.
+	Queued = "queued"
+	Limit  = "limit"
+	// Error is what broke the last attempt at a request.
+	Error = "error"
 	// Objective is the time within which the answer has its full worth, in
 	// nanoseconds, 0 where none is declared.
 	Objective = "objective"
--- a/internal/stat/trail/cause.go
+++ b/internal/stat/trail/cause.go
@@ -100,6 +100,10 @@
 		list = append(list, lo.poison()...)
 	case reason == result.ReasonNoServer:
 		say("no server of %s was known to the outlet of %s", end.Text("service"), end.VM)
+	case reason == result.ReasonDeadline:
+		say("given up on by the outlet of %s %v after it had been read, at a limit of %v; it had been read for %v when the outlet began to handle it",
+			end.VM, end.Span(logs.Took).Round(time.Millisecond), end.Span(logs.Limit).Round(time.Millisecond), end.Span(logs.Queued).Round(time.Millisecond))
+		list = append(list, lo.slow(end)...)
 	case end.Text(logs.Outcome) == result.MayHaveRun.String() && reason != result.ReasonCallerGone:
 		list = append(list, lo.mayHaveRun(end)...)
 	case reason == result.ReasonCallerGone:
--- a/internal/stat/trail/trail_test.go
+++ b/internal/stat/trail/trail_test.go
@@ -69,6 +69,8 @@
 			request(900, "answered", "", 1, `,"took":10000000`), line(100, "c", "version-held", `"version":8`),
 			line(110, "a", "version-refused", `"version":8,"error":"no service nowhere"`),
 		}, []string{"answered", "it was routed by version 7", "a did not take version 8 (version-refused: no service nowhere)"}},
+		{"read long before it was handled", []string{request(900, "may-have-run", "deadline-passed", 1, `,"to-vm":"b","took":1500000000,"limit":1500000000,"queued":1400000000`)},
+			[]string{"given up on by the outlet of a 1.5s after it had been read, at a limit of 1.5s; it had been read for 1.4s when"}},
 		{"the caller left", []string{request(900, "may-have-run", "caller-gone", 1, `,"took":500000000`)}, []string{"the caller left after 500ms"}},
 		{"the outlet was killed", []string{line(10, "b", "inlet-failed", `"id":"x","reason":"caller-gone"`)}, []string{"no line tells its end"}},
 		{"unknown id", []string{line(10, "b", "version-held", `"version":8`)}, []string{"no line bears this id"}},
