--- /dev/null
+++ b/internal/node/daemon/kept_test.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/conf/decl"
+	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/node/setup"
+	"github.com/flamingomast/flamingomast/internal/plat/stand"
+)
+
+// The times of a caller that keeps its connection.
+const (
+	keptDeadline = 600 * time.Millisecond
+	keptWork     = 350 * time.Millisecond
+	// keptPause is longer than the deadline.
+	keptPause = 700 * time.Millisecond
+)
+
+// keptFleet is a daemon with a backend server that takes keptWork.
+type keptFleet struct {
+	outlet string
+	stop   context.CancelFunc
+}
+
+func newKeptFleet(t *testing.T) *keptFleet {
+	t.Helper()
+	hs := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-time.After(keptWork)
+		}
+	}))
+	t.Cleanup(hs.Close)
+	kv := stand.New().Store()
+	ms := mesh(8)
+	ms.Routes = []decl.Route{{Name: "r", Match: decl.Match{Host: "booking"}, To: []decl.Target{{Service: "booking", Weight: 1}}, Deadline: decl.Duration(keptDeadline), Repeat: decl.RepeatNever}}
+	apply(t, kv, 0, ms)
+	se := setup.Settings{VM: "vm-0", Domain: "d", Outlet: freeAddr(t), Inlet: freeAddr(t), Control: freeAddr(t), Admin: freeAddr(t), DrainTimeout: 6 * time.Second}
+	dm := New(se, Options{Store: &kv})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- dm.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	an := admin.Announcement{Service: "booking", Address: hs.Listener.Addr().String(), TTLMs: 60_000}
+	if err := dm.announce(t.Context(), an); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the server is known", func() bool {
+		tb := dm.Outlet.Table()
+		return tb != nil && tb.Group(tb.Snap.Services["booking"]).Len() == 1
+	})
+	return &keptFleet{outlet: se.Outlet, stop: cancel}
+}
+
+// TestKeptConnectionAfterChunks guards against a request being given up on while its server
+// runs it, since an earlier one on its connection had a body in chunks.
+func TestKeptConnectionAfterChunks(t *testing.T) {
+	h2 := new(http.Protocols)
+	h2.SetUnencryptedHTTP2(true)
+	for _, tc := range []struct {
+		name   string
+		length int64
+		ps     *http.Protocols
+	}{{"a length", 4, nil}, {"chunks", -1, nil}, {"HTTP/2", 4, h2}} {
+		for _, stopped := range []bool{false, true} {
+			name := tc.name
+			if stopped {
+				name += ", the daemon stops"
+			}
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				fl := newKeptFleet(t)
+				tr := &http.Transport{MaxConnsPerHost: 1, Protocols: tc.ps}
+				defer tr.CloseIdleConnections()
+				ask := func(when string) {
+					t.Helper()
+					req, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+fl.outlet+"/", io.NopCloser(strings.NewReader("body")))
+					if err != nil {
+						t.Fatal(err)
+					}
+					req.Host, req.ContentLength = "booking", tc.length
+					res, err := tr.RoundTrip(req)
+					if err != nil {
+						t.Errorf("%s: %v", when, err)
+						return
+					}
+					defer res.Body.Close()
+					if res.StatusCode != http.StatusOK {
+						t.Errorf("%s: %s, want the server's answer", when, res.Status)
+					}
+				}
+				ask("the first")
+				if stopped {
+					fl.stop()
+				}
+				ask("right behind it")
+				<-time.After(keptPause)
+				ask("after a pause")
+			})
+		}
+	}
+}
--- a/internal/path/piping/piping_test.go
+++ b/internal/path/piping/piping_test.go
@@ -32,13 +32,16 @@
 	running, most atomic.Int32
 	// idle counts how often a connection was told to be idle.
 	idle atomic.Int32
+	// ages has by path how long before its handler a request had arrived, as far as that
+	// is known.
+	ages map[string]time.Duration
 }
 
 // newRig starts a server whose requests take as many milliseconds as the first
 // part of their path says; the second part, if any, names a way to answer.
 func newRig(t *testing.T) *rig {
 	t.Helper()
-	rg := &rig{t: t, nw: memnet.New()}
+	rg := &rig{t: t, nw: memnet.New(), ages: map[string]time.Duration{}}
 	rg.ho, _ = rg.nw.Listen("caller:1", "")
 	fr := New(func(r *http.Request) bool { return r.Method != http.MethodPost }, func(_ net.Conn, st http.ConnState) {
 		if st == http.StateIdle {
@@ -67,6 +70,9 @@
 func (rg *rig) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rg.mu.Lock()
 	rg.ran = append(rg.ran, r.Method+" "+r.URL.Path)
+	if at := Arrived(r); !at.IsZero() {
+		rg.ages[r.URL.Path] = time.Since(at)
+	}
 	rg.mu.Unlock()
 	now := rg.running.Add(1)
 	defer rg.running.Add(-1)
