path/piping: what is known of a request ends with it

What callers saw: on a connection on which a body had come in chunks, each later request was reckoned as old as that one. It was given up on with 504 while its server ran it, then refused with 503, and from two seconds past its deadline on the connection closed without an answer. Over HTTP/2 all requests of a connection counted from the connection's start. Rules look at a lost answer around a stop alone; it came at any time.

Cause: the moment of arrival belonged to the connection and was set where the connection parses a head itself. Behind a body without a length it leaves that to the library, so the last moment stayed. Class: state of one request kept with the connection and taken for the next one's. The fields of a request are one value now that is replaced when its answer has been sent; what only the library knows is unknown, and counts from the handler's call.

--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -44,13 +44,8 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	phase   phase
-	head    head
-	// request is the one that the server has on the connection itself, left how many
-	// bytes of its body were not handed on.
-	request *http.Request
-	left    int64
-	// arrived is when the head of the request that the server has was whole.
-	arrived time.Time
+	// own is the request that the server has on the connection itself.
+	own exchange
 	// unread was read from the caller and not handed on; stuck is set once it
 	// begins with a request that waits for its turn.
 	unread []byte
@@ -73,6 +68,18 @@
 	piped, gone, ending, closed bool
 }
 
+// exchange is a request and its answer. It is replaced as a whole once the answer is sent,
+// so that nothing of it is taken for a part of the next one.
+type exchange struct {
+	head head
+	// request is nil until its handler is called, left how many bytes of its body were
+	// not handed on.
+	request *http.Request
+	left    int64
+	// arrived is when the head was whole, the zero time where only the library knows.
+	arrived time.Time
+}
+
 func newConn(fr *Front, nc net.Conn) *conn {
 	cn := &conn{Conn: nc, fr: fr}
 	cn.changed = sync.NewCond(&cn.mu)
@@ -101,7 +108,7 @@
 	case cn.phase == plain:
 		return cn.pass(p)
 	case cn.phase == inBody:
-		n, err := cn.pass(p[:min(int64(len(p)), cn.left)])
+		n, err := cn.pass(p[:min(int64(len(p)), cn.own.left)])
 		cn.took(int64(n))
 		return n, err
 	case cn.phase == inHead && len(cn.turns) == 0:
@@ -119,7 +126,7 @@
 
 // took counts bytes of the body that were handed on; cn.mu is held.
 func (cn *conn) took(n int64) {
-	if cn.left -= n; cn.left <= 0 {
+	if cn.own.left -= n; cn.own.left <= 0 {
 		cn.phase = waiting
 	}
 }
@@ -192,7 +199,7 @@
 	if n == 0 {
 		return 0, err
 	}
-	used, whole := cn.head.end(p[:n])
+	used, whole := cn.own.head.end(p[:n])
 	if used < n {
 		// Before what was read earlier and not handed on.
 		cn.unread = append(bytes.Clone(p[used:n]), cn.unread...)
@@ -200,12 +207,14 @@
 	if !whole {
 		return used, nil
 	}
-	cn.phase, cn.arrived, cn.turns = begun, time.Now(), append(cn.turns, nil)
-	if !cn.since.IsZero() {
-		cn.arrived, cn.since = cn.since, time.Time{}
-	}
-	if cn.head.http2() {
+	cn.phase, cn.turns = begun, append(cn.turns, nil)
+	if cn.own.head.http2() {
 		cn.phase = plain
+		return used, nil
+	}
+	cn.own.arrived = time.Now()
+	if !cn.since.IsZero() {
+		cn.own.arrived, cn.since = cn.since, time.Time{}
 	}
 	return used, nil
 }
@@ -217,14 +226,14 @@
 	if cn.phase != begun {
 		return
 	}
-	cn.request = r
+	cn.own.request = r
 	switch {
 	case r.ContentLength < 0:
 		cn.phase = plain
 	case r.ContentLength == 0:
 		cn.phase = waiting
 	default:
-		cn.phase, cn.left = inBody, r.ContentLength
+		cn.phase, cn.own.left = inBody, r.ContentLength
 	}
 	cn.changed.Broadcast()
 }
@@ -245,13 +254,14 @@
 		cn.fr.State(cn.Conn, state)
 	case http.StateIdle:
 		cn.mu.Lock()
+		cn.own = exchange{}
 		if cn.phase == plain {
 			cn.turns = cn.turns[:0]
 			cn.mu.Unlock()
 			cn.fr.State(cn.Conn, state)
 			return
 		}
-		cn.phase, cn.head, cn.request = inHead, head{}, nil
+		cn.phase = inHead
 		cn.mu.Unlock()
 		cn.answered(nil, false)
 	}
@@ -339,7 +349,7 @@
 	if len(cn.turns) == 0 || cn.turns[0] != nil {
 		return false
 	}
-	return cn.request.Close || !cn.fr.Ahead(cn.request)
+	return cn.own.request.Close || !cn.fr.Ahead(cn.own.request)
 }
 
 func (cn *conn) handOver(br *branch) bool {
--- a/internal/path/piping/front.go
+++ b/internal/path/piping/front.go
@@ -154,13 +154,13 @@
 
 // Arrived returns when the head of a request had been read from its caller, which
 // is before its handler is called where the request waited for its turn; the zero
-// time where that is not known.
+// time where that is not known: with HTTP/2, and behind a body without a length.
 func Arrived(r *http.Request) time.Time {
 	switch cn := r.Context().Value(connKey{}).(type) {
 	case *conn:
 		cn.mu.Lock()
 		defer cn.mu.Unlock()
-		return cn.arrived
+		return cn.own.arrived
 	case *branch:
 		return cn.arrived
 	}
