path/piping: a request ends in one step for those that begin behind it

What callers saw: some that send requests ahead got a connection that closed before all was answered, also of requests that a server had run. Reported are lost answers around a stop; this one came at any time, and only where the daemon has several threads.

Cause: at the end of the first request its state was cleared, the lock given up, and the turn taken off under the lock again. A request that began in between found a turn without a request (nil pointer in alone), and the panic closed its connection. Both steps are one now.

--- a/internal/path/piping/branch.go
+++ b/internal/path/piping/branch.go
@@ -124,6 +124,13 @@
 // Close is called by the server behind an answer that closes the connection, or
 // that broke off. After an answer that does not, it changes nothing.
 func (br *branch) Close() error {
-	br.cn.answered(br, true)
+	br.end(true)
 	return br.Conn.Close()
 }
+
+// end says that the answer is whole, and with last that its connection closes behind it.
+func (br *branch) end(last bool) {
+	br.cn.mu.Lock()
+	defer br.cn.mu.Unlock()
+	br.cn.answered(br, last)
+}
--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -254,15 +254,14 @@
 		cn.fr.State(cn.Conn, state)
 	case http.StateIdle:
 		cn.mu.Lock()
+		defer cn.mu.Unlock()
 		cn.own = exchange{}
 		if cn.phase == plain {
 			cn.turns = cn.turns[:0]
-			cn.mu.Unlock()
 			cn.fr.State(cn.Conn, state)
 			return
 		}
 		cn.phase = inHead
-		cn.mu.Unlock()
 		cn.answered(nil, false)
 	}
 }
--- a/internal/path/piping/front.go
+++ b/internal/path/piping/front.go
@@ -125,7 +125,7 @@
 		cn.setState(state)
 	case *branch:
 		if state == http.StateIdle {
-			cn.cn.answered(cn, false)
+			cn.end(false)
 		}
 	}
 }
--- /dev/null
+++ b/internal/path/piping/overlap_test.go
@@ -0,0 +1,91 @@
+package piping
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// The load of TestNextBeginsAsFirstEnds.
+const (
+	overlapCallers = 16
+	overlapConns   = 400
+	overlapAhead   = 5
+)
+
+// TestNextBeginsAsFirstEnds guards against a request that is lost since it begins in the
+// moment in which the first one of its connection ends. Only several threads show it.
+func TestNextBeginsAsFirstEnds(t *testing.T) {
+	fr := New(func(*http.Request) bool { return true }, func(net.Conn, http.ConnState) {})
+	// A request yields as often as its path is long, so that ends fall on all moments.
+	brief := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for range len(r.URL.Path) {
+			runtime.Gosched()
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	hs := &http.Server{
+		Handler: fr.Handler(brief), ConnState: fr.ConnState, ConnContext: fr.ConnContext,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error)
+	go func() { served <- hs.Serve(fr.Listener(ln)) }()
+	defer func() {
+		hs.Close()
+		<-served
+	}()
+	var callers sync.WaitGroup
+	var lost atomic.Int64
+	for range overlapCallers {
+		callers.Go(func() {
+			for i := range overlapConns {
+				if err := overlap(ln.Addr().String(), i); err != nil && lost.Add(1) == 1 {
+					t.Error(err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if n := lost.Load(); n > 0 {
+		t.Errorf("%d of %d connections closed before all was answered", n, overlapCallers*overlapConns)
+	}
+}
+
+// overlap sends requests at once on a connection of its own and reads their answers.
+func overlap(addr string, i int) error {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	var text string
+	for j := range overlapAhead {
+		text += get("/" + strings.Repeat("x", (7*i+3*j)%20))
+	}
+	if _, err := io.WriteString(nc, text); err != nil {
+		return err
+	}
+	br := bufio.NewReader(nc)
+	for j := range overlapAhead {
+		re, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return fmt.Errorf("answer %d: %w", j, err)
+		}
+		if _, err := io.Copy(io.Discard, re.Body); err != nil {
+			return fmt.Errorf("answer %d: %w", j, err)
+		}
+	}
+	return nil
+}
--- a/internal/path/piping/turn.go
+++ b/internal/path/piping/turn.go
@@ -7,10 +7,9 @@
 
 // answered takes note that a request has been answered, br nil for the one that the
 // server has on the connection itself; last says that its answer closes the
-// connection. Whoever ends a turn sends what is held of the next answers.
+// connection. Whoever ends a turn sends what is held of the next answers; cn.mu is held,
+// but not while it writes.
 func (cn *conn) answered(br *branch, last bool) {
-	cn.mu.Lock()
-	defer cn.mu.Unlock()
 	if br != nil {
 		if br.done {
 			return
