path/piping: a connection is idle once nothing of a request was read

What callers saw: a request that a server runs gets no answer while its daemon stops, on a connection on which requests were sent ahead before.

Cause: the end of the last request that ran ahead called the connection idle, while a read beside it had brought the next request and not returned yet. The connection's end as idle sets a read deadline in the past; the server's read beside the handler then fails, which ends the request's context. Class: what one request says of the connection overtakes what another has done with it. Where a read waits, it is ended and says itself that nothing came.

--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -161,6 +161,7 @@
 		// A connection that has failed says so at the next read.
 		_ = cn.Conn.SetReadDeadline(cn.readBy)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && (cn.readBy.IsZero() || cn.readBy.After(time.Now())) {
+			cn.rest()
 			return 0, nil
 		}
 	}
--- a/internal/path/piping/turn.go
+++ b/internal/path/piping/turn.go
@@ -60,14 +60,22 @@
 	}
 	switch {
 	case cn.phase != inHead:
-	case len(cn.unread) > 0:
-		// The server takes the next request itself.
+	case len(cn.unread) > 0, cn.reading:
+		// The server takes the next request itself. A read that waits may have brought
+		// one that is not seen here yet.
 		cn.wake()
 	default:
 		cn.fr.State(cn.Conn, http.StateIdle)
 	}
 }
 
+// rest says that the connection is idle, if nothing of a request was read; cn.mu is held.
+func (cn *conn) rest() {
+	if cn.phase == inHead && len(cn.turns) == 0 && len(cn.unread) == 0 {
+		cn.fr.State(cn.Conn, http.StateIdle)
+	}
+}
+
 // sendHeld sends what is held of an answer and reports whether the connection goes on;
 // cn.mu is held, but not while it writes.
 func (cn *conn) sendHeld(br *branch) bool {
