node/daemon: the outlet takes a stopping VM's calls until its server is done

What callers saw: 500 of a server around a stop of the daemon beside it. The server ran their request to a good end but for a call of its own, which that daemon refused.

Cause: at a stop the outlet closed together with the inlet, while the server still ran what the inlet had handed over, and a server's calls go by the outlet of its VM. Class: two parts of one daemon end without regard to who needs which. The outlet closes once the server has answered what it runs, at half of the grace time at the latest, so that what it takes until then can be answered too.

--- a/internal/node/daemon/kept_test.go
+++ b/internal/node/daemon/kept_test.go
@@ -23,23 +23,27 @@
 	keptPause = 700 * time.Millisecond
 )
 
-// keptFleet is a daemon with a backend server that takes keptWork.
+// keptFleet is a daemon with a backend server.
 type keptFleet struct {
 	outlet string
+	dm     *Daemon
 	stop   context.CancelFunc
 }
 
-func newKeptFleet(t *testing.T) *keptFleet {
+// work is a backend server that takes keptWork.
+func work(_ http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err == nil {
+		<-time.After(keptWork)
+	}
+}
+
+func newKeptFleet(t *testing.T, deadline time.Duration, server http.HandlerFunc) *keptFleet {
 	t.Helper()
-	hs := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, r.Body); err == nil {
-			<-time.After(keptWork)
-		}
-	}))
+	hs := httptest.NewServer(server)
 	t.Cleanup(hs.Close)
 	kv := stand.New().Store()
 	ms := mesh(8)
-	ms.Routes = []decl.Route{{Name: "r", Match: decl.Match{Host: "booking"}, To: []decl.Target{{Service: "booking", Weight: 1}}, Deadline: decl.Duration(keptDeadline), Repeat: decl.RepeatNever}}
+	ms.Routes = []decl.Route{{Name: "r", Match: decl.Match{Host: "booking"}, To: []decl.Target{{Service: "booking", Weight: 1}}, Deadline: decl.Duration(deadline), Repeat: decl.RepeatNever}}
 	apply(t, kv, 0, ms)
 	se := setup.Settings{VM: "vm-0", Domain: "d", Outlet: freeAddr(t), Inlet: freeAddr(t), Control: freeAddr(t), Admin: freeAddr(t), DrainTimeout: 6 * time.Second}
 	dm := New(se, Options{Store: &kv})
@@ -60,7 +64,7 @@
 		tb := dm.Outlet.Table()
 		return tb != nil && tb.Group(tb.Snap.Services["booking"]).Len() == 1
 	})
-	return &keptFleet{outlet: se.Outlet, stop: cancel}
+	return &keptFleet{outlet: se.Outlet, dm: dm, stop: cancel}
 }
 
 // TestKeptConnectionAfterChunks guards against a request being given up on while its server
@@ -80,7 +84,7 @@
 			}
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				fl := newKeptFleet(t)
+				fl := newKeptFleet(t, keptDeadline, work)
 				tr := &http.Transport{MaxConnsPerHost: 1, Protocols: tc.ps}
 				defer tr.CloseIdleConnections()
 				ask := func(when string) {
@@ -111,3 +115,49 @@
 		}
 	}
 }
+
+// TestServerCallsWhileStopping guards against a request that fails since the daemon beside
+// its server, which is stopping, takes no calls of that server any more.
+func TestServerCallsWhileStopping(t *testing.T) {
+	t.Parallel()
+	var fl *keptFleet
+	began := make(chan struct{})
+	get := func(path string) (int, error) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+fl.outlet+path, nil)
+		if err != nil {
+			return 0, err
+		}
+		req.Host, req.Close = "booking", true
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0, err
+		}
+		return res.StatusCode, res.Body.Close()
+	}
+	fl = newKeptFleet(t, 5*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/calls" {
+			return
+		}
+		close(began)
+		<-fl.dm.drained
+		// Until here callers have left, and the inlet takes nothing any more.
+		<-time.After(handover + 100*time.Millisecond)
+		// No server of the service is left, so the call is refused, not cut off.
+		if status, err := get("/called"); err != nil || status != http.StatusServiceUnavailable {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
+	done := make(chan int)
+	go func() {
+		status, err := get("/calls")
+		if err != nil {
+			t.Error(err)
+		}
+		done <- status
+	}()
+	<-began
+	fl.stop()
+	if got := <-done; got != http.StatusOK {
+		t.Errorf("the request got %d, since its server could not call", got)
+	}
+}
--- a/internal/node/daemon/serve.go
+++ b/internal/node/daemon/serve.go
@@ -120,7 +120,11 @@
 	}
 	dm.Drain()
 	var wg conc.WaitGroup
-	wg.Go(func() { dm.endServer(ctx, sv.outlet, ls.outlet, &sv.callers) })
+	wg.Go(func() {
+		// What the backend server still runs makes its calls by the outlet.
+		dm.awaitServer(ctx, began.Add(total/2))
+		dm.endServer(ctx, sv.outlet, ls.outlet, &sv.callers)
+	})
 	wg.Go(func() { dm.endServer(ctx, sv.inlet, ls.inlet, &sv.peers) })
 	wg.Wait()
 	if !replaced {
@@ -136,6 +140,18 @@
 	dm.log.Info("drained", slog.Duration("took", time.Since(began)))
 }
 
+// awaitServer waits until the backend server has answered what it runs, or until a moment.
+func (dm *Daemon) awaitServer(ctx context.Context, until time.Time) {
+	_, idle := dm.Inlet.Gate.Drain()
+	late := time.NewTimer(time.Until(until))
+	defer late.Stop()
+	select {
+	case <-idle:
+	case <-late.C:
+	case <-ctx.Done():
+	}
+}
+
 // endServer ends a server once its requests have ended, or with ctx. It takes no
 // new connections, so that those callers who have not left go elsewhere at once,
 // and each answer from now on ends its connection.
