node/soak: graceful stops in series, callers that send in chunks and ahead, calls, reloads

The check graceful-stop: a request that a daemon took around its stop, without a fault beside, and that a server ran has a server's whole answer.

--- a/cmd/flamingomast/soak_test.go
+++ b/cmd/flamingomast/soak_test.go
@@ -22,9 +22,19 @@
 		{At: 6 * time.Second, Kind: soak.PauseDaemon, VM: 3, For: time.Second},
 		{At: 7 * time.Second, Kind: soak.DrainServer, VM: 4, For: 300 * time.Millisecond},
 	}
-	re, err := soak.Run(t.Context(), soak.Options{
-		Binary: build(t), Dir: t.TempDir(), For: 14 * time.Second, VMs: 6, Plan: plan, Log: slog.New(slog.DiscardHandler),
-	})
+	runSoak(t, soak.Options{For: 14 * time.Second, Plan: plan})
+}
+
+// TestSoakPlanned guards against requests that are lost around stops of daemons in series.
+func TestSoakPlanned(t *testing.T) {
+	runSoak(t, soak.Options{Seed: 1, For: 15 * time.Second, Planned: true})
+}
+
+// runSoak runs a small mesh of processes and fails with what its checks found.
+func runSoak(t *testing.T, op soak.Options) {
+	t.Helper()
+	op.Binary, op.Dir, op.VMs, op.Log = build(t), t.TempDir(), 6, slog.New(slog.DiscardHandler)
+	re, err := soak.Run(t.Context(), op)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -106,6 +106,8 @@
 	fs.Float64Var(&sr.Failing, "failing", 0, "share of the requests, 0 to 1, that it answers with 500")
 	fs.StringVar(&sr.FailingPath, "failing-path", "/", "prefix of the paths of the requests that it fails")
 	fs.DurationVar(&sr.FailingAfter, "failing-after", 0, "time from its start until it fails any")
+	fs.StringVar(&sr.Calls, "calls", "", "service to call once for each request")
+	fs.StringVar(&sr.Outlet, "outlet", "", "outlet of the VM's daemon for these calls, IP:PORT")
 	runs := fs.Bool("print-runs", false, "print a line for each request that it begins")
 	fault := fs.String("fault", "", "fail in this way in place of answering: "+faultNames())
 	return &ffcli.Command{
@@ -115,6 +117,9 @@
 			if sr.VM == "" || sr.Service == "" || sr.Admin == "" {
 				return usageError("set --vm, --service and --daemon")
 			}
+			if (sr.Calls == "") != (sr.Outlet == "") {
+				return usageError("set --calls and --outlet, or neither")
+			}
 			if *fault != "" {
 				fa, ok := faulty.Find(*fault)
 				if !ok {
--- a/internal/node/cmds/soak.go
+++ b/internal/node/cmds/soak.go
@@ -20,9 +20,10 @@
 	seed := fs.Uint64("seed", 1, "the first seed")
 	length := fs.Duration("for", 30*time.Second, "how long faults are injected in each run")
 	vms := fs.Int("vms", 6, "how many VMs, besides three of the new version")
+	planned := fs.Bool("planned", false, "play only what operators do: stops, reloads, replaced servers and changes, in series")
 	dir := fs.String("dir", "", "directory for the logs of the processes; a new one if empty")
 	return &ffcli.Command{
-		Name: "soak", ShortUsage: "flamingomast soak [--seeds N] [--seed S] [--for DURATION] [--vms N] [--dir DIR]", FlagSet: fs, Options: envOption(),
+		Name: "soak", ShortUsage: "flamingomast soak [--seeds N] [--seed S] [--for DURATION] [--vms N] [--planned] [--dir DIR]", FlagSet: fs, Options: envOption(),
 		ShortHelp: "Run a mesh of real processes under faults drawn from seeds, and check its promises.",
 		Exec: func(ctx context.Context, _ []string) error {
 			binary, err := os.Executable()
@@ -36,7 +37,7 @@
 			}
 			failed := 0
 			for i := range uint64(*seeds) {
-				op := soak.Options{Binary: binary, Seed: *seed + i, For: *length, VMs: *vms, Log: slog.New(slog.NewJSONHandler(ap.err, nil))}
+				op := soak.Options{Binary: binary, Seed: *seed + i, For: *length, VMs: *vms, Planned: *planned, Log: slog.New(slog.NewJSONHandler(ap.err, nil))}
 				op.Dir = filepath.Join(*dir, fmt.Sprint("seed-", op.Seed))
 				if err := os.MkdirAll(op.Dir, 0o755); err != nil {
 					return err
--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -54,6 +54,9 @@
 	ID string `json:"ran"`
 }
 
+// ServedByHeader names the VM whose server gave an answer.
+const ServedByHeader = "Served-By"
+
 // Server is a small backend server. It answers with the name of its VM and the
 // body that it got.
 type Server struct {
@@ -71,6 +74,9 @@
 	FailingPath  string
 	FailingAfter time.Duration
 	started      time.Time
+	// Calls is the service that it calls once for each request, by the outlet at Outlet;
+	// a request whose call fails is answered with 500.
+	Calls, Outlet string
 	// Began, if set, is called for each request that it begins.
 	Began func(Ran)
 	// Fault, when set, is how it fails in place of answering.
@@ -96,14 +102,42 @@
 			return
 		}
 	}
+	w.Header().Set(ServedByHeader, sr.VM)
 	if sr.fails(r.URL.Path) {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Served-By", sr.VM)
+	if err := sr.call(r); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", sr.VM, r.Method, r.URL.Path, body)
 }
 
+// call makes the call of a request, if there is one to make.
+func (sr *Server) call(r *http.Request) error {
+	if sr.Calls == "" {
+		return nil
+	}
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+sr.Outlet+r.URL.Path+".call", nil)
+	if err != nil {
+		return err
+	}
+	req.Host = sr.Calls
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("calling %s: %s", sr.Calls, res.Status)
+	}
+	return nil
+}
+
 // fails reports whether it fails a request for a path.
 func (sr *Server) fails(path string) bool {
 	return sr.Failing > 0 && time.Since(sr.started) >= sr.FailingAfter && strings.HasPrefix(path, sr.FailingPath) && rand.Float64() < sr.Failing
--- a/internal/node/soak/checks.go
+++ b/internal/node/soak/checks.go
@@ -11,15 +11,16 @@
 
 // The checks.
 const (
-	WholeAnswer  Check = "whole-answer" // an answer is that of its request, whole
-	AtMostOnce   Check = "at-most-once" // a request that may not be repeated runs once at most
-	NotRunIsTrue Check = "not-run-true" // a request refused as not run never runs
-	NeverOlder   Check = "never-older"  // no VM holds an older version than before
-	BadVersion   Check = "bad-version"  // no bad version of the software is complete
-	Exposure     Check = "exposure"     // a bad version gets few requests
-	ServedAgain  Check = "served-again" // after the last fault requests are served
-	InForce      Check = "in-force"     // the last version is held by all in the end
-	NoOwnEnd     Check = "no-own-end"   // no process ends by itself
+	WholeAnswer  Check = "whole-answer"  // an answer is that of its request, whole
+	AtMostOnce   Check = "at-most-once"  // a request that may not be repeated runs once at most
+	NotRunIsTrue Check = "not-run-true"  // a request refused as not run never runs
+	NeverOlder   Check = "never-older"   // no VM holds an older version than before
+	BadVersion   Check = "bad-version"   // no bad version of the software is complete
+	Exposure     Check = "exposure"      // a bad version gets few requests
+	ServedAgain  Check = "served-again"  // after the last fault requests are served
+	InForce      Check = "in-force"      // the last version is held by all in the end
+	NoOwnEnd     Check = "no-own-end"    // no process ends by itself
+	GracefulStop Check = "graceful-stop" // a daemon that stops cuts off nothing that a server runs
 )
 
 // Result is what became of a check.
@@ -118,6 +119,13 @@
 	return le.runs[id]
 }
 
+// hasRun reports whether a server began a request.
+func (le *ledger) hasRun(id string) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	return le.runs[id] != nil && le.runs[id].ran > 0
+}
+
 // ran notes that a server began a request.
 func (le *ledger) ran(id string, target bool) {
 	le.mu.Lock()
--- a/internal/node/soak/plan.go
+++ b/internal/node/soak/plan.go
@@ -15,6 +15,7 @@
 const (
 	KillDaemon    Kind = "kill-daemon"
 	StopDaemon    Kind = "stop-daemon"
+	ReloadDaemon  Kind = "reload-daemon"
 	PauseDaemon   Kind = "pause-daemon"
 	KillServer    Kind = "kill-server"
 	DrainServer   Kind = "drain-server"
@@ -49,8 +50,12 @@
 	return text
 }
 
-// faults are the kinds that are drawn any number of times.
-var faults = []Kind{KillDaemon, StopDaemon, PauseDaemon, KillServer, DrainServer, PausePlatform, Change}
+// faults are the kinds that are drawn any number of times, planned those of them that
+// operators bring about.
+var (
+	faults  = []Kind{KillDaemon, StopDaemon, ReloadDaemon, PauseDaemon, KillServer, DrainServer, PausePlatform, Change}
+	planned = []Kind{StopDaemon, StopDaemon, ReloadDaemon, DrainServer, Change}
+)
 
 // The times of a plan.
 const (
@@ -85,3 +90,33 @@
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
+
+// The stops of a series.
+const (
+	// seriesGap is the most time between two of them.
+	seriesGap = 800 * time.Millisecond
+	// seriesChance is how likely a stop begins a series, as one in so many.
+	seriesChance = 3
+)
+
+// DrawPlanned returns the plan of a seed with what operators do alone: stops of daemons, one
+// or many in turn, reloads, replaced servers and changes, in series that overlap.
+func DrawPlanned(seed uint64, vms int, length time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 12))
+	var steps []Step
+	away := func() time.Duration { return time.Duration(200+rnd.IntN(1000)) * time.Millisecond }
+	for at := quietTime; at < length-quietTime; at += time.Duration(rnd.ExpFloat64() * float64(faultEvery)) {
+		st := Step{At: at, Kind: planned[rnd.IntN(len(planned))], VM: rnd.IntN(vms), For: away()}
+		steps = append(steps, st)
+		if st.Kind != StopDaemon || rnd.IntN(seriesChance) > 0 {
+			continue
+		}
+		gap := time.Duration(rnd.Int64N(int64(seriesGap)))
+		for i := 1; i < vms/2 && st.At+gap < length-quietTime; i++ {
+			st = Step{At: st.At + gap, Kind: StopDaemon, VM: (st.VM + 1) % vms, For: away()}
+			steps = append(steps, st)
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- a/internal/node/soak/plan_test.go
+++ b/internal/node/soak/plan_test.go
@@ -27,6 +27,34 @@
 	}
 }
 
+// TestDrawPlanned guards against faults among what operators do, and against plans without
+// stops that overlap.
+func TestDrawPlanned(t *testing.T) {
+	const length = 20 * time.Second
+	overlaps := 0
+	for seed := range uint64(50) {
+		plan := DrawPlanned(seed, 9, length)
+		if !slices.Equal(plan, DrawPlanned(seed, 9, length)) {
+			t.Fatalf("seed %d gives two plans", seed)
+		}
+		var last time.Duration
+		for i, st := range plan {
+			if !slices.Contains(planned, st.Kind) || st.At >= length || i > 0 && st.At < plan[i-1].At || st.VM < 0 || st.VM >= 9 {
+				t.Errorf("seed %d, step %d: %s", seed, i, st)
+			}
+			if st.Kind == StopDaemon {
+				if last > 0 && st.At-last < seriesGap {
+					overlaps++
+				}
+				last = st.At
+			}
+		}
+	}
+	if overlaps < 50 {
+		t.Errorf("%d stops within %s of the one before, in 50 plans", overlaps, seriesGap)
+	}
+}
+
 // TestBoard guards against a check that saw no case and passes.
 func TestBoard(t *testing.T) {
 	bo := newBoard(WholeAnswer, AtMostOnce)
@@ -63,3 +91,42 @@
 		}
 	}
 }
+
+// TestStops guards against a check of stops that counts what is no loss, or passes one over.
+func TestStops(t *testing.T) {
+	began := time.Now()
+	at := func(s int) time.Time { return began.Add(time.Duration(s) * time.Second) }
+	stopped, other := &vm{name: "stopped"}, &vm{name: "other"}
+	for _, tc := range []struct {
+		name   string
+		as     asked
+		faults []*span
+		ran    bool
+		cases  int
+		failed bool
+	}{
+		{"answered", asked{vm: stopped, began: at(11), end: at(12)}, nil, true, 1, false},
+		{"lost", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, nil, true, 1, true},
+		{"lost and never run", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, nil, false, 0, false},
+		{"at another VM", asked{vm: other, began: at(11), end: at(12), failure: "EOF"}, nil, true, 0, false},
+		{"before the stop", asked{vm: stopped, began: at(9), end: at(12), failure: "EOF"}, nil, true, 0, false},
+		{"a fault beside", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, []*span{{from: at(11)}}, true, 0, false},
+		{"a fault shortly before", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, []*span{{from: at(1), to: at(9)}}, true, 0, false},
+		{"a fault long before", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, []*span{{from: at(1), to: at(7)}}, true, 1, true},
+		{"a fault later", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, []*span{{from: at(13)}}, true, 1, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ss := stops{spans: map[*vm][]*span{stopped: {{from: at(10), to: at(15)}}}, faults: tc.faults}
+			ss.add(tc.as)
+			bo := newBoard()
+			ss.check(bo, func(string) bool { return tc.ran })
+			cases, failed := 0, false
+			for _, re := range bo.list() {
+				cases, failed = re.Cases, len(re.Failures) > 0
+			}
+			if cases != tc.cases || failed != tc.failed {
+				t.Errorf("%d cases, failed %t; want %d, %t", cases, failed, tc.cases, tc.failed)
+			}
+		})
+	}
+}
--- a/internal/node/soak/soak.go
+++ b/internal/node/soak/soak.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/flamingomast/flamingomast/internal/node/demo"
-	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 	"github.com/flamingomast/flamingomast/internal/roll/canary"
 	"github.com/flamingomast/flamingomast/internal/roll/order"
@@ -25,6 +20,8 @@
 	Seed        uint64
 	For         time.Duration
 	VMs         int
+	// Planned draws only what operators do, in place of faults.
+	Planned bool
 	// Plan replaces the one that is drawn from the seed.
 	Plan []Step
 	Log  *slog.Logger
@@ -61,7 +58,11 @@
 
 // Run starts a mesh, plays a plan, and reports what the checks found.
 func Run(ctx context.Context, op Options) (*Report, error) {
-	if op.Plan == nil {
+	switch {
+	case op.Plan != nil:
+	case op.Planned:
+		op.Plan = DrawPlanned(op.Seed, op.VMs, op.For)
+	default:
 		op.Plan = Draw(op.Seed, op.VMs, op.For)
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -80,16 +81,21 @@
 	all := wo.all()
 	for i, v := range all {
 		go func() { sent <- wo.call(callers, i, v) }()
+		go func() { sent <- wo.callAhead(callers, i, v) }()
+	}
+	if op.Planned {
+		wo.board.add(GracefulStop)
 	}
 	err := wo.playPlan(ctx)
 	wo.wg.Wait()
 	wo.settle(ctx)
 	stop()
-	for range all {
+	for range 2 * len(all) {
 		re.Sent += <-sent
 	}
 	re.Rollout = wo.endOfRollout(ctx)
 	wo.ledger.check(wo.board)
+	wo.stops.check(wo.board, wo.ledger.hasRun)
 	wo.checkEnds()
 	re.Results = wo.board.list()
 	return re, err
@@ -137,7 +143,8 @@
 	for _, v := range wo.vms {
 		failure := fmt.Sprintf("%s serves nothing", v.name)
 		for end := time.Now().Add(settleLimit); time.Now().Before(end) && failure != ""; time.Sleep(lookInterval) {
-			if status, _, err := wo.ask(ctx, http.DefaultClient, v, http.MethodGet, "settle-"+v.name, ""); err == nil && status == http.StatusOK {
+			qu := query{id: "settle-" + v.name, method: http.MethodGet, host: service}
+			if re := ask(ctx, http.DefaultClient, v, qu); re.err == nil && re.status == http.StatusOK {
 				failure = ""
 			}
 		}
@@ -209,53 +216,3 @@
 		}
 	}
 }
-
-// callPause is the pause of a caller between two requests.
-const callPause = 10 * time.Millisecond
-
-// call sends requests to a VM's daemon over connections that it keeps, until ctx ends.
-func (wo *world) call(ctx context.Context, n int, v *vm) (sent int) {
-	cl := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: 10 * time.Second}
-	defer cl.CloseIdleConnections()
-	for ; ctx.Err() == nil; sent++ {
-		id, method := fmt.Sprintf("%d-%d", n, sent), http.MethodGet
-		if sent%3 == 0 {
-			method = http.MethodPost
-		}
-		body := strings.Repeat(id+" ", 1+sent%7)
-		status, answer, err := wo.ask(context.WithoutCancel(ctx), cl, v, method, id, body)
-		wo.ledger.told(id, method == http.MethodPost, err == nil && status == http.StatusServiceUnavailable)
-		if err == nil && status == http.StatusOK {
-			failure := ""
-			if want := fmt.Sprintf(" %s /%s %s\n", method, id, body); !strings.HasSuffix(answer, want) {
-				failure = fmt.Sprintf("%s got %.80q", id, answer)
-			}
-			wo.board.note(WholeAnswer, failure)
-		}
-		time.Sleep(callPause)
-	}
-	return sent
-}
-
-// ask sends one request and returns its answer.
-func (wo *world) ask(ctx context.Context, cl *http.Client, v *vm, method, id, body string) (status int, answer string, err error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.outlet+"/"+id, strings.NewReader(body))
-	if err != nil {
-		return 0, "", err
-	}
-	req.Host = service
-	req.Header.Set(demo.IDHeader, id)
-	req.Header.Set(result.TimeoutMs, "2000")
-	// The library would send again by itself what it takes for repeatable.
-	req.GetBody = nil
-	res, err := cl.Do(req)
-	if err != nil {
-		return 0, "", err
-	}
-	defer res.Body.Close()
-	text, err := io.ReadAll(res.Body)
-	if err != nil && !errors.Is(err, io.EOF) {
-		return 0, "", err
-	}
-	return res.StatusCode, string(text), nil
-}
--- a/internal/node/soak/world.go
+++ b/internal/node/soak/world.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,15 +23,24 @@
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
-// service is the one that all backend servers serve.
-const service = "booking"
+// service is the one that most backend servers serve and that is rolled out, called the one
+// that they call.
+const (
+	service = "booking"
+	called  = "records"
+)
+
+// calledEvery is how many VMs there are to each one whose server is called.
+const calledEvery = 4
 
 // domains are the failure domains.
 var domains = []string{"north", "south", "west"}
 
 // vm is a VM with its processes.
 type vm struct {
-	name, domain, software        string
+	name, domain, service, software string
+	// settings is the file of its daemon's settings.
+	settings                      string
 	outlet, inlet, control, admin string
 
 	mu             sync.Mutex
@@ -51,6 +62,7 @@
 	spare  []*vm
 	board  *board
 	ledger ledger
+	stops  stops
 	// version is the newest one that was accepted.
 	version atomic.Uint64
 	failing string
@@ -59,7 +71,7 @@
 
 // newVM returns a VM with addresses of its own.
 func newVM(i int, software string) (*vm, error) {
-	v := &vm{name: fmt.Sprintf("vm-%d", i), domain: domains[i%len(domains)], software: software}
+	v := &vm{name: fmt.Sprintf("vm-%d", i), domain: domains[i%len(domains)], service: service, software: software}
 	for _, addr := range []*string{&v.outlet, &v.inlet, &v.control, &v.admin} {
 		free, err := addrs.Free()
 		if err != nil {
@@ -75,12 +87,14 @@
 
 // mesh returns the declarations; each version differs in a number.
 func (wo *world) mesh(n int) *decl.Mesh {
-	ms := &decl.Mesh{Regions: []decl.Region{{Name: "r"}}, Services: []decl.Service{{Name: service, Port: 9001, Slots: 16 + n%4}}}
+	ms := &decl.Mesh{Regions: []decl.Region{{Name: "r"}}, Services: []decl.Service{
+		{Name: service, Port: 9001, Slots: 16 + n%4}, {Name: called, Port: 9002, Slots: 16},
+	}}
 	for _, dm := range domains {
 		ms.Domains = append(ms.Domains, decl.Domain{Name: dm, Region: "r"})
 	}
 	for _, v := range wo.all() {
-		ms.VMs = append(ms.VMs, decl.VM{Name: v.name, Domain: v.domain, Service: service})
+		ms.VMs = append(ms.VMs, decl.VM{Name: v.name, Domain: v.domain, Service: v.service})
 	}
 	return ms
 }
@@ -106,6 +120,9 @@
 		if software == "v2" {
 			wo.spare = append(wo.spare, v)
 		} else {
+			if i%calledEvery == calledEvery-1 {
+				v.service = called
+			}
 			wo.vms = append(wo.vms, v)
 		}
 	}
@@ -154,17 +171,30 @@
 	for _, other := range wo.all() {
 		seeds = append(seeds, other.control)
 	}
-	pr, err := wo.la.start("daemon-"+v.name, nil, "daemon", "--vm", v.name, "--failure-domain", v.domain, "--outlet", v.outlet,
+	if err := wo.writeSettings(v); err != nil {
+		return err
+	}
+	pr, err := wo.la.start("daemon-"+v.name, nil, "daemon", "--config", v.settings, "--vm", v.name, "--failure-domain", v.domain, "--outlet", v.outlet,
 		"--inlet", v.inlet, "--control", v.control, "--admin", v.admin, "--platform", wo.address,
-		"--seeds", strings.Join(seeds[:min(3, len(seeds))], ","), "--mesh-token", "soak", "--drain-timeout", "3s", "--access-log-sample", "0")
+		"--seeds", strings.Join(seeds[:min(3, len(seeds))], ","), "--mesh-token", "soak")
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.daemon, v.down = pr, false
 	return err
 }
 
+// writeSettings writes those settings of a daemon that it can take while it runs.
+func (wo *world) writeSettings(v *vm) error {
+	v.settings = filepath.Join(wo.op.Dir, v.name+".yaml")
+	text := fmt.Sprintf("drain-timeout: 6s\naccess-log-sample: %d\n", rand.IntN(2))
+	return os.WriteFile(v.settings, []byte(text), 0o600)
+}
+
 func (wo *world) startServer(v *vm) error {
-	args := []string{"dev-server", "--vm", v.name, "--service", service, "--daemon", v.admin, "--software", v.software, "--work", "20ms", "--print-runs"}
+	args := []string{"dev-server", "--vm", v.name, "--service", v.service, "--daemon", v.admin, "--software", v.software, "--work", "20ms", "--print-runs"}
+	if v.service != called {
+		args = append(args, "--calls", called, "--outlet", v.outlet)
+	}
 	if v.software == "v2" && wo.failing != "" {
 		args = append(args, "--failing", wo.failing)
 	}
@@ -245,20 +275,25 @@
 		if st.Kind == StopDaemon {
 			sig = syscall.SIGTERM
 		}
-		wo.replace(v, &v.down, func() *proc { return v.daemon }, sig, st.For, wo.startDaemon)
+		ended := wo.spanOf(v, st.Kind)
+		wo.replace(v, &v.down, func() *proc { return v.daemon }, sig, st.For, ended, wo.startDaemon)
 	case KillServer, DrainServer:
 		sig := syscall.SIGKILL
 		if st.Kind == DrainServer {
 			sig = syscall.SIGTERM
 		}
-		wo.replace(v, &v.away, func() *proc { return v.server }, sig, st.For, wo.startServer)
+		ended := wo.spanOf(v, st.Kind)
+		wo.replace(v, &v.away, func() *proc { return v.server }, sig, st.For, ended, wo.startServer)
+	case ReloadDaemon:
+		if err := wo.writeSettings(v); err != nil {
+			return err
+		}
+		wo.daemonOf(v).signal(syscall.SIGHUP)
 	case PauseDaemon:
-		v.mu.Lock()
-		pr := v.daemon
-		v.mu.Unlock()
-		wo.pause(pr, st.For)
+		wo.pause(wo.daemonOf(v), st.For, wo.stops.fault())
 	case PausePlatform:
-		wo.pause(wo.platform, st.For)
+		// A store that is away excuses no lost request.
+		wo.pause(wo.platform, st.For, func() {})
 	case CopyPlatform:
 		wo.platform.signal(syscall.SIGUSR1)
 	case OlderPlatform:
@@ -275,17 +310,37 @@
 	return nil
 }
 
+// spanOf records what begins with a step, until the function that it returns is called.
+func (wo *world) spanOf(v *vm, kind Kind) (end func()) {
+	switch kind {
+	case StopDaemon:
+		return wo.stops.stop(v)
+	case KillDaemon, KillServer:
+		return wo.stops.fault()
+	}
+	return func() {}
+}
+
+// daemonOf returns the process of a VM's daemon.
+func (wo *world) daemonOf(v *vm) *proc {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.daemon
+}
+
 // replace ends a process of a VM and starts another one after a while, unless the plan has
-// ended it already.
-func (wo *world) replace(v *vm, down *bool, of func() *proc, sig syscall.Signal, after time.Duration, start func(*vm) error) {
+// ended it already. Then it calls ended.
+func (wo *world) replace(v *vm, down *bool, of func() *proc, sig syscall.Signal, after time.Duration, ended func(), start func(*vm) error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	pr := of()
 	if *down || pr == nil {
+		ended()
 		return
 	}
 	*down = true
 	wo.wg.Go(func() {
+		defer ended()
 		pr.end(sig)
 		time.Sleep(after)
 		if err := start(v); err != nil {
@@ -294,10 +349,11 @@
 	})
 }
 
-// pause stops a process for a while.
-func (wo *world) pause(pr *proc, span time.Duration) {
+// pause stops a process for a while, then calls ended.
+func (wo *world) pause(pr *proc, span time.Duration, ended func()) {
 	pr.signal(syscall.SIGSTOP)
 	wo.wg.Go(func() {
+		defer ended()
 		time.Sleep(span)
 		pr.signal(syscall.SIGCONT)
 	})
