mesh/ctrl: a herd that starts leaves the store to the relays once it is read

Now the orders are watched by one that has followed for a second, 2.5 s where it hears no relay; and one that has read the configuration for others at its start leaves the store to the relays for the first two seconds, if it has a link.

--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -21,7 +21,8 @@
 	// bootPatience is how long it waits for a link to others that may bring the
 	// configuration, and bootLonger for the configuration once it has one: the first
 	// ones of a failure domain have read it by then. When each daemon of a herd
-	// reads it by itself, the store is busy for seconds.
+	// reads it by itself, the store is busy for seconds. One that has read it leaves the
+	// store to the relays for as long.
 	bootPatience = 1200 * time.Millisecond
 	bootLonger   = 2 * time.Second
 	// bootRelay is how long one that holds a configuration waits for its failure
@@ -74,7 +75,8 @@
 	nd.mu.Unlock()
 	switch {
 	case st == leading:
-		return false
+		// It has read the store for the others. Who follows it for good is soon known.
+		return linked && nd.Board.Held.Get() != nil && age < bootLonger
 	case st == looking && !linked:
 		return age < lookTime
 	case !linked:
--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -21,6 +21,10 @@
 	orderWait = 10 * time.Second
 	// decideInterval is how often the daemons that follow the store decide on a rollout.
 	decideInterval = 250 * time.Millisecond
+	// settleRelay and settlePlain are how long a daemon follows the store before it watches
+	// the orders, as a relay and as one that hears no relay yet.
+	settleRelay = time.Second
+	settlePlain = 2500 * time.Millisecond
 	// statusRetry is the pause before the state of a rollout is written again.
 	statusRetry = 300 * time.Millisecond
 	// beganPrefix begins the keys that have when a rollout began, for daemons that start
@@ -80,10 +84,26 @@
 			}
 			continue
 		}
+		select {
+		case <-changed:
+			// One of many that start together and follow the store for a moment.
+			continue
+		case <-ctx.Done():
+			return
+		case <-time.After(nd.settleTime()):
+		}
 		ro.follow(ctx, changed)
 	}
 }
 
+// settleTime returns how long this daemon follows the store before it watches the orders.
+func (nd *Node) settleTime() time.Duration {
+	if nd.isRelay() {
+		return settleRelay
+	}
+	return settlePlain
+}
+
 // follow watches and decides until this daemon no longer follows the store.
 func (ro *roller) follow(ctx context.Context, over <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
