node/soak: each soak has a loopback IP of its own

A daemon that was to start again found its outlet's port taken. Not a fault of the daemon, and not load: addresses were unique within one process only.

Two soaks now use two addresses of the loopback net. TestSoakPlanned passes, 30 s beside two soaks.

--- a/internal/node/addrs/addrs.go
+++ b/internal/node/addrs/addrs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -22,7 +23,17 @@
 
 // Free returns a loopback address that nobody listens on at the moment and that
 // it has not returned before.
-func Free() (string, error) {
+func Free() (string, error) { return FreeOn("127.0.0.1") }
+
+// Own returns a loopback IP of this process's own, so that other processes which find
+// addresses at the same time do not take its ports while nobody listens on them.
+func Own() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+(pid>>8)%200, 1+pid%200)
+}
+
+// FreeOn is Free for a loopback IP.
+func FreeOn(ip string) (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	err := errors.New("addrs: no port is left")
@@ -32,7 +43,7 @@
 			continue
 		}
 		var ln net.Listener
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		addr := fmt.Sprintf("%s:%d", ip, port)
 		if ln, err = net.Listen("tcp", addr); err == nil {
 			given[port] = true
 			return addr, ln.Close()
--- a/internal/node/soak/world.go
+++ b/internal/node/soak/world.go
@@ -73,7 +73,7 @@
 func newVM(i int, software string) (*vm, error) {
 	v := &vm{name: fmt.Sprintf("vm-%d", i), domain: domains[i%len(domains)], service: service, software: software}
 	for _, addr := range []*string{&v.outlet, &v.inlet, &v.control, &v.admin} {
-		free, err := addrs.Free()
+		free, err := addrs.FreeOn(addrs.Own())
 		if err != nil {
 			return nil, err
 		}
@@ -101,7 +101,7 @@
 
 // start starts the platform and all VMs, and waits until each holds the first version.
 func (wo *world) start(ctx context.Context) (err error) {
-	if wo.address, err = addrs.Free(); err != nil {
+	if wo.address, err = addrs.FreeOn(addrs.Own()); err != nil {
 		return err
 	}
 	if wo.platform, err = wo.la.start("platform", nil, "dev-platform", "--listen", wo.address); err != nil {
