path/proxy: look whether a kept connection was closed before a request is written

What callers saw: 502 for a request that may not be repeated, though it met a connection whose other side had closed it. And a request that met the end of a server was counted as run by it (known red).

Cause: the end of a connection is known to the process once its waiting read returns; a request could be written in between and then counted as sent. Class: what is believed of a kept connection is older than the request. The system knows already, so a look at the socket that takes nothing (MSG_PEEK) comes before the first byte of a request on a kept connection; an end, a reset or bytes that nobody asked for say that it has not run.

TestClosedBeforeWrite fails without the look (closed, half closed, reset, surplus).

--- a/internal/path/proxy/conn.go
+++ b/internal/path/proxy/conn.go
@@ -6,8 +6,9 @@
 	"sync"
 )
 
-// errSurplus ends a connection on which bytes came that belong to no answer.
-var errSurplus = errors.New("proxy: bytes that belong to no answer")
+// errSurplus ends a connection that closed, or on which bytes came that belong to no
+// answer, before a request was written.
+var errSurplus = errors.New("proxy: the connection closed, or bytes came that belong to no answer")
 
 // conn is a connection to the next hop.
 //
@@ -21,9 +22,10 @@
 // and it does so only when its buffer is empty. So the first byte of a request
 // is written only while that read waits: no surplus lies in the buffer then.
 // What the read returns before a byte of the request was written is surplus
-// too. In both cases the connection ends and the request has not run. Bytes
-// that come only after the request was written cannot be told from its answer
-// by anyone.
+// too. In both cases the connection ends and the request has not run, and so it
+// is where the system has received the end of a kept connection that the read
+// has not returned yet. Bytes that come only after the request was written
+// cannot be told from its answer by anyone.
 type conn struct {
 	net.Conn
 
@@ -70,6 +72,9 @@
 	for cn.written == cn.before && !cn.reading && !cn.poisoned {
 		cn.changed.Wait()
 	}
+	if !cn.poisoned && cn.written == cn.before && cn.before > 0 && isStale(cn.Conn) {
+		cn.poisoned = true
+	}
 	if cn.poisoned {
 		cn.mu.Unlock()
 		return 0, errSurplus
--- a/internal/stat/meter/meter.go
+++ b/internal/stat/meter/meter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 )
 
 // Meter counts bytes. The zero value is ready for use.
@@ -45,6 +47,15 @@
 	return n, err
 }
 
+// SyscallConn gives access to the connection's socket.
+func (cn *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
 type listener struct {
 	net.Listener
 	mt *Meter
