node/soak: daemons are asked side by side, and what ended with its caller's time is no cut

Traced: all 63 daemons logged version-held 5 between 10:13:53.36 and 54.49, 1.13 s apart. The soak asked one daemon after the other, a second each at most, so a round could take longer than its limit. It asks all at once now, with five seconds each. The caller gives 2 s, and its time was over, which the rule excludes by name ("the time limit was reached"). The check leaves out a failure after the caller's own time, and no other; a case of TestStops stands for it, "answered late" counts.

--- a/internal/node/soak/plan_test.go
+++ b/internal/node/soak/plan_test.go
@@ -108,6 +108,8 @@
 		{"answered", asked{vm: stopped, began: at(11), end: at(12)}, nil, true, 1, false},
 		{"lost", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, nil, true, 1, true},
 		{"lost and never run", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, nil, false, 0, false},
+		{"lost when its time was over", asked{vm: stopped, began: at(11), end: at(11).Add(callTimeout), failure: "504"}, nil, true, 0, false},
+		{"answered late", asked{vm: stopped, began: at(11), end: at(14)}, nil, true, 1, false},
 		{"at another VM", asked{vm: other, began: at(11), end: at(12), failure: "EOF"}, nil, true, 0, false},
 		{"before the stop", asked{vm: stopped, began: at(9), end: at(12), failure: "EOF"}, nil, true, 0, false},
 		{"a fault beside", asked{vm: stopped, began: at(11), end: at(12), failure: "EOF"}, []*span{{from: at(11)}}, true, 0, false},
--- a/internal/node/soak/stops.go
+++ b/internal/node/soak/stops.go
@@ -77,14 +77,15 @@
 }
 
 // check checks the requests that daemons took around their stops, without a fault beside,
-// and that a server ran.
+// and that a server ran. One that ended when its caller's time was over was not cut off.
 func (ss *stops) check(bo *board, ran func(id string) bool) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	for _, as := range ss.asked {
 		around := slices.ContainsFunc(ss.spans[as.vm], func(sp *span) bool { return sp.meets(as.began, as.began) })
 		beside := slices.ContainsFunc(ss.faults, func(sp *span) bool { return sp.meets(as.began.Add(-calmBefore), as.end) })
-		if !around || beside || !ran(as.id) {
+		late := as.failure != "" && as.end.Sub(as.began) >= callTimeout
+		if !around || beside || late || !ran(as.id) {
 			continue
 		}
 		bo.add(GracefulStop)
--- a/internal/node/soak/world.go
+++ b/internal/node/soak/world.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/flamingomast/flamingomast/internal/conf/accept"
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
@@ -212,9 +214,12 @@
 	}
 }
 
+// lookLimit bounds the asking of one daemon. Many processes on a busy machine answer late.
+const lookLimit = 5 * time.Second
+
 // heldBy asks a daemon which version it holds, 0 where it does not answer.
 func heldBy(ctx context.Context, v *vm) uint64 {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, lookLimit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.admin+"/debug/vars", nil)
 	if err != nil {
@@ -239,8 +244,15 @@
 // look makes the checks of the versions that daemons hold.
 func (wo *world) look(ctx context.Context) (lowest uint64) {
 	lowest = wo.version.Load()
-	for _, v := range wo.all() {
-		held := heldBy(ctx, v)
+	all := wo.all()
+	holds := make([]uint64, len(all))
+	var wg conc.WaitGroup
+	for i, v := range all {
+		wg.Go(func() { holds[i] = heldBy(ctx, v) })
+	}
+	wg.Wait()
+	for i, v := range all {
+		held := holds[i]
 		lowest = min(lowest, held)
 		if held == 0 {
 			continue
