node/daemon: whether an answer closes its connection is settled before the next begins

What callers saw, or could: a daemon drains in the moment in which a request that was sent behind others begins; the one before it, begun earlier, then closes the connection, and the later one, which a server runs, is cut off without an answer.

Cause: the front let the next request begin before the daemon had looked whether it drains for the one at hand. The look comes first now, so that one that begins later never stands behind an answer that closes.

In the soak a function is named record in place of told.

--- a/internal/node/daemon/kept_test.go
+++ b/internal/node/daemon/kept_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -161,3 +164,49 @@
 		t.Errorf("the request got %d, since its server could not call", got)
 	}
 }
+
+// TestDrainAsNextBegins guards against a request that is cut off since the one before it on
+// its connection, which began earlier, closes the connection.
+func TestDrainAsNextBegins(t *testing.T) {
+	t.Parallel()
+	fl := newKeptFleet(t, 5*time.Second, work)
+	sv := fl.dm.servers()
+	sv.front.Ahead = func(r *http.Request) bool {
+		if r.URL.Path == "/last" {
+			// The daemon drains in the moment in which this one begins.
+			defer fl.dm.leave()
+		}
+		return true
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- sv.outlet.Serve(sv.front.Listener(ln)) }()
+	defer func() {
+		sv.outlet.Close()
+		<-served
+	}()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	paths := []string{"/first", "/second", "/last"}
+	for _, path := range paths {
+		if _, err := fmt.Fprintf(nc, "GET %s HTTP/1.1\r\nHost: booking\r\n\r\n", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	br := bufio.NewReader(nc)
+	for _, path := range paths {
+		res, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != http.StatusOK {
+			t.Errorf("%s: %s, %v", path, res.Status, err)
+		}
+	}
+}
--- a/internal/node/daemon/serve.go
+++ b/internal/node/daemon/serve.go
@@ -49,7 +49,8 @@
 		sv.pages = plain(dm.ad.Pages(hs))
 	}
 	sv.front = piping.New(dm.mayRunAhead, sv.callers.State)
-	sv.outlet = plain(sv.front.Handler(dm.leaving(dm.Outlet)))
+	// Whether an answer closes its connection is settled before what stands behind it begins.
+	sv.outlet = plain(dm.leaving(sv.front.Handler(dm.Outlet)))
 	sv.outlet.Protocols = &both
 	sv.outlet.ConnState, sv.outlet.ConnContext = sv.front.ConnState, sv.front.ConnContext
 	sv.inlet.ConnState = sv.peers.State
--- a/internal/node/soak/callers.go
+++ b/internal/node/soak/callers.go
@@ -94,7 +94,7 @@
 	for ; ctx.Err() == nil; sent++ {
 		qu, began := newQuery(fmt.Sprint("c", n), sent), time.Now()
 		re := ask(context.WithoutCancel(ctx), cl, v, qu)
-		wo.told(v, qu, began, re)
+		wo.record(v, qu, began, re)
 		time.Sleep(callPause)
 	}
 	return sent
@@ -119,8 +119,8 @@
 	return reply{status: res.StatusCode, body: string(text), served: res.Header.Get(demo.ServedByHeader) != "", err: err}
 }
 
-// told makes the checks of one request and records it for those at the end.
-func (wo *world) told(v *vm, qu query, began time.Time, re reply) {
+// record makes the checks of one request and keeps it for those at the end.
+func (wo *world) record(v *vm, qu query, began time.Time, re reply) {
 	wo.ledger.told(qu.id, qu.method == http.MethodPost, re.err == nil && re.status == http.StatusServiceUnavailable)
 	wo.stops.add(asked{id: qu.id, vm: v, began: began, end: time.Now(), failure: re.failure()})
 	if re.err != nil || re.status != http.StatusOK {
@@ -208,7 +208,7 @@
 				failed = re.err
 			}
 		}
-		wo.told(v, qu, began, re)
+		wo.record(v, qu, began, re)
 	}
 	return failed == nil
 }
