node/soak: changes go by what the store has; a data race of settings files

Both traced to the soak:

- TestSoak, in-force: "conflict: version/1 changed since version 2".
The store came back from its copy right after it had accepted version 2, which no daemon held yet: it loses what it acknowledged, as the plan wants it to.
The soak went on from version 2, which an operator is told not to.
A change is made on the version that the store has, above the highest that daemons may hold.
- TestSoakPlanned: the race detector saw the path of a settings file written by two goroutines, a reload and a start.
It is set once, with the VM.

The check, its bounds and the plans are as they were. Both tests pass with the race detector.

--- a/internal/node/soak/world.go
+++ b/internal/node/soak/world.go
@@ -71,9 +71,10 @@
 	wg      sync.WaitGroup
 }
 
-// newVM returns a VM with addresses of its own.
-func newVM(i int, software string) (*vm, error) {
+// newVM returns a VM with addresses of its own and its settings in a directory.
+func newVM(i int, software, dir string) (*vm, error) {
 	v := &vm{name: fmt.Sprintf("vm-%d", i), domain: domains[i%len(domains)], service: service, software: software}
+	v.settings = filepath.Join(dir, v.name+".yaml")
 	for _, addr := range []*string{&v.outlet, &v.inlet, &v.control, &v.admin} {
 		free, err := addrs.FreeOn(addrs.Own())
 		if err != nil {
@@ -115,7 +116,7 @@
 		if i >= wo.op.VMs {
 			software = "v2"
 		}
-		v, err := newVM(i, software)
+		v, err := newVM(i, software, wo.op.Dir)
 		if err != nil {
 			return err
 		}
@@ -147,17 +148,22 @@
 // startLimit bounds the start of all processes on a busy machine.
 const startLimit = 20 * time.Second
 
-// change makes a version.
+// change makes a version, as an operator does: on the one that the store has, above all that
+// the fleet may hold. A store that came back older may have lost one that nobody holds.
 func (wo *world) change(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	base := wo.version.Load()
-	co, err := pack.Encode(wo.mesh(int(base)))
+	hd, err := wo.head(ctx)
+	if err != nil {
+		return err
+	}
+	floor := wo.version.Load()
+	co, err := pack.Encode(wo.mesh(int(floor)))
 	if err != nil {
 		return err
 	}
 	res, err := accept.Submit(ctx, wo.kv, accept.Submission{
-		ID: fmt.Sprintf("soak-%d-%d", base, rand.Uint32()), Base: base, Content: co, Whole: true, Floor: base, Resume: true,
+		ID: fmt.Sprintf("soak-%d-%d", floor, rand.Uint32()), Base: hd.Last.Version, Content: co, Whole: true, Floor: floor, Resume: true,
 	})
 	for err == nil {
 		newest := wo.version.Load()
@@ -168,6 +174,21 @@
 	return err
 }
 
+// head waits until the store answers and returns what it has.
+func (wo *world) head(ctx context.Context) (*accept.Head, error) {
+	for {
+		hd, _, err := accept.Load(ctx, wo.kv)
+		if err == nil {
+			return hd, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(lookInterval):
+		}
+	}
+}
+
 func (wo *world) startDaemon(v *vm) (err error) {
 	var seeds []string
 	for _, other := range wo.all() {
@@ -187,7 +208,6 @@
 
 // writeSettings writes those settings of a daemon that it can take while it runs.
 func (wo *world) writeSettings(v *vm) error {
-	v.settings = filepath.Join(wo.op.Dir, v.name+".yaml")
 	text := fmt.Sprintf("drain-timeout: 6s\naccess-log-sample: %d\n", rand.IntN(2))
 	return os.WriteFile(v.settings, []byte(text), 0o600)
 }
