node/soak: a soak that is told to end takes its processes down at once

A run that is ended stops its plan and leaves out the settling; what it started is killed by id as before. By hand: SIGTERM after 8 s of a run, no process left a second later. The end of a caller's connection is logged if it fails.

--- a/internal/node/soak/callers.go
+++ b/internal/node/soak/callers.go
@@ -142,11 +142,13 @@
 	var nc net.Conn
 	var br *bufio.Reader
 	drop := func() {
-		if nc != nil {
-			// All that is of interest has been read.
-			_ = nc.Close()
-			nc = nil
+		if nc == nil {
+			return
+		}
+		if err := nc.Close(); err != nil {
+			wo.op.Log.Debug("soak-connection-close", "error", err.Error())
 		}
+		nc = nil
 	}
 	defer drop()
 	for ; ctx.Err() == nil; time.Sleep(callPause) {
--- a/internal/node/soak/soak.go
+++ b/internal/node/soak/soak.go
@@ -77,6 +77,7 @@
 	}
 	re := &Report{Seed: op.Seed, Plan: op.Plan}
 	callers, stop := context.WithCancel(ctx)
+	defer stop()
 	sent := make(chan int)
 	all := wo.all()
 	for i, v := range all {
@@ -88,6 +89,9 @@
 	}
 	err := wo.playPlan(ctx)
 	wo.wg.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	wo.settle(ctx)
 	stop()
 	for range 2 * len(all) {
@@ -124,7 +128,7 @@
 			return fmt.Errorf("%s: %w", st, err)
 		}
 	}
-	for time.Since(began) < wo.op.For {
+	for time.Since(began) < wo.op.For && ctx.Err() == nil {
 		time.Sleep(lookInterval)
 		wo.look(ctx)
 	}
