plat/stall, platform: calls of the store end by progress, not by their size

Callers of the store saw 'outcome unknown: context deadline exceeded' for a value of 1 MB on a link that needs longer than a second for it (1.4 MB in base64, 7 Mbit/s: 1.6 s). Such a configuration could not be submitted, and daemons behind such a link never read it. The same showed in TestContract on a machine with 100 busy loops on five cores: a starved VM is a slow link.

Cause: platform.client gave each call one second from marshalling to the last byte, whatever its size. The client of our own key-value service had three seconds in the same way. Ruled out: the test itself (its values are within store.MaxValue) and the stand-in (a call of four bytes beside the same load passes).

A call now has its time up to the head of the answer, plus that for sending its body at 64 KiB a second, and then the same time between any two pieces of the answer. Silent stores are given up on as early as before.

--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -11,10 +11,12 @@
 	"connectrpc.com/connect"
 
 	"github.com/flamingomast/flamingomast/internal/plat/kvpb"
+	"github.com/flamingomast/flamingomast/internal/plat/stall"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
-// CallTimeout bounds each call but a watch, which has its own wait besides.
+// CallTimeout bounds the time in which nothing moves in a call. A watch has its own wait
+// besides.
 const CallTimeout = 3 * time.Second
 
 // Client calls a key-value service at one address.
@@ -31,7 +33,7 @@
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}}
-	return &Client{kv: kvpb.NewKeyValueClient(hc, "http://"+addr)}
+	return &Client{kv: kvpb.NewKeyValueClient(&stall.Client{HTTP: hc, Timeout: CallTimeout}, "http://"+addr)}
 }
 
 // Store returns the functions of the platform's interface.
@@ -72,9 +74,7 @@
 func call[Req, Res any](ctx context.Context, op, key string, write bool, timeout time.Duration, req *Req,
 	fn func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error),
 ) (*Res, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	res, err := fn(ctx, connect.NewRequest(req))
+	res, err := fn(stall.WithHeadTimeout(ctx, timeout), connect.NewRequest(req))
 	if err != nil {
 		return nil, fault(op, key, write, err)
 	}
