mesh/ctrl: fetch large versions instead of sending them within a packet

The fault of the store's client, elsewhere: daemons of a failure domain that is cut off from the store never held a large version. Their peers sent it whole within a packet of the link. A packet counts as heard once it is complete, so that one which takes longer than link.Silence (2.5 s) ended the link; the next one carried it again. A fetch of the content, the other way, ended after three seconds whatever its size.

A version with a body over 32 KiB is now announced without it, and the peer fetches it. A fetch ends when nothing comes for three seconds, and each piece of it counts as a sign of life of the peer, whose packets wait behind it on the same connection.

--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -17,6 +16,10 @@
 	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
+// maxInline is the largest body in bytes of a version within a packet. The peer fetches a
+// larger one: a packet that takes longer than link.Silence would end the link each time.
+const maxInline = 32 << 10
+
 // offer makes the packet that brings a peer with the content base up to date.
 func (nd *Node) offer(_ *link.Peer, base pack.Digest) *wirepb.Version {
 	cfg := nd.Board.Latest.Get()
@@ -25,7 +28,7 @@
 	}
 	dg := cfg.Content.Digest
 	vn := &wirepb.Version{Number: cfg.Version, Digest: dg[:]}
-	if body, ok := nd.history.Body(base, dg); ok && !base.IsZero() {
+	if body, ok := nd.history.Body(base, dg); ok && !base.IsZero() && len(body) <= maxInline {
 		vn.Base, vn.Body = base[:], body
 	}
 	return vn
@@ -418,6 +421,7 @@
 
 // The times of fetching.
 const (
+	// fetchTimeout bounds the time in which nothing of an answer comes.
 	fetchTimeout = 3 * time.Second
 	fetchRetry   = 500 * time.Millisecond
 )
@@ -461,15 +465,13 @@
 }
 
 func (nd *Node) fetchOnce(pr *link.Peer) (wait time.Duration, err error) {
-	ctx, cancel := context.WithTimeout(nd.life, fetchTimeout)
-	defer cancel()
 	req := &wirepb.FetchRequest{Vm: nd.cf.VM}
 	var base *pack.Content
 	if cfg := nd.Board.Latest.Get(); cfg != nil {
 		base = cfg.Content
 		req.Have = base.Digest[:]
 	}
-	res, err := nd.Client(nd.addressOf(pr)).Fetch(ctx, connect.NewRequest(req))
+	res, err := nd.fetchClient(pr).Fetch(nd.life, connect.NewRequest(req))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -16,6 +16,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/pack"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/stall"
 )
 
 // maxMessage bounds a message in bytes, well above a whole content.
@@ -116,7 +117,16 @@
 
 // Client returns a client of the daemon at addr.
 func (nd *Node) Client(addr string) wirepb.ControlClient {
-	return wirepb.NewControlClient(nd.http, "http://"+addr, connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
+	return nd.client(nd.http, addr)
+}
+
+// fetchClient returns a client of a peer for content of any size.
+func (nd *Node) fetchClient(pr *link.Peer) wirepb.ControlClient {
+	return nd.client(&stall.Client{HTTP: nd.http, Timeout: fetchTimeout, Received: pr.Alive}, nd.addressOf(pr))
+}
+
+func (nd *Node) client(hc connect.HTTPClient, addr string) wirepb.ControlClient {
+	return wirepb.NewControlClient(hc, "http://"+addr, connect.WithReadMaxBytes(maxMessage), connect.WithAcceptCompression("gzip", nil, nil))
 }
 
 type server struct {
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -65,6 +65,7 @@
 	Sent func(pr *Peer, pk *wirepb.Packet)
 
 	heard  atomic.Pointer[time.Time] // when the last packet came
+	silent atomic.Pointer[time.Timer]
 	offer  func(pr *Peer, base pack.Digest) *wirepb.Version
 	stream Stream
 	wake   chan struct{}
@@ -114,6 +115,7 @@
 	defer stop()
 	silent := time.AfterFunc(Silence, func() { cancel(ErrSilent) })
 	defer silent.Stop()
+	pr.silent.Store(silent)
 	var wg conc.WaitGroup
 	wg.Go(func() { cancel(pr.sendAll(ctx)) })
 	for {
@@ -122,15 +124,23 @@
 			cancel(err)
 			break
 		}
-		silent.Reset(Silence)
-		now := time.Now()
-		pr.heard.Store(&now)
+		pr.Alive()
 		handle(pr, pk)
 	}
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
+// Alive notes that the peer was heard, also on another stream: bytes of a large answer on the
+// same connection hold up its packets.
+func (pr *Peer) Alive() {
+	if silent := pr.silent.Load(); silent != nil {
+		silent.Reset(Silence)
+	}
+	now := time.Now()
+	pr.heard.Store(&now)
+}
+
 // Heard returns when the last packet came, the zero time for none.
 func (pr *Peer) Heard() time.Time {
 	if at := pr.heard.Load(); at != nil {
--- a/internal/plat/memnet/memnet.go
+++ b/internal/plat/memnet/memnet.go
@@ -15,6 +15,9 @@
 type Network struct {
 	// Latency is the time that bytes take between two hosts.
 	Latency func(from, to *Host) time.Duration
+	// Rate is how many bytes a second a connection carries between two hosts, 0 for any
+	// number; nil stands for 0.
+	Rate func(from, to *Host) int
 
 	mu      sync.Mutex
 	hosts   map[string]*Host
@@ -174,7 +177,9 @@
 	chunks   []chunk
 	closed   bool
 	deadline time.Time
-	changed  chan struct{}
+	// sent is when what was written has left.
+	sent    time.Time
+	changed chan struct{}
 }
 
 type chunk struct {
@@ -223,11 +228,33 @@
 	if corrupt != nil {
 		data = corrupt(pi.from, pi.to, data)
 	}
-	pi.chunks = append(pi.chunks, chunk{at: time.Now().Add(pi.nw.Latency(pi.from, pi.to)), data: data})
+	for len(data) > packet {
+		pi.chunks = append(pi.chunks, chunk{at: pi.arrival(packet), data: data[:packet:packet]})
+		data = data[packet:]
+	}
+	pi.chunks = append(pi.chunks, chunk{at: pi.arrival(len(data)), data: data})
 	pi.wake()
 	return n, nil
 }
 
+// packet is the most bytes that arrive at once.
+const packet = 1 << 10
+
+// arrival returns when bytes that are written now arrive; pi.mu is held.
+func (pi *pipe) arrival(n int) time.Time {
+	at := time.Now()
+	if pi.nw.Rate != nil {
+		if rate := pi.nw.Rate(pi.from, pi.to); rate > 0 {
+			if at.Before(pi.sent) {
+				at = pi.sent
+			}
+			at = at.Add(time.Duration(n) * time.Second / time.Duration(rate))
+			pi.sent = at
+		}
+	}
+	return at.Add(pi.nw.Latency(pi.from, pi.to))
+}
+
 func (pi *pipe) read(p []byte) (int, error) {
 	for {
 		cut, healed := pi.nw.state(pi.from, pi.to)
