--- a/internal/node/cmds/rollout.go
+++ b/internal/node/cmds/rollout.go
@@ -41,11 +41,11 @@
 				return usageError("name a service and the version that its new servers announce")
 			}
 			or := order.Order{Service: args[0], Target: args[1], DurationMs: within.Milliseconds()}
-			kv, err := ap.writeOrder(ctx, or)
+			kv, ordered, err := ap.writeOrder(ctx, or)
 			if err != nil || !*wait {
 				return err
 			}
-			return ap.waitRollout(ctx, kv, or)
+			return ap.waitRollout(ctx, kv, or, ordered)
 		},
 	}
 }
@@ -69,7 +69,7 @@
 				return err
 			}
 			or.Abort = true
-			_, err = ap.writeOrder(ctx, or)
+			_, _, err = ap.writeOrder(ctx, or)
 			return err
 		},
 	}
@@ -87,45 +87,54 @@
 	return or, json.Unmarshal(ent.Value, &or)
 }
 
-// writeOrder writes an order over whatever was ordered for the service before.
-func (ap *app) writeOrder(ctx context.Context, or order.Order) (store.Store, error) {
+// writeOrder writes an order over whatever was ordered for the service before, and returns its
+// revision.
+func (ap *app) writeOrder(ctx context.Context, or order.Order) (kv store.Store, ordered store.Revision, err error) {
 	if err := or.Check(); err != nil {
-		return store.Store{}, usageError(err.Error())
+		return kv, ordered, usageError(err.Error())
 	}
-	kv, err := ap.store()
+	kv, err = ap.store()
 	if err != nil {
-		return kv, err
+		return kv, ordered, err
 	}
 	value, err := json.Marshal(or)
 	if err != nil {
-		return kv, err
+		return kv, ordered, err
 	}
 	cur, err := kv.Get(ctx, or.Key())
 	if err != nil {
-		return kv, err
+		return kv, ordered, err
 	}
-	ok, _, err := kv.Swap(ctx, store.Change{Key: or.Key(), Revision: cur.Revision, Value: value})
+	ok, ent, err := kv.Swap(ctx, store.Change{Key: or.Key(), Revision: cur.Revision, Value: value})
 	if err == nil && !ok {
 		err = fmt.Errorf("another order for %q was written at the same time; look at flamingomast rollout status", or.Service)
 	}
 	if err == nil {
 		fmt.Fprintf(ap.out, "ordered: %s to %s within %s\n", or.Service, or.Target, time.Duration(or.DurationMs)*time.Millisecond)
 	}
-	return kv, err
+	return kv, ent.Revision, err
 }
 
-// rolloutPoll is how often the state of a rollout is read while waiting for its end.
-const rolloutPoll = 500 * time.Millisecond
+const (
+	// rolloutPoll is how often the state of a rollout is read while waiting for its end.
+	rolloutPoll = 500 * time.Millisecond
+	// rolloutSlack is how long after its time the end of a rollout is waited for: the store
+	// may be away as it is to be written.
+	rolloutSlack = time.Minute
+)
 
-// waitRollout waits for the end of a rollout.
-func (ap *app) waitRollout(ctx context.Context, kv store.Store, or order.Order) error {
+// waitRollout waits for the end of a rollout, also while the store cannot be reached.
+func (ap *app) waitRollout(ctx context.Context, kv store.Store, or order.Order, ordered store.Revision) error {
+	limit := time.Duration(or.DurationMs)*time.Millisecond + rolloutSlack
+	over := time.After(limit)
+	var lastErr error
 	for {
-		ent, err := kv.Get(ctx, order.StatusKey(or.Service))
-		if err != nil {
-			return err
+		st, err := rolloutState(ctx, kv, or, ordered)
+		if err != nil && lastErr == nil {
+			fmt.Fprintf(ap.err, "the state cannot be read, trying again: %v\n", err)
 		}
-		target, st, err := order.DecodeStatus(ent.Value)
-		if ent.Revision.Exists() && err == nil && target == or.Target && st.Final() {
+		lastErr = err
+		if st.Final() {
 			fmt.Fprintf(ap.out, "%s\n", st)
 			if st == canary.RolledBack {
 				return fmt.Errorf("%s was rolled back; see the event rollout-decided in the daemons' logs", or.Target)
@@ -135,11 +144,33 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-over:
+			if lastErr != nil {
+				return fmt.Errorf("no end of the rollout was seen in %s: %w", limit, lastErr)
+			}
+			return fmt.Errorf("no end of the rollout was seen in %s; see whether daemons of %s run", limit, or.Service)
 		case <-time.After(rolloutPoll):
 		}
 	}
 }
 
+// rolloutState returns the state that the store has for an order, 0 for none. What it has from
+// before the order is of another one.
+func rolloutState(ctx context.Context, kv store.Store, or order.Order, ordered store.Revision) (canary.State, error) {
+	ent, err := kv.Get(ctx, order.StatusKey(or.Service))
+	if err != nil || !ent.Revision.Exists() {
+		return 0, err
+	}
+	if ent.Revision.Epoch == ordered.Epoch && ent.Revision.Number < ordered.Number {
+		return 0, nil
+	}
+	target, st, err := order.DecodeStatus(ent.Value)
+	if err != nil || target != or.Target {
+		return 0, err
+	}
+	return st, nil
+}
+
 func (ap *app) rolloutStatusCmd() *ffcli.Command {
 	fs := ap.flags("rollout status")
 	ap.platformFlag(fs)
