plat/dialer: calls of the store are not written to a connection that it has closed

A change of the store that was written to a kept connection which the store had closed ended as 'outcome unknown', though it had not run: 'swap b: outcome unknown: Post ...: EOF'. An operator's apply then says that it may have been accepted; a daemon's acknowledgement of a drain waits for the next try. The transport learns of the end by a read that returns later, and repeats no POST once it has written.

DoFresh looks at the socket as the transport hands out a kept connection, as path/proxy does for requests of callers. One that has ended is closed, so that nothing can be written, and the call is made on another. Looked at and left: links and fetches between daemons are HTTP/2, where a call that was not taken is repeated by the transport or by the next round, and nothing there may run only once.

--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -122,7 +122,7 @@
 
 // fetchClient returns a client of a peer for content of any size.
 func (nd *Node) fetchClient(pr *link.Peer) wirepb.ControlClient {
-	return nd.client(&stall.Client{HTTP: nd.http, Timeout: fetchTimeout, Received: pr.Alive}, nd.addressOf(pr))
+	return nd.client(&stall.Client{HTTP: nd.http.Do, Timeout: fetchTimeout, Received: pr.Alive}, nd.addressOf(pr))
 }
 
 func (nd *Node) client(hc connect.HTTPClient, addr string) wirepb.ControlClient {
--- a/internal/path/proxy/conn.go
+++ b/internal/path/proxy/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 )
 
 // errSurplus ends a connection that closed, or on which bytes came that belong to no
@@ -72,7 +74,7 @@
 	for cn.written == cn.before && !cn.reading && !cn.poisoned {
 		cn.changed.Wait()
 	}
-	if !cn.poisoned && cn.written == cn.before && cn.before > 0 && isStale(cn.Conn) {
+	if !cn.poisoned && cn.written == cn.before && cn.before > 0 && dialer.IsStale(cn.Conn) {
 		cn.poisoned = true
 	}
 	if cn.poisoned {
--- a/internal/path/proxy/stale_test.go
+++ b/internal/path/proxy/stale_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 )
 
 // TestClosedBeforeWrite guards against a request that is taken for sent though its kept
@@ -31,7 +33,7 @@
 			if err := tc.peer(far); err != nil {
 				t.Fatal(err)
 			}
-			for end := time.Now().Add(5 * time.Second); tc.stale && !isStale(near) && time.Now().Before(end); {
+			for end := time.Now().Add(5 * time.Second); tc.stale && !dialer.IsStale(near) && time.Now().Before(end); {
 				<-time.After(time.Millisecond)
 			}
 			_, err := cn.Write([]byte("GET"))
--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/flamingomast/flamingomast/internal/plat/dialer"
 	"github.com/flamingomast/flamingomast/internal/plat/kvpb"
 	"github.com/flamingomast/flamingomast/internal/plat/stall"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
@@ -28,12 +29,17 @@
 
 // New returns a client of the service at addr (host:port).
 func New(addr string) *Client {
+	return newClient(addr, (&net.Dialer{Timeout: time.Second}).DialContext)
+}
+
+func newClient(addr string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
 	hc := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}}
-	return &Client{kv: kvpb.NewKeyValueClient(&stall.Client{HTTP: hc, Timeout: CallTimeout}, "http://"+addr)}
+	do := func(req *http.Request) (*http.Response, error) { return dialer.DoFresh(hc, req) }
+	return &Client{kv: kvpb.NewKeyValueClient(&stall.Client{HTTP: do, Timeout: CallTimeout}, "http://"+addr)}
 }
 
 // Store returns the functions of the platform's interface.
--- a/internal/plat/remote/contract_test.go
+++ b/internal/plat/remote/contract_test.go
@@ -1,7 +1,9 @@
 package remote
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -53,3 +55,15 @@
 		t.Errorf("error %v names neither operation nor key", err)
 	}
 }
+
+// TestEndedBeforeCall guards against a write whose outcome is unknown though the service had
+// closed the kept connection before it was written.
+func TestEndedBeforeCall(t *testing.T) {
+	mux := http.NewServeMux()
+	mux.Handle(Handler(stand.New().Store()))
+	sv := httptest.NewServer(mux)
+	t.Cleanup(sv.Close)
+	var le kvtest.LateEnd
+	kv := newClient(strings.TrimPrefix(sv.URL, "http://"), func(_ context.Context, _, addr string) (net.Conn, error) { return le.Dial(addr) }).Store()
+	kvtest.EndedBeforeCall(t, kv, &le, sv.CloseClientConnections)
+}
--- a/internal/plat/stall/stall.go
+++ b/internal/plat/stall/stall.go
@@ -15,7 +15,8 @@
 
 // Client makes calls by HTTP.
 type Client struct {
-	HTTP *http.Client
+	// HTTP makes a call, as http.Client.Do does.
+	HTTP func(*http.Request) (*http.Response, error)
 	// Timeout bounds the time to the head of the answer, besides that for sending the
 	// request, and then the time between any two pieces of the answer.
 	Timeout time.Duration
@@ -54,7 +55,7 @@
 	}
 	sending := time.Duration(max(0, req.ContentLength)) * time.Second / MinRate
 	timer := time.AfterFunc(head+sending, func() { cancel(errStalled) })
-	res, err := cl.HTTP.Do(req.WithContext(ctx))
+	res, err := cl.HTTP(req.WithContext(ctx))
 	if err != nil {
 		timer.Stop()
 		cancel(nil)
--- a/internal/plat/stall/stall_test.go
+++ b/internal/plat/stall/stall_test.go
@@ -83,7 +83,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cl := &Client{HTTP: &http.Client{Transport: &tc.server}, Timeout: time.Second}
+				cl := &Client{HTTP: (&http.Client{Transport: &tc.server}).Do, Timeout: time.Second}
 				ctx := t.Context()
 				if tc.head > 0 {
 					ctx = WithHeadTimeout(ctx, tc.head)
