path/outlet: log deadlines of callers' connections that cannot be set

A connection that knows no deadlines would let a caller that sends slowly hold a slot of its server, and no line would say so. The line is of level debug, since a caller that has gone causes it as well.

TestDeadlineUnset: two lines for a connection without deadlines, none before.

--- /dev/null
+++ b/internal/path/outlet/deadline_test.go
@@ -0,0 +1,22 @@
+package outlet
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
+)
+
+// TestDeadlineUnset guards against callers without any deadline of which no line tells.
+func TestDeadlineUnset(t *testing.T) {
+	var out bytes.Buffer
+	ou := &Outlet{log: slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug}))}
+	// A recorder knows no deadlines.
+	ou.guardTimes(httptest.NewRecorder(), time.Now())()
+	if n := bytes.Count(out.Bytes(), []byte(logs.DeadlineUnset)); n != 2 {
+		t.Errorf("%d lines, want 2: %s", n, &out)
+	}
+}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -21,6 +22,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/retry"
 	"github.com/flamingomast/flamingomast/internal/path/shed"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // Outlet serves callers. Its table may be replaced at any time.
@@ -225,7 +227,7 @@
 		ou: ou, route: route, sv: sv, base: rt.tb.Group(sv), gp: rt.tb.Group(sv).For(start, rand.Float64()), bu: rt.budgets[sv.Index],
 		version: rt.tb.Snap.Version, kn: kn, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, repeat: repeat, further: further, try: try,
 	}
-	undo := guardTimes(w, start.Add(limit))
+	undo := ou.guardTimes(w, start.Add(limit))
 	defer func() {
 		// Without its deadline the server would wait for the rest of a body that
 		// does not come before it sends the answer.
@@ -264,15 +266,17 @@
 // guardTimes ends reads from and writes to a caller that takes longer than the
 // deadline: without it a caller that sends or reads slowly holds a slot of the
 // backend server for as long as it likes. It returns what undoes it.
-func guardTimes(w http.ResponseWriter, at time.Time) func() {
+func (ou *Outlet) guardTimes(w http.ResponseWriter, at time.Time) func() {
 	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(at.Add(time.Second))
-	// Later, so that a caller whose body did not come in time is still told.
-	_ = rc.SetWriteDeadline(at.Add(2 * time.Second))
-	return func() {
-		_ = rc.SetReadDeadline(time.Time{})
-		_ = rc.SetWriteDeadline(time.Time{})
+	set := func(read, write time.Time) {
+		if err := errors.Join(rc.SetReadDeadline(read), rc.SetWriteDeadline(write)); err != nil {
+			ou.log.Debug(logs.DeadlineUnset, slog.Any("error", err))
+		}
 	}
+	// The write deadline is later, so that a caller whose body did not come in time is still
+	// told.
+	set(at.Add(time.Second), at.Add(2*time.Second))
+	return func() { set(time.Time{}, time.Time{}) }
 }
 
 func (ou *Outlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -10,6 +10,9 @@
 	// handed over and that was not answered.
 	Refused = "inlet-refused"
 	Failed  = "inlet-failed"
+	// DeadlineUnset is a deadline of a caller's connection that could not be set: the
+	// caller has gone, or its connection knows none.
+	DeadlineUnset = "caller-deadline-unset"
 	// ServerEnded is the end of a backend server that was running requests.
 	ServerEnded = "backend-server-ended"
 	// EndedUnder is a request that a backend server was running when it ended.
