roll/judge: compare versions server by server

Operators saw bad versions completed, or sent requests later than five seconds after the 50th bad answer, while servers of either version were bad for reasons of their own, and good versions rolled back for the same reason; with three servers a good version beside one failing server of its own was never completed.

Cause: the judge compared sums of failure domains. In them 'most servers before are bad' looks like 'this is what the version before does', and 'one new server is bad' like 'the new version is bad'. Ruled out: too few requests (112 to 1,750 reached the versions that were completed) and the thresholds (any that finds these rolls more good ones back).

Counts are now kept by server. A server is healthy or bad by itself, a version good or bad on all of its servers; what is not known (the level of healthy servers, how many are bad by themselves, by how much) is summed over. What a server did before a window, or on other routes, says in which state it is, so that one bad server speaks against itself and several that turn bad together against the version. Service times are sent as sums of logarithms in place of 28 buckets, so that a server takes some 40 B a route; relays send the counts of more than 16 servers less often. Twelve servers take the first requests in place of four.

TestGoodVersions only logged; it now asserts 70, 80, 90 and 95 of 100 by size.

--- a/internal/mesh/ctrl/rollout.go
+++ b/internal/mesh/ctrl/rollout.go
@@ -282,7 +282,8 @@
 	if de.State == canary.RolledBack {
 		next.State, next.Share, next.Stored = canary.RolledBack, 0, false
 		nd.log.Warn("rollout-decided", slog.String(logs.Service, cur.Order.Service), slog.String("target", cur.Order.Target),
-			slog.String("state", next.State.String()), slog.Float64("evidence", de.Against), slog.Uint64("requests", de.Requests), slog.Duration("after", elapsed))
+			slog.String("state", next.State.String()), slog.Float64("evidence", de.Against), slog.String("measure", de.Cause.Measure), slog.String("route", de.Cause.Route), slog.Duration("window", de.Cause.Window),
+			slog.Uint64("requests", de.Requests), slog.Duration("after", elapsed))
 		nd.mergeRollout(nil, &next)
 		return &next
 	}
--- a/internal/mesh/ctrl/tallies.go
+++ b/internal/mesh/ctrl/tallies.go
@@ -14,6 +14,11 @@
 	tallyInterval = 300 * time.Millisecond
 	// tallyTTL is how long the counts of a VM or failure domain hold.
 	tallyTTL = 3 * time.Second
+	// sumServers is how many servers' counts a relay sends to those of other failure
+	// domains in tallyInterval; it sends those of more servers less often, but at least
+	// once in maxSumTicks intervals.
+	sumServers  = 16
+	maxSumTicks = 4
 )
 
 // Counts is what the VM's own backend server did.
@@ -27,6 +32,8 @@
 type tallies struct {
 	vms     map[string]heardTally
 	domains map[string]heardTally
+	// sent is when the counts of a service were last sent to other failure domains.
+	sent map[string]time.Time
 }
 
 // heardTally is a message with when it came.
@@ -35,13 +42,13 @@
 	at time.Time
 }
 
-// gives reports whether a sum takes the place of the one that is kept: a later one of the same
-// relay, or that of another relay once the former has sent none for a while.
+// gives reports whether counts take the place of those that are kept: later ones of the same
+// relay, or those of another relay once the former has sent none for a while.
 func (ht heardTally) gives(ta *wirepb.Tally, now time.Time) bool {
 	if ht.Process == ta.Process {
 		return ta.Stamp > ht.Stamp
 	}
-	return now.Sub(ht.at) > 3*tallyInterval
+	return now.Sub(ht.at) > sumInterval(len(ht.Cohorts))+2*tallyInterval
 }
 
 // nextStamp returns a number that rises with each message of this process.
@@ -86,21 +93,34 @@
 	}
 }
 
+// sumInterval returns how often the counts of some servers are sent to other failure domains.
+func sumInterval(servers int) time.Duration {
+	return tallyInterval * time.Duration(min(maxSumTicks, max(1, (servers+sumServers-1)/sumServers)))
+}
+
 func (nd *Node) ownTally(cs *Counts) *wirepb.Tally {
 	self := nd.Board.Self.Get()
 	return &wirepb.Tally{
 		Service: cs.Service, Vm: nd.cf.VM, Domain: nd.cf.Domain, Process: self.Process(), Stamp: nd.nextStamp(),
-		Cohorts: link.TallyToWire(tally.Sum{cs.Software: &cs.Cohort}),
+		Cohorts: link.TallyToWire(tally.Sum{cs.Software: {&cs.Cohort}}),
 	}
 }
 
-// sendSum sends the sum of the own failure domain to the other relays.
+// sendSum sends the counts of the own failure domain to the relays of the others, unless it
+// has done so lately.
 func (nd *Node) sendSum(service string, now time.Time) {
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
+	cohorts := link.TallyToWire(nd.domainSum(service, now))
+	if now.Sub(nd.tallies.sent[service]) < sumInterval(len(cohorts))-tallyInterval/2 {
+		return
+	}
+	if nd.tallies.sent == nil {
+		nd.tallies.sent = map[string]time.Time{}
+	}
+	nd.tallies.sent[service] = now
 	sum := &wirepb.Tally{
-		Service: service, Domain: nd.cf.Domain, Process: nd.Board.Self.Get().Process(), Stamp: nd.nextStamp(),
-		Cohorts: link.TallyToWire(nd.domainSum(service, now)),
+		Service: service, Domain: nd.cf.Domain, Process: nd.Board.Self.Get().Process(), Stamp: nd.nextStamp(), Cohorts: cohorts,
 	}
 	for pr := range nd.peers {
 		if pr.Relay && pr.Record.Domain != nd.cf.Domain {
@@ -109,7 +129,7 @@
 	}
 }
 
-// domainSum adds up the counts of the own failure domain; nd.mu is held.
+// domainSum gathers the counts of the own failure domain; nd.mu is held.
 func (nd *Node) domainSum(service string, now time.Time) tally.Sum {
 	sum := tally.Sum{}
 	for vm, ht := range nd.tallies.vms {
@@ -117,8 +137,11 @@
 		case now.Sub(ht.at) > tallyTTL:
 			delete(nd.tallies.vms, vm)
 		case ht.Service == service:
-			for software, ch := range link.TallyFromWire(ht.Tally) {
-				sum.Add(software, ch)
+			for software, list := range link.TallyFromWire(ht.Tally) {
+				for _, ch := range list {
+					ch.VM = vm
+					sum.Add(software, ch)
+				}
 			}
 		}
 	}
@@ -146,7 +169,7 @@
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	if nd.tallies.vms == nil {
-		nd.tallies = tallies{vms: map[string]heardTally{}, domains: map[string]heardTally{}}
+		nd.tallies.vms, nd.tallies.domains = map[string]heardTally{}, map[string]heardTally{}
 	}
 	if ta.Vm == "" {
 		key := ta.Domain + "/" + ta.Service
--- a/internal/mesh/link/rolls.go
+++ b/internal/mesh/link/rolls.go
@@ -84,16 +84,16 @@
 // TallyToWire returns counts as a message.
 func TallyToWire(su tally.Sum) []*wirepb.CohortTally {
 	var list []*wirepb.CohortTally
-	for software, ch := range su {
-		pb := &wirepb.CohortTally{Software: software, Servers: uint32(ch.Servers), Running: uint32(ch.Running)}
-		for route, ro := range ch.Routes {
-			held := ro.Held[:]
-			for len(held) > 0 && held[len(held)-1] == 0 {
-				held = held[:len(held)-1]
+	for software, cohorts := range su {
+		for _, ch := range cohorts {
+			pb := &wirepb.CohortTally{Software: software, Servers: uint32(ch.Servers), Running: uint32(ch.Running), Vm: ch.VM}
+			for route, ro := range ch.Routes {
+				pb.Routes = append(pb.Routes, &wirepb.RouteTally{
+					Route: route, Requests: ro.Requests, Failures: ro.Failures, Timed: ro.Timed, Logs: ro.Logs, Squares: ro.Squares,
+				})
 			}
-			pb.Routes = append(pb.Routes, &wirepb.RouteTally{Route: route, Requests: ro.Requests, Failures: ro.Failures, Held: held})
+			list = append(list, pb)
 		}
-		list = append(list, pb)
 	}
 	return list
 }
@@ -102,11 +102,11 @@
 func TallyFromWire(ta *wirepb.Tally) tally.Sum {
 	su := tally.Sum{}
 	for _, pb := range ta.Cohorts {
-		ch := &tally.Cohort{Servers: int(pb.Servers), Running: int(pb.Running), Routes: map[string]*tally.Row{}}
+		ch := &tally.Cohort{VM: pb.Vm, Servers: int(pb.Servers), Running: int(pb.Running), Routes: map[string]*tally.Row{}}
 		for _, rt := range pb.Routes {
-			ro := &tally.Row{Requests: rt.Requests, Failures: min(rt.Failures, rt.Requests)}
-			copy(ro.Held[:], rt.Held)
-			ch.Routes[rt.Route] = ro
+			ch.Routes[rt.Route] = &tally.Row{
+				Requests: rt.Requests, Failures: min(rt.Failures, rt.Requests), Timed: min(rt.Timed, rt.Requests), Logs: rt.Logs, Squares: rt.Squares,
+			}
 		}
 		su.Add(pb.Software, ch)
 	}
--- a/internal/roll/judge/ramp.go
+++ b/internal/roll/judge/ramp.go
@@ -28,9 +28,26 @@
 	quietShare    = 0.3
 	// leastSeen is for how long the requests of a service are counted before that.
 	leastSeen = 0.08
-	// fewServers is how many servers take the first requests at least, so that one slow
-	// machine says little.
-	fewServers = 4
+	// firstServers is how many servers take the first requests, so that those that are bad by
+	// themselves are a few among them.
+	firstServers = 12
+)
+
+// The evidence against a version, as the logarithm of how many times as likely it is to be
+// bad as to be good.
+const (
+	// rejectAbove ends a rollout at once.
+	rejectAbove = 6.0
+	// doubtAbove ends a rollout after doubtTime, once the target has run doubtRequests.
+	doubtAbove    = 0.0
+	doubtRequests = 50
+	doubtTime     = 2500 * time.Millisecond
+	// acceptBelow is the evidence below which a rollout goes on, and acceptBelowFew that with
+	// fewer than fewServers servers of the target: the speeds of some machines may lie as far
+	// apart as those of versions.
+	acceptBelow    = 0.0
+	acceptBelowFew = -1.0
+	fewServers     = 5
 )
 
 // rampShares are the shares of the steps of the ramp.
@@ -41,6 +58,9 @@
 	// step is the one of the ramp, from 1 on, and since when it lasts.
 	step  int
 	since time.Duration
+	// doubted is since when the evidence has raised doubts, if doubts is set.
+	doubted time.Duration
+	doubts  bool
 }
 
 // Resume returns the ramp of a rollout in which the target gets a share already: another
@@ -56,8 +76,6 @@
 	return ra
 }
 
-func exp2(x float64) float64 { return math.Exp2(x) }
-
 // Step returns what is to be done some time after the order.
 func (ra *Ramp) Step(elapsed time.Duration, ju *Judge) Decision {
 	part := float64(elapsed) / float64(ju.duration)
@@ -66,11 +84,13 @@
 	if ra.step > 0 {
 		de.Servers = targets
 	} else {
-		de.Servers = max(fewServers, int(math.Ceil(2*watchShare*float64(targets))))
+		de.Servers = max(firstServers, int(math.Ceil(2*watchShare*float64(targets))))
 	}
-	de.Against = ju.against(targets)
+	var compared bool
+	de.Against, de.Cause, compared = ju.against()
+	accepted := compared && (de.Against < acceptBelowFew || de.Against < acceptBelow && targets >= fewServers)
 	switch {
-	case de.Against >= alarm:
+	case de.Against >= rejectAbove, ra.doubt(elapsed, compared && de.Against >= doubtAbove) >= doubtTime && ju.requests >= doubtRequests:
 		de.State = canary.RolledBack
 		return de
 	case part >= lastRamp && ra.step == 0, part >= endAt && ra.step < len(rampShares):
@@ -80,7 +100,9 @@
 	case targets == 0:
 		return de
 	}
-	ra.climb(elapsed, part, de.Against, ju)
+	if accepted {
+		ra.climb(elapsed, part, ju)
+	}
 	if ra.step == 0 {
 		de.Share = ju.watchShare(part)
 		return de
@@ -93,19 +115,28 @@
 	}
 	idle := running == 0 && others > 0 && part >= rampAt+float64(len(rampShares))*rampTime
 	switch {
-	case part >= endAt && de.Against >= quiet:
+	case part >= endAt && !accepted:
 		de.State = canary.RolledBack
-	case part >= endAt, idle && de.Against < quiet:
+	case part >= endAt, idle && accepted:
 		de.State = canary.Complete
 	}
 	return de
 }
 
-// climb goes on to the next step of the ramp once nothing speaks against it.
-func (ra *Ramp) climb(elapsed time.Duration, part, against float64, ju *Judge) {
-	if against >= quiet {
-		return
+// doubt returns for how long the evidence has raised doubts.
+func (ra *Ramp) doubt(elapsed time.Duration, doubted bool) time.Duration {
+	if !doubted {
+		ra.doubts = false
+		return 0
+	}
+	if !ra.doubts {
+		ra.doubts, ra.doubted = true, elapsed
 	}
+	return elapsed - ra.doubted
+}
+
+// climb goes on to the next step of the ramp once it is time.
+func (ra *Ramp) climb(elapsed time.Duration, part float64, ju *Judge) {
 	stepTime := time.Duration(rampTime * float64(ju.duration))
 	switch {
 	case ra.step == 0 && part >= rampAt && ju.requests >= rampRequests:
--- a/internal/roll/judge/sim_test.go
+++ b/internal/roll/judge/sim_test.go
@@ -316,7 +316,12 @@
 
 var simSizes = []int{3, 6, 17, 65}
 
-// TestGoodVersions: nearly all good versions are complete in time.
+// completeAtLeast is the part of the good versions that are complete in time, by the number of
+// servers.
+var completeAtLeast = map[int]float64{3: 0.7, 6: 0.8, 17: 0.9, 65: 0.95}
+
+// TestGoodVersions guards against good versions that are rolled back, also beside servers that
+// are bad by themselves.
 func TestGoodVersions(t *testing.T) {
 	for _, fa := range simFaults {
 		for _, n := range simSizes {
@@ -334,6 +339,9 @@
 					t.Logf("seed %d: %s at %s of %s, evidence %.1f, %d requests", seed, rs.state, rs.at, wo.duration, rs.against, rs.target)
 				}
 				t.Logf("%d of %d complete", done, played)
+				if least := uint64(completeAtLeast[n] * float64(played)); done < least {
+					t.Errorf("%d of %d complete, want %d", done, played, least)
+				}
 			})
 		}
 	}
--- a/internal/roll/tally/tally.go
+++ b/internal/roll/tally/tally.go
@@ -2,59 +2,64 @@
 
 import (
 	"math"
-	"math/bits"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Buckets is how many buckets of service time are counted, two for each doubling from a
-// millisecond on.
-const Buckets = 28
+// PerDoubling is how many units of logarithm a doubling of a service time is.
+const PerDoubling = 16
 
 // Row counts the requests of one route. Only its methods and those of Counter change it.
 type Row struct {
 	Requests, Failures uint64
-	// Held counts the requests by the time for which they held a slot, in buckets. Those
-	// of a server that is slow after its start are left out.
-	Held [Buckets]uint64
+	// Timed counts the requests whose service time is known, the time for which they held
+	// a slot. Logs adds up the logarithms of these times from a microsecond on, and
+	// Squares their squares, so that rows of several moments can be added and subtracted.
+	Timed, Logs, Squares uint64
 }
 
 // Add adds the counts of other.
 func (ro *Row) Add(other *Row) {
 	ro.Requests += other.Requests
 	ro.Failures += other.Failures
-	for i, n := range other.Held {
-		ro.Held[i] += n
-	}
+	ro.Timed += other.Timed
+	ro.Logs += other.Logs
+	ro.Squares += other.Squares
 }
 
 // Since returns what was counted after an earlier state of the row. It reports whether that
 // was an earlier state: the counts of a process that was replaced begin anew.
 func (ro *Row) Since(before *Row) (Row, bool) {
-	next := Row{Requests: ro.Requests - before.Requests, Failures: ro.Failures - before.Failures}
-	ok := ro.Requests >= before.Requests && ro.Failures >= before.Failures
-	for i, n := range ro.Held {
-		next.Held[i] = n - before.Held[i]
-		ok = ok && n >= before.Held[i]
+	next := Row{
+		Requests: ro.Requests - before.Requests, Failures: ro.Failures - before.Failures,
+		Timed: ro.Timed - before.Timed, Logs: ro.Logs - before.Logs, Squares: ro.Squares - before.Squares,
 	}
+	ok := ro.Requests >= before.Requests && ro.Failures >= before.Failures &&
+		ro.Timed >= before.Timed && ro.Logs >= before.Logs && ro.Squares >= before.Squares
 	return next, ok
 }
 
-// Bucket returns the bucket of a service time.
-func Bucket(held time.Duration) int {
-	us := uint64(max(0, held.Microseconds()))
-	// In units of 1/1024 ms, so that the bit length counts doublings from a millisecond.
-	n := bits.Len64(us >> 10)
-	if n == 0 {
-		return 0
+// Scaled returns the row as if it had so many requests, if it has more.
+func (ro *Row) Scaled(requests uint64) Row {
+	if ro.Requests <= requests {
+		return *ro
 	}
-	low := uint64(1) << (9 + n)
-	at := 2*n - 1
-	if float64(us) >= float64(low)*math.Sqrt2 {
-		at++
+	part := float64(requests) / float64(ro.Requests)
+	scale := func(n uint64) uint64 { return uint64(math.Round(part * float64(n))) }
+	next := Row{Requests: requests, Failures: scale(ro.Failures), Timed: scale(ro.Timed)}
+	if ro.Timed > 0 {
+		// By the rounded number, so that the mean stays.
+		part = float64(next.Timed) / float64(ro.Timed)
+		next.Logs, next.Squares = scale(ro.Logs), scale(ro.Squares)
 	}
-	return min(at, Buckets-1)
+	return next
+}
+
+// Log returns the logarithm of a service time in units of Row.Logs.
+func Log(held time.Duration) uint64 {
+	us := max(1, held.Microseconds())
+	return uint64(math.Round(PerDoubling * math.Log2(float64(us))))
 }
 
 // Counter counts the requests of one start of a backend server. The zero value is ready
@@ -64,8 +69,7 @@
 }
 
 type cells struct {
-	requests, failures atomic.Uint64
-	held               [Buckets]atomic.Uint64
+	requests, failures, timed, logs, squares atomic.Uint64
 }
 
 // Add counts a request that ended. A held time of 0 is not counted.
@@ -80,7 +84,10 @@
 		ce.failures.Add(1)
 	}
 	if held > 0 {
-		ce.held[Bucket(held)].Add(1)
+		lg := Log(held)
+		ce.timed.Add(1)
+		ce.logs.Add(lg)
+		ce.squares.Add(lg * lg)
 	}
 }
 
@@ -89,45 +96,26 @@
 	rows := map[string]*Row{}
 	co.routes.Range(func(key, value any) bool {
 		ce := value.(*cells)
-		ro := &Row{Requests: ce.requests.Load(), Failures: ce.failures.Load()}
-		for i := range ce.held {
-			ro.Held[i] = ce.held[i].Load()
+		rows[key.(string)] = &Row{
+			Requests: ce.requests.Load(), Failures: ce.failures.Load(),
+			Timed: ce.timed.Load(), Logs: ce.logs.Load(), Squares: ce.squares.Load(),
 		}
-		rows[key.(string)] = ro
 		return true
 	})
 	return rows
 }
 
-// Cohort is what servers of one software version did.
+// Cohort is what one server of a software version did, or several as one.
 type Cohort struct {
+	// VM is the server's VM.
+	VM string
 	// Servers is how many there are, Running how many requests they run at the moment.
 	Servers, Running int
 	Routes           map[string]*Row
 }
 
-// Add adds the counts of other.
-func (ch *Cohort) Add(other *Cohort) {
-	ch.Servers += other.Servers
-	ch.Running += other.Running
-	if ch.Routes == nil {
-		ch.Routes = map[string]*Row{}
-	}
-	for route, ro := range other.Routes {
-		if ch.Routes[route] == nil {
-			ch.Routes[route] = &Row{}
-		}
-		ch.Routes[route].Add(ro)
-	}
-}
-
 // Sum is what the servers of a service in one failure domain did, by software version.
-type Sum map[string]*Cohort
+type Sum map[string][]*Cohort
 
 // Add adds a cohort of a version.
-func (su Sum) Add(software string, ch *Cohort) {
-	if su[software] == nil {
-		su[software] = &Cohort{}
-	}
-	su[software].Add(ch)
-}
+func (su Sum) Add(software string, ch *Cohort) { su[software] = append(su[software], ch) }
--- a/internal/roll/tally/tally_test.go
+++ b/internal/roll/tally/tally_test.go
@@ -8,22 +8,22 @@
 	"pgregory.net/rapid"
 )
 
-func TestBucket(t *testing.T) {
+func TestLog(t *testing.T) {
 	for _, tc := range []struct {
 		held time.Duration
-		want int
+		want uint64
 	}{
-		{0, 0}, {500 * time.Microsecond, 0}, {1023 * time.Microsecond, 0}, {1024 * time.Microsecond, 1},
-		{1449 * time.Microsecond, 2}, {2048 * time.Microsecond, 3}, {time.Second, 20}, {time.Hour, Buckets - 1}, {-time.Second, 0},
+		{-time.Second, 0}, {0, 0}, {500, 0}, {time.Microsecond, 0}, {2 * time.Microsecond, 16}, {3 * time.Microsecond, 25},
+		{1024 * time.Microsecond, 160}, {1448 * time.Microsecond, 168}, {2048 * time.Microsecond, 176}, {time.Second, 319}, {time.Hour, 508},
 	} {
-		if got := Bucket(tc.held); got != tc.want {
-			t.Errorf("Bucket(%v) = %d, want %d", tc.held, got, tc.want)
+		if got := Log(tc.held); got != tc.want {
+			t.Errorf("Log(%v) = %d, want %d", tc.held, got, tc.want)
 		}
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		a := time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "a"))
-		if x, y := Bucket(a), Bucket(2*a); y < x || y > x+3 {
-			t.Fatalf("twice %v is %d buckets later", a, y-x)
+		a := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(20*time.Second)).Draw(t, "a"))
+		if x, y := Log(a), Log(2*a); y != x+PerDoubling && y != x+PerDoubling+1 {
+			t.Fatalf("twice %v is %d units later", a, y-x)
 		}
 	})
 }
@@ -41,22 +41,25 @@
 	}
 	wg.Wait()
 	rows := co.Rows()
-	if a := rows["a"]; a.Requests != 400 || a.Failures != 40 || a.Held[Bucket(3*time.Millisecond)] != 400 {
-		t.Errorf("a: %+v", a)
+	lg := Log(3 * time.Millisecond)
+	if a, want := *rows["a"], (Row{400, 40, 400, 400 * lg, 400 * lg * lg}); a != want {
+		t.Errorf("a: %+v, want %+v", a, want)
 	}
-	if b := rows["b"]; b.Requests != 400 || b.Failures != 0 || b.Held != [Buckets]uint64{} {
-		t.Errorf("b: %+v", b)
+	if b, want := *rows["b"], (Row{Requests: 400}); b != want {
+		t.Errorf("b: %+v, want %+v", b, want)
 	}
 }
 
 // TestSince guards against counts that seem to go back as a process is replaced.
 func TestSince(t *testing.T) {
-	one, two := Row{Requests: 5, Failures: 1}, Row{Requests: 9, Failures: 1}
-	if got, ok := two.Since(&one); !ok || got.Requests != 4 || got.Failures != 0 {
+	one, two := Row{5, 1, 5, 20, 80}, Row{9, 1, 8, 32, 130}
+	if got, ok := two.Since(&one); !ok || got != (Row{4, 0, 3, 12, 50}) {
 		t.Errorf("Since = %+v, %t", got, ok)
 	}
-	if _, ok := one.Since(&two); ok {
-		t.Error("an earlier row counts as later")
+	for _, before := range []Row{{10, 1, 8, 32, 130}, {9, 2, 8, 32, 130}, {9, 1, 9, 32, 130}, {9, 1, 8, 33, 130}, {9, 1, 8, 32, 131}} {
+		if _, ok := two.Since(&before); ok {
+			t.Errorf("%+v counts as earlier", before)
+		}
 	}
 }
 
@@ -67,3 +70,16 @@
 		co.Add("lookup", false, 30*time.Millisecond)
 	}
 }
+
+func TestScaled(t *testing.T) {
+	for _, tc := range []struct{ row, want Row }{
+		{Row{}, Row{}},
+		{Row{20, 3, 18, 180, 1800}, Row{20, 3, 18, 180, 1800}},
+		{Row{2000, 100, 1000, 300_000, 90_000_000}, Row{20, 1, 10, 3000, 900_000}},
+		{Row{2000, 1, 3, 900, 270_000}, Row{20, 0, 0, 0, 0}},
+	} {
+		if got := tc.row.Scaled(20); got != tc.want {
+			t.Errorf("%+v scaled is %+v, want %+v", tc.row, got, tc.want)
+		}
+	}
+}
