roll/judge: a judge that takes over in the ramp sees requests before the last step

A version that fails under load was completed when another daemon went on deciding in the ramp: the new judge had the target's counts as one sum, healthy until the ramp, and climbed at its first look. It now sees 15 requests before the last step, and what it has seen itself is not held for one window of many.

--- a/internal/roll/judge/ramp.go
+++ b/internal/roll/judge/ramp.go
@@ -26,6 +26,8 @@
 	rampRequests  = 25
 	quietRequests = 40
 	quietShare    = 0.3
+	// resumeRequests is how many requests a judge that takes over sees before it goes on.
+	resumeRequests = 15
 	// leastSeen is for how long the requests of a service are counted before that.
 	leastSeen = 0.08
 	// firstServers is how many servers take the first requests, so that those that are bad by
@@ -58,19 +60,24 @@
 	// step is the one of the ramp, from 1 on, and since when it lasts.
 	step  int
 	since time.Duration
+	// resumed is set until the first decision of a ramp that goes on elsewhere. Its last step
+	// begins once the target has run resumeFor requests in all.
+	resumed   bool
+	resumeFor uint64
 	// doubted is since when the evidence has raised doubts, if doubts is set.
 	doubted time.Duration
 	doubts  bool
 }
 
 // Resume returns the ramp of a rollout in which the target gets a share already: another
-// daemon has decided on it until now. The step is taken to have lasted long enough.
+// daemon has decided on it until now. The step is taken to have lasted long enough. What spoke
+// against it is not known, so the last one waits until the target has run resumeRequests more.
 func Resume(share float64) Ramp {
 	ra := Ramp{}
 	for i, one := range rampShares {
 		// Shares come in thousandths.
 		if share >= one-0.001 {
-			ra = Ramp{step: i + 1}
+			ra = Ramp{step: i + 1, resumed: true}
 		}
 	}
 	return ra
@@ -79,6 +86,9 @@
 // Step returns what is to be done some time after the order.
 func (ra *Ramp) Step(elapsed time.Duration, ju *Judge) Decision {
 	part := float64(elapsed) / float64(ju.duration)
+	if ra.resumed {
+		ra.resumeFor, ra.resumed = ju.requests+resumeRequests, false
+	}
 	targets, others, running := ju.count()
 	de := Decision{State: canary.InProgress, Requests: ju.requests}
 	if ra.step > 0 {
@@ -113,6 +123,7 @@
 		de.Servers = max(1, int(math.Ceil(de.Share*float64(max(targets, others)))))
 		return de
 	}
+	accepted = accepted && ju.requests >= ra.resumeFor
 	idle := running == 0 && others > 0 && part >= rampAt+float64(len(rampShares))*rampTime
 	switch {
 	case part >= endAt && !accepted:
@@ -140,6 +151,8 @@
 	stepTime := time.Duration(rampTime * float64(ju.duration))
 	switch {
 	case ra.step == 0 && part >= rampAt && ju.requests >= rampRequests:
+	case ra.step == len(rampShares)-1 && ju.requests < ra.resumeFor:
+		return
 	case ra.step > 0 && ra.step < len(rampShares) && elapsed-ra.since >= stepTime:
 	default:
 		return
--- a/internal/roll/judge/windows.go
+++ b/internal/roll/judge/windows.go
@@ -53,6 +53,10 @@
 		}
 		// A version turns bad at any time as likely as at another.
 		rare := math.Log(float64(ju.looked) / float64(window))
+		if start == 0 && ju.first >= lateLook {
+			// All that a judge which took over has seen of others at the same moment.
+			rare = 0
+		}
 		for _, route := range names {
 			others, targets := ju.observe(start, route, means)
 			if len(targets) == 0 || len(others) == 0 {
