roll/judge: leave out service times of routes that no other server has run

Read in the diff, not seen outside: the times of a route count by how far they are from the mean of the servers before. A route that only the target has run since the first look had no mean, and one request on it moved the target's time by 17 doublings or more: a good version that gets the first request of a rare route looked slow. Such times are left out now.

--- a/internal/roll/judge/model_test.go
+++ b/internal/roll/judge/model_test.go
@@ -179,6 +179,24 @@
 	}
 }
 
+// TestRouteWithoutReference guards against service times of a route that no other server has run
+// since the first look: they count as slow beside those of other routes.
+func TestRouteWithoutReference(t *testing.T) {
+	ju := New("v2", 10*time.Second)
+	var old, now tally.Counter
+	for at := time.Duration(0); at < 4*time.Second; at += 250 * time.Millisecond {
+		ju.Look(at, map[string]tally.Sum{"a": {"v1": {{VM: "a-1", Servers: 1, Routes: old.Rows()}}, "v2": {{VM: "a-2", Servers: 1, Routes: now.Rows()}}}})
+		for range 5 {
+			old.Add("often", false, 200*time.Millisecond)
+			now.Add("often", false, 200*time.Millisecond)
+		}
+		now.Add("rare", false, 50*time.Millisecond)
+	}
+	if ev, cause, compared := ju.against(); ev >= acceptBelow || !compared {
+		t.Errorf("evidence %.1f, %+v, compared %t", ev, cause, compared)
+	}
+}
+
 // BenchmarkAgainst has 65 servers of each version and three routes.
 func BenchmarkAgainst(b *testing.B) {
 	wo := newSimWorld(1, 65)
--- a/internal/roll/judge/windows.go
+++ b/internal/roll/judge/windows.go
@@ -194,8 +194,8 @@
 				before = se.marks[start]
 				within, _ = se.total.Since(&before)
 			}
-			shift(&within, means[name])
-			shift(&before, means[name])
+			mean, known := means[name]
+			within, before = shift(within, mean, known), shift(before, mean, known)
 			ob.before.Add(&before)
 			if route == "" || name == route {
 				ob.within.Add(&within)
@@ -221,11 +221,16 @@
 // origin is where shifted logarithms are centered, so that none is negative.
 const origin = 64 * tally.PerDoubling
 
-// shift moves the logarithms of a row so that a mean lies at the origin.
-func shift(ro *tally.Row, mean uint64) {
+// shift returns a row with its logarithms moved so that a mean lies at the origin. Without a
+// mean that is known the times cannot be compared, and are left out.
+func shift(ro tally.Row, mean uint64, known bool) tally.Row {
+	if !known {
+		return tally.Row{Requests: ro.Requests, Failures: ro.Failures}
+	}
 	by := origin - mean
 	ro.Squares += 2*by*ro.Logs + by*by*ro.Timed
 	ro.Logs += by * ro.Timed
+	return ro
 }
 
 // busiest returns the observations with the most requests in the window.
