roll/judge: a version with nothing to compare with has to answer its requests

Read in the diff, not seen outside: a daemon that hears only servers of the target, as behind a cut since the order, took it for good at any share of failures, and would have completed it at the end of its time if the store was within reach. Where other servers were heard before, what they did counts on. Where none ever was, the target goes on while it fails less than 5 in 100: the servers before may be gone, and then there is nothing to go back to.

TestNoServersBefore, four cases: 'bad, none before' ends as complete before, as rolled back now. All tests of the package pass (24 s).

--- a/internal/roll/judge/model_test.go
+++ b/internal/roll/judge/model_test.go
@@ -1,6 +1,7 @@
 package judge
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -120,21 +121,47 @@
 }
 
 // TestNoServersBefore guards against a version that is rolled back when no server of the one
-// before is left.
+// before is left, and against a bad one that is completed when those are only not heard.
 func TestNoServersBefore(t *testing.T) {
-	ju, ramp := New("v2", 10*time.Second), Ramp{}
-	var co tally.Counter
-	var de Decision
-	for now := time.Duration(0); now < 10*time.Second && !de.State.Final(); now += 250 * time.Millisecond {
-		for range 3 {
-			co.Add("", false, 100*time.Millisecond)
-		}
-		sums := map[string]tally.Sum{"a": {"v2": {{VM: "a-1", Servers: 1, Routes: co.Rows()}}}}
-		ju.Look(now, sums)
-		de = ramp.Step(now, ju)
-	}
-	if de.State != canary.Complete {
-		t.Errorf("the rollout ended as %s, evidence %.1f", de.State, de.Against)
+	for _, tc := range []struct {
+		name string
+		// failing is one in how many requests fails, 0 for none.
+		failing int
+		// heardUntil is until when a server of the version before is heard.
+		heardUntil time.Duration
+		want       canary.State
+	}{
+		{"good, none before", 0, 0, canary.Complete},
+		{"bad, none before", 3, 0, canary.RolledBack},
+		{"good, the last one goes", 0, 5 * time.Second, canary.Complete},
+		{"bad, the last one goes", 3, 5 * time.Second, canary.RolledBack},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ju, ramp := New("v2", 10*time.Second), Ramp{}
+			counters := make([]tally.Counter, 6)
+			var old tally.Counter
+			var de Decision
+			requests := 0
+			for now := time.Duration(0); now < 10*time.Second && !de.State.Final(); now += 250 * time.Millisecond {
+				sum := tally.Sum{}
+				for i := range counters {
+					requests++
+					counters[i].Add("", tc.failing > 0 && (requests+requests/len(counters))%tc.failing == 0, 100*time.Millisecond)
+					sum.Add("v2", &tally.Cohort{VM: fmt.Sprint("a-", i), Servers: 1, Routes: counters[i].Rows()})
+				}
+				if now < tc.heardUntil {
+					for range 10 {
+						old.Add("", false, 100*time.Millisecond)
+					}
+					sum.Add("v1", &tally.Cohort{VM: "b-1", Servers: 1, Running: 1, Routes: old.Rows()})
+				}
+				ju.Look(now, map[string]tally.Sum{"a": sum})
+				de = ramp.Step(now, ju)
+			}
+			if de.State != tc.want {
+				t.Errorf("the rollout ended as %s, evidence %.1f; want %s", de.State, de.Against, tc.want)
+			}
+		})
 	}
 }
 
--- a/internal/roll/judge/windows.go
+++ b/internal/roll/judge/windows.go
@@ -31,11 +31,10 @@
 
 // against returns the strongest evidence against the target, by route and measure, over the
 // time since the first look and over shorter ones, in which the version may have turned bad.
-// It reports whether there was anything to compare. Where no other server is left the target
-// is taken for good: there is nothing to go back to.
+// It reports whether there was anything to compare.
 func (ju *Judge) against() (worst float64, cause Cause, compared bool) {
-	if targets, others, _ := ju.count(); targets > 0 && others == 0 {
-		return nothing, cause, true
+	if !ju.sawOthers() {
+		return nothing, cause, ju.answersAlone()
 	}
 	routes := ju.routes()
 	means := ju.means()
@@ -79,7 +78,31 @@
 	return worst, cause, compared
 }
 
+// sawOthers reports whether any server of another version was ever heard.
+func (ju *Judge) sawOthers() bool {
+	for _, sr := range ju.servers {
+		if !sr.target {
+			return true
+		}
+	}
+	return false
+}
+
+// answersAlone reports whether the target, with no other version to compare it with or to go
+// back to, answers nearly all requests. Others may serve behind a cut, so it has to.
+func (ju *Judge) answersAlone() bool {
+	var all tally.Row
+	for _, sr := range ju.servers {
+		for _, se := range sr.routes {
+			all.Add(&se.total)
+		}
+	}
+	return all.Requests > 0 && float64(all.Failures) < failingAlone*float64(all.Requests)
+}
+
 const (
+	// failingAlone is the share of requests that a version without any other may fail.
+	failingAlone = 0.05
 	// nothing is the evidence where the target looks no worse than the others.
 	nothing = -10.0
 	// leastFailures is how many failures are compared, and leastFailing the share of them
