node/probe: slots are the third number of a load header

Cause: the last number was taken for the slots, and servers now add a fourth one, how slow the machine is in percent. A daemon that found its server by a probe gave it 100 slots in place of 8 until the server's next announcement, up to 1.5 s; servers that do not answer what they cannot queue then hang. Ruled out: announcements carry the slots by name and are not concerned. By reading: a case of TestProbe with "3,0,8,140" stands for it; it gave 140 slots before.

--- a/internal/node/probe/probe.go
+++ b/internal/node/probe/probe.go
@@ -22,8 +22,8 @@
 
 // Prober holds the names of the headers by which backend servers describe themselves.
 type Prober struct {
-	// Lifetime is the header with the server's lifetime, Load the one whose last number is the
-	// server's slots.
+	// Lifetime is the header with the server's lifetime, Load the one with the numbers of its running
+	// requests, waiting requests and slots, which others may follow.
 	Lifetime, Load string
 }
 
@@ -77,9 +77,16 @@
 	return re, nil
 }
 
-// parseSlots returns the last number of a load header, 0 if it cannot be parsed.
+// slotsField is the position of the slots in a load header.
+const slotsField = 2
+
+// parseSlots returns the slots in a load header, 0 if they cannot be parsed.
 func parseSlots(load string) int {
-	n, err := strconv.ParseUint(load[strings.LastIndexByte(load, ',')+1:], 10, 16)
+	fields := strings.SplitN(load, ",", slotsField+2)
+	if len(fields) <= slotsField {
+		return 0
+	}
+	n, err := strconv.ParseUint(strings.TrimSpace(fields[slotsField]), 10, 16)
 	if err != nil {
 		// The server reports no load; its announcement will carry the slots.
 		return 0
--- a/internal/node/probe/probe_test.go
+++ b/internal/node/probe/probe_test.go
@@ -23,6 +23,8 @@
 		ok       bool
 	}{
 		{"serves", 200, "i-7", "3,0,8", Result{Lifetime: "i-7", Slots: 8}, true},
+		{"reports more than the slots", 200, "i-7", "3,0,8,140", Result{Lifetime: "i-7", Slots: 8}, true},
+		{"reports too little", 200, "i-7", "3,0", Result{Lifetime: "i-7"}, true},
 		{"reports no load", 200, "i-7", "", Result{Lifetime: "i-7"}, true},
 		{"reports an invalid load", 200, "i-7", "3,0,many", Result{Lifetime: "i-7"}, true},
 		{"reports too large a number of slots", 200, "i-7", "3,0,99999999999999999999", Result{Lifetime: "i-7"}, true},
