--- /dev/null
+++ b/internal/quota/admit/admit.go
@@ -0,0 +1,303 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/plat/mono"
+)
+
+const (
+	// DirectiveTTL is how long a directive is followed. Relays send one every half second.
+	DirectiveTTL = 1500 * time.Millisecond
+	// assumedOutlets is the number of outlets that a process assumes until a directive tells it,
+	// more than a large mesh has.
+	assumedOutlets = 1000
+	// dueDivisor and minDue give the number of admitted requests that are reported without waiting
+	// for the next regular report: a part of the outlet's share of a second, and at least minDue.
+	dueDivisor = 4
+	minDue     = 4
+)
+
+// Limit is what all outlets together admit of a tenant: Rate requests per second and, after a
+// pause, Burst more at once. A Rate of 0 means no limit.
+type Limit struct {
+	Rate, Burst float64
+}
+
+// Directive tells outlets which share of a tenant's requests to admit. It is immutable.
+type Directive struct {
+	// ReceivedAt is when this daemon learned it.
+	ReceivedAt time.Time
+	// Outlets is the number of outlets of the mesh, including those out of reach.
+	Outlets int
+	// Learning is set while the relay does not know yet what tenants use. Each outlet then admits
+	// its own part.
+	Learning bool
+	// Shares holds the tenants that exceed their limit. The requests of all others are admitted.
+	Shares map[string]Share
+}
+
+// Share is the part of a tenant's requests, 0 to 1, that outlets admit, and when the caller of a
+// refused request should retry.
+type Share struct {
+	Admit      float64
+	RetryAfter time.Duration
+}
+
+// isValid reports whether the directive is to be followed at now.
+func (di *Directive) isValid(now time.Time) bool {
+	return di != nil && now.Sub(di.ReceivedAt) <= DirectiveTTL
+}
+
+// Counts are the requests of a tenant at one outlet since its start: all, and those admitted and
+// not returned.
+type Counts struct {
+	Offered, Admitted int64
+}
+
+// Sub returns the difference of two counts.
+func (co Counts) Sub(other Counts) Counts {
+	return Counts{Offered: co.Offered - other.Offered, Admitted: co.Admitted - other.Admitted}
+}
+
+// Usage holds the counts of a tenant, and those of the previous report.
+type Usage struct {
+	Tenant       string
+	Counts       Counts
+	LastReported Counts
+}
+
+// Gate admits the requests of tenants at one outlet. Its methods are safe for concurrent use.
+type Gate struct {
+	// Due receives a value when much was admitted since the last report.
+	Due chan struct{}
+	// Directive returns the newest directive, nil if there was none. It is set before use.
+	Directive func() *Directive
+
+	tenants atomic.Pointer[map[string]*tenant]
+}
+
+// New returns a gate without tenants.
+func New(directive func() *Directive) *Gate {
+	return &Gate{Due: make(chan struct{}, 1), Directive: directive}
+}
+
+// tenant is the state of a tenant. The limit changes only by Update, which makes a new tenant that
+// shares the counters.
+type tenant struct {
+	Limit
+	*counters
+}
+
+type counters struct {
+	offered, admitted atomic.Int64
+	// reportedOffered and reportedAdmitted are the counts of the last report.
+	reportedOffered, reportedAdmitted atomic.Int64
+	// credit accumulates the admitted share in units of 1/creditUnit: each time it passes a whole
+	// number, one request is admitted.
+	credit atomic.Uint64
+	// shared limits what this outlet admits of the whole limit, alone what it admits without a directive.
+	shared, alone bucket
+}
+
+const creditUnit = 1 << 32
+
+// Update replaces the limits by tenant. Counts are kept.
+func (ga *Gate) Update(limits map[string]Limit, now time.Time) {
+	next := make(map[string]*tenant, len(limits))
+	old := ga.tenants.Load()
+	for name, li := range limits {
+		if li.Rate <= 0 {
+			continue
+		}
+		tn := &tenant{Limit: li}
+		if old != nil && (*old)[name] != nil {
+			was := (*old)[name]
+			tn.counters = was.counters
+			if was.Limit != li {
+				outlets := ga.Directive().outlets()
+				tn.shared.convert(was.Limit, li, now)
+				tn.alone.convert(was.Limit.part(outlets), li.part(outlets), now)
+			}
+		} else {
+			// The predecessor of this process may have used up the burst, and so may the other
+			// outlets, which start with it after a failure of all.
+			tn.counters = &counters{}
+			tn.credit.Store(rand.Uint64N(creditUnit))
+			tn.shared.setEmpty(li, now)
+			tn.alone.setEmpty(li.part(assumedOutlets), now.Add(-rand.N(li.part(assumedOutlets).interval())))
+		}
+		next[name] = tn
+	}
+	ga.tenants.Store(&next)
+}
+
+// Decision is the answer to a request. RetryAfter is set if the request is not admitted.
+type Decision struct {
+	Admitted   bool
+	RetryAfter time.Duration
+}
+
+// Admit decides on a request of a tenant. A tenant without a limit is always admitted.
+func (ga *Gate) Admit(name string, now time.Time) Decision {
+	tenants := ga.tenants.Load()
+	if tenants == nil || (*tenants)[name] == nil {
+		return Decision{Admitted: true}
+	}
+	tn := (*tenants)[name]
+	tn.offered.Add(1)
+	di := ga.Directive()
+	de := tn.decide(name, di, now)
+	if !de.Admitted {
+		return de
+	}
+	admitted := tn.admitted.Add(1)
+	if admitted-tn.reportedAdmitted.Load() >= tn.due(di.outlets()) {
+		select {
+		case ga.Due <- struct{}{}:
+		default:
+		}
+	}
+	return de
+}
+
+// Return takes back the admission of a request that was not run, as if it had not come.
+func (ga *Gate) Return(name string) {
+	if tenants := ga.tenants.Load(); tenants != nil && (*tenants)[name] != nil {
+		tn := (*tenants)[name]
+		tn.admitted.Add(-1)
+		tn.shared.give(tn.Limit)
+	}
+}
+
+// Share returns the part of a tenant's requests that the newest directive admits, and the age of the
+// directive, or -1 without one that is valid.
+func (ga *Gate) Share(name string, now time.Time) (share float64, age time.Duration) {
+	di := ga.Directive()
+	if !di.isValid(now) {
+		return 1 / float64(di.outlets()), -1
+	}
+	if sh, ok := di.Shares[name]; ok {
+		return sh.Admit, now.Sub(di.ReceivedAt)
+	}
+	return 1, now.Sub(di.ReceivedAt)
+}
+
+func (di *Directive) outlets() int {
+	if di == nil {
+		return assumedOutlets
+	}
+	return max(1, di.Outlets)
+}
+
+func (tn *tenant) decide(name string, di *Directive, now time.Time) Decision {
+	if !di.isValid(now) || di.Learning {
+		part := tn.Limit.part(di.outlets())
+		tn.alone.shorten(part, now)
+		return tn.alone.take(part, now)
+	}
+	sh, limited := di.Shares[name]
+	tn.alone.prepare(tn.Limit.part(di.outlets()), limited, now)
+	if limited {
+		step := uint64(min(1, max(0, sh.Admit)) * creditUnit)
+		if sum := tn.credit.Add(step); sum/creditUnit == (sum-step)/creditUnit {
+			return Decision{RetryAfter: sh.RetryAfter}
+		}
+	}
+	return tn.shared.take(tn.Limit, now)
+}
+
+// due returns after how many admitted requests a report is sent at once.
+func (tn *tenant) due(outlets int) int64 {
+	return max(minDue, int64((tn.Rate+tn.Burst)/float64(outlets)/dueDivisor))
+}
+
+// Usage returns the tenants whose counts have changed since the last call.
+func (ga *Gate) Usage() []Usage {
+	tenants := ga.tenants.Load()
+	if tenants == nil {
+		return nil
+	}
+	var list []Usage
+	for name, tn := range *tenants {
+		us := Usage{
+			Tenant:       name,
+			Counts:       Counts{Offered: tn.offered.Load(), Admitted: tn.admitted.Load()},
+			LastReported: Counts{Offered: tn.reportedOffered.Load(), Admitted: tn.reportedAdmitted.Load()},
+		}
+		if us.Counts == us.LastReported {
+			continue
+		}
+		tn.reportedOffered.Store(us.Counts.Offered)
+		tn.reportedAdmitted.Store(us.Counts.Admitted)
+		list = append(list, us)
+	}
+	return list
+}
+
+// part returns the limit of one of several outlets.
+func (li Limit) part(outlets int) Limit {
+	return Limit{Rate: li.Rate / float64(outlets), Burst: li.Burst / float64(outlets)}
+}
+
+// interval is the time in which one request becomes available.
+func (li Limit) interval() time.Duration { return time.Duration(float64(time.Second) / li.Rate) }
+
+// capacity is how many requests are available after a pause, at least one.
+func (li Limit) capacity() float64 { return max(1, li.Burst) }
+
+// refill is the time in which an empty bucket becomes full.
+func (li Limit) refill() time.Duration { return time.Duration(li.capacity() * float64(li.interval())) }
+
+// bucket is a token bucket in the form of the generic cell rate algorithm: it keeps the time at
+// which the bucket will be full again, in nanoseconds of package mono. The zero value is full.
+type bucket struct {
+	fullAt atomic.Int64
+}
+
+func (bu *bucket) setEmpty(li Limit, now time.Time) {
+	bu.fullAt.Store(mono.Nanos(now) + int64(li.refill()))
+}
+
+// convert changes the limit of the bucket. What was taken from it stays taken.
+func (bu *bucket) convert(from, to Limit, now time.Time) {
+	at := mono.Nanos(now)
+	taken := max(0, float64(bu.fullAt.Load()-at)) / float64(from.interval())
+	bu.fullAt.Store(at + int64(min(taken, to.capacity())*float64(to.interval())))
+}
+
+// shorten makes the bucket empty if it would stay empty for longer, having been filled less quickly
+// before.
+func (bu *bucket) shorten(li Limit, now time.Time) {
+	if time.Duration(bu.fullAt.Load()-mono.Nanos(now)) > li.refill() {
+		bu.setEmpty(li, now)
+	}
+}
+
+// prepare makes the bucket empty or full, for the case that it will be used.
+func (bu *bucket) prepare(li Limit, empty bool, now time.Time) {
+	switch at, fullAt := mono.Nanos(now), bu.fullAt.Load(); {
+	case empty && (fullAt <= at || time.Duration(fullAt-at) > li.refill()):
+		bu.setEmpty(li, now)
+	case !empty && fullAt > at:
+		bu.fullAt.Store(at)
+	}
+}
+
+func (bu *bucket) take(li Limit, now time.Time) Decision {
+	at, interval, span := mono.Nanos(now), int64(li.interval()), int64(li.refill())
+	for {
+		old := bu.fullAt.Load()
+		next := max(old, at) + interval
+		if late := next - at - span; late > 0 {
+			return Decision{RetryAfter: time.Duration(late)}
+		}
+		if bu.fullAt.CompareAndSwap(old, next) {
+			return Decision{Admitted: true}
+		}
+	}
+}
+
+func (bu *bucket) give(li Limit) { bu.fullAt.Add(-int64(li.interval())) }
--- /dev/null
+++ b/internal/quota/admit/admit_test.go
@@ -0,0 +1,226 @@
+package admit
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const tenantName = "tenant"
+
+// newTestGate returns a gate with one tenant, and the directive that it follows.
+func newTestGate(li Limit) (*Gate, *atomic.Pointer[Directive]) {
+	var di atomic.Pointer[Directive]
+	ga := New(di.Load)
+	ga.Update(map[string]Limit{tenantName: li}, time.Now())
+	return ga, &di
+}
+
+// offer offers n requests, evenly spread over a time, and returns how many were admitted.
+func offer(ga *Gate, n int, span time.Duration) (admitted int) {
+	for range n {
+		if ga.Admit(tenantName, time.Now()).Admitted {
+			admitted++
+		}
+		time.Sleep(span / time.Duration(n))
+	}
+	return admitted
+}
+
+// TestAdmit: the number of requests that an outlet admits in a second, by the directive it has.
+func TestAdmit(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		limit     Limit
+		directive *Directive
+		// idle is the time since the limit was set.
+		idle      time.Duration
+		offered   int
+		low, high int
+	}{
+		{"no limit", Limit{}, nil, 0, 1000, 1000, 1000},
+		{"below the limit", Limit{Rate: 100, Burst: 10}, &Directive{Outlets: 10}, time.Minute, 90, 90, 90},
+		{"burst", Limit{Rate: 100, Burst: 50}, &Directive{Outlets: 10}, time.Minute, 1000, 149, 151},
+		{"burst right after the start", Limit{Rate: 100, Burst: 50}, &Directive{Outlets: 10}, 0, 1000, 99, 101},
+		{"share", Limit{Rate: 1000, Burst: 50}, &Directive{Outlets: 10, Shares: map[string]Share{tenantName: {Admit: 0.3}}}, time.Minute, 500, 149, 151},
+		{"share of another tenant", Limit{Rate: 1000, Burst: 50}, &Directive{Outlets: 10, Shares: map[string]Share{"other": {}}}, time.Minute, 500, 500, 500},
+		{"nothing", Limit{Rate: 1000, Burst: 50}, &Directive{Outlets: 10, Shares: map[string]Share{tenantName: {}}}, time.Minute, 500, 0, 0},
+		{"invalid share", Limit{Rate: 1000, Burst: 50}, &Directive{Outlets: 10, Shares: map[string]Share{tenantName: {Admit: 2}}}, time.Minute, 500, 500, 500},
+		{"relay that learns", Limit{Rate: 100, Burst: 50}, &Directive{Outlets: 10, Learning: true}, time.Minute, 1000, 14, 16},
+		{"alone", Limit{Rate: 100, Burst: 50}, nil, time.Minute, 1000, 1, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ga, di := newTestGate(tc.limit)
+				if tc.directive != nil && tc.directive.ReceivedAt.IsZero() {
+					tc.directive.ReceivedAt = time.Now().Add(tc.idle)
+				}
+				di.Store(tc.directive)
+				time.Sleep(tc.idle)
+				if got := offer(ga, tc.offered, time.Second); got < tc.low || got > tc.high {
+					t.Errorf("%d of %d requests admitted, want %d to %d", got, tc.offered, tc.low, tc.high)
+				}
+			})
+		})
+	}
+}
+
+// TestIsolated: what an outlet admits within a second after it has lost its relay, for two seconds or
+// longer, by what the relay had said last.
+func TestIsolated(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		limit     Limit
+		last      Directive
+		low, high int
+	}{
+		{"large tenant", Limit{Rate: 100, Burst: 50}, Directive{Outlets: 10}, 14, 16},
+		{"small tenant", Limit{Rate: 5, Burst: 5}, Directive{Outlets: 68}, 1, 1},
+		{"large tenant above its limit", Limit{Rate: 100, Burst: 50}, Directive{Outlets: 10, Shares: map[string]Share{tenantName: {Admit: 0.1}}}, 14, 16},
+		{"small tenant above its limit", Limit{Rate: 5, Burst: 5}, Directive{Outlets: 68, Shares: map[string]Share{tenantName: {Admit: 0.1}}}, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ga, di := newTestGate(tc.limit)
+				tc.last.ReceivedAt = time.Now()
+				di.Store(&tc.last)
+				offer(ga, 10, time.Second)
+				time.Sleep(DirectiveTTL)
+				if got := offer(ga, 1000, time.Second); got < tc.low || got > tc.high {
+					t.Errorf("%d requests admitted, want %d to %d", got, tc.low, tc.high)
+				}
+			})
+		})
+	}
+}
+
+// TestPartsOfManyOutlets: a thousand outlets that start at once and hear of no relay must admit no
+// more than the limit together.
+func TestPartsOfManyOutlets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const span = 10 * time.Second
+		li := Limit{Rate: 20, Burst: 20}
+		admitted := 0
+		for range assumedOutlets {
+			ga, _ := newTestGate(li)
+			began := time.Now()
+			for at := began; at.Before(began.Add(span)); at = at.Add(100 * time.Millisecond) {
+				if ga.Admit(tenantName, at).Admitted {
+					admitted++
+				}
+			}
+		}
+		if want := int(li.Rate * span.Seconds()); admitted > want*5/4 || admitted < want*3/4 {
+			t.Errorf("%d requests admitted in %s, want about %d", admitted, span, want)
+		}
+	})
+}
+
+// TestChangedLimit guards against a raised limit that is not used because of what was taken under
+// the lower one, and against a lowered one that is refilled.
+func TestChangedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		low, high := Limit{Rate: 1, Burst: 2}, Limit{Rate: 1000, Burst: 1000}
+		ga, di := newTestGate(low)
+		di.Store(&Directive{Outlets: 1, ReceivedAt: time.Now()})
+		offer(ga, 10, 100*time.Millisecond)
+		ga.Update(map[string]Limit{tenantName: high}, time.Now())
+		if got := offer(ga, 500, time.Second); got != 500 {
+			t.Errorf("%d of 500 requests admitted below the raised limit", got)
+		}
+		for range 2000 {
+			ga.Admit(tenantName, time.Now())
+		}
+		ga.Update(map[string]Limit{tenantName: low}, time.Now())
+		if got := offer(ga, 100, 100*time.Millisecond); got > 1 {
+			t.Errorf("%d requests admitted at once after the limit was lowered", got)
+		}
+	})
+}
+
+// TestUsage: reports must contain what has changed, with what was reported before.
+func TestUsage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, di := newTestGate(Limit{Rate: 10, Burst: 10})
+		di.Store(&Directive{Outlets: 1, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.5}}})
+		time.Sleep(time.Second)
+		if got := ga.Usage(); got != nil {
+			t.Errorf("before any request: %+v", got)
+		}
+		offer(ga, 4, time.Millisecond)
+		first := ga.Usage()
+		if len(first) != 1 || first[0].Counts != (Counts{Offered: 4, Admitted: 2}) || first[0].LastReported != (Counts{}) {
+			t.Errorf("first: %+v", first)
+		}
+		if got := ga.Usage(); got != nil {
+			t.Errorf("without a request: %+v", got)
+		}
+		ga.Return(tenantName)
+		if got := ga.Usage(); len(got) != 1 || got[0].Counts.Admitted != 1 || got[0].LastReported != first[0].Counts {
+			t.Errorf("after a return: %+v", got)
+		}
+	})
+}
+
+// TestDue: much that was admitted must be reported at once, and a little must not be.
+func TestDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, di := newTestGate(Limit{Rate: 800, Burst: 800})
+		di.Store(&Directive{Outlets: 10, ReceivedAt: time.Now()})
+		time.Sleep(time.Second)
+		isDue := func() bool {
+			select {
+			case <-ga.Due:
+				return true
+			default:
+				return false
+			}
+		}
+		for range 39 {
+			ga.Admit(tenantName, time.Now())
+		}
+		if isDue() {
+			t.Error("39 of 1600 requests at one of ten outlets are due")
+		}
+		ga.Admit(tenantName, time.Now())
+		if !isDue() {
+			t.Error("40 of 1600 requests at one of ten outlets are not due")
+		}
+	})
+}
+
+// TestConcurrentAdmit guards against requests that are admitted twice for one credit.
+func TestConcurrentAdmit(t *testing.T) {
+	ga, di := newTestGate(Limit{Rate: 1, Burst: 1000})
+	di.Store(&Directive{Outlets: 1, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.25}}})
+	now := time.Now().Add(DirectiveTTL / 2)
+	var admitted atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 250 {
+				if ga.Admit(tenantName, now).Admitted {
+					admitted.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got := admitted.Load(); got > 501 {
+		t.Errorf("%d of 2000 requests admitted, want a quarter at most", got)
+	}
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	di := &Directive{Outlets: 10, ReceivedAt: time.Now().Add(time.Hour), Shares: map[string]Share{tenantName: {Admit: 0.5}}}
+	ga := New(func() *Directive { return di })
+	ga.Update(map[string]Limit{tenantName: {Rate: 1e6, Burst: 1e6}}, time.Now())
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			ga.Admit(tenantName, time.Now())
+		}
+	})
+}
