--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -20,6 +20,7 @@
 	maxWeight      = 1_000_000
 	maxPriority    = 100
 	maxAttempts    = 100
+	maxRate        = 10_000_000
 )
 
 // Maximum lengths in bytes. Names have the limit of a label in RFC 1035, hosts that of a full
@@ -70,6 +71,7 @@
 	ck.classes = indexNames(ck, "class", ms.Classes, func(cl *Class) (string, strict.Pos) { return cl.Name, cl.Pos })
 	indexNames(ck, "VM", ms.VMs, func(vm *VM) (string, strict.Pos) { return vm.Name, vm.Pos })
 	indexNames(ck, "caller limits", ms.CallerLimits, func(cl *CallerLimits) (string, strict.Pos) { return cl.Name, cl.Pos })
+	indexNames(ck, "tenant", ms.Tenants, func(tn *Tenant) (string, strict.Pos) { return tn.Name, tn.Pos })
 	indexNames(ck, "route", ms.Routes, func(rt *Route) (string, strict.Pos) { return rt.Name, rt.Pos })
 	ck.checkDomains()
 	ck.checkServices()
@@ -79,6 +81,7 @@
 	ck.checkOverlaps()
 	ck.checkPlacements()
 	ck.checkLimits()
+	ck.checkTenants()
 	return ck.prs
 }
 
--- a/internal/conf/decl/decl.go
+++ b/internal/conf/decl/decl.go
@@ -17,6 +17,7 @@
 	Classes    []Class     `json:"classes,omitempty"`
 	Routes     []Route     `json:"routes,omitempty"`
 	Placements []Placement `json:"placements,omitempty"`
+	Tenants    []Tenant    `json:"tenants,omitempty"`
 	// CallerLimits has at most one entry.
 	CallerLimits []CallerLimits `json:"caller-limits,omitempty"`
 }
@@ -118,8 +119,10 @@
 	Repeat   Repeat `json:"repeat,omitempty"`
 	// Attempts is the maximum number of backend servers that a request is sent to; 0 stands for
 	// the daemon's own limit.
-	Attempts int        `json:"attempts,omitempty"`
-	Pos      strict.Pos `json:"-"`
+	Attempts int `json:"attempts,omitempty"`
+	// Public routes need no API key.
+	Public bool       `json:"public,omitempty"`
+	Pos    strict.Pos `json:"-"`
 }
 
 // Match selects the requests of a route. Of several matching routes the one with the longest path
--- a/internal/conf/decl/decl_test.go
+++ b/internal/conf/decl/decl_test.go
@@ -77,6 +77,42 @@
 			`m.yaml:6:27: route "r" matches the method "get"; write methods in upper case, such as GET or POST; CONNECT is not supported`,
 			`m.yaml:6:27: route "r" matches the header "Host"; name a header other than Host, without spaces`,
 		}},
+		{"shared key", validBase + "tenants:\n- {name: a, keys: [0123456789abcdef-key]}\n- {name: b, keys: [0123456789abcdef-other, 0123456789abcdef-key]}", []string{
+			`m.yaml:8:3: key 2 of tenant "b" is already declared for tenant "a" at m.yaml:7:3; give each key to one tenant, once`,
+		}},
+		{"key twice", validBase + "tenants: [{name: a, keys: [0123456789abcdef-key, 0123456789abcdef-key]}]", []string{
+			`m.yaml:6:11: key 2 of tenant "a" is already declared for tenant "a" at m.yaml:6:11; give each key to one tenant, once`,
+		}},
+		{"key and its digest", validBase + "tenants: [{name: a, keys: [0123456789abcdef-key, \"" + HashKey("0123456789abcdef-key").String() + "\"]}]", []string{
+			`m.yaml:6:11: key 2 of tenant "a" is already declared for tenant "a" at m.yaml:6:11; give each key to one tenant, once`,
+		}},
+		{"short key", validBase + "tenants: [{name: a, keys: [SECRET]}]", []string{
+			`m.yaml:6:28: an entry of keys: an API key has 6 bytes; use 16 to 256`,
+		}},
+		{"key with a space", validBase + "tenants: [{name: a, keys: [SECRET SECRET SECRET]}]", []string{
+			`m.yaml:6:28: an entry of keys: an API key contains a space or another character that a header cannot carry`,
+		}},
+		{"bad digest", validBase + "tenants: [{name: a, keys: [\"sha256:SECRET\"]}]", []string{
+			`m.yaml:6:28: an entry of keys: "sha256:" must be followed by the 64 hexadecimal digits of a digest`,
+		}},
+		{"key in place of a list", validBase + "tenants: [{name: a, keys: SECRET}]", []string{
+			`m.yaml:6:27: keys must be a list, not a single value; start each entry with "- "`,
+		}},
+		{"key in place of a tenant", validBase + "tenants: [SECRET]", []string{
+			`m.yaml:6:11: an entry of tenants must be a mapping, not a single value; write it as "key: value"`,
+		}},
+		{"negative rate", validBase + "tenants: [{name: a, rate: -1}]", []string{
+			`m.yaml:6:11: tenant "a" has rate -1; set it from 0 to 10000000`,
+		}},
+		{"rate without a number", validBase + "tenants: [{name: a, rate: .nan}]", []string{
+			`m.yaml:6:27: rate must be a number, not ".nan"`,
+		}},
+		{"burst without a rate", validBase + "tenants: [{name: a, burst: 10}]", []string{
+			`m.yaml:6:11: tenant "a" has a burst without a rate; set a rate, or leave out the burst`,
+		}},
+		{"bad priority", validBase + "tenants: [{name: a, priority: 101}]", []string{
+			`m.yaml:6:11: tenant "a" has priority 101; set it from 0 to 100`,
+		}},
 		{"bad repeat", validBase + "routes: [{name: r, match: {host: h}, repeat: maybe, to: [{service: booking, weight: 1}]}]", []string{
 			`m.yaml:6:10: route "r" has repeat "maybe"; set it to safe, never or always`,
 		}},
--- a/internal/conf/decl/read.go
+++ b/internal/conf/decl/read.go
@@ -76,6 +76,7 @@
 		ms.Routes = append(ms.Routes, fileMesh.Routes...)
 		ms.Placements = append(ms.Placements, fileMesh.Placements...)
 		ms.CallerLimits = append(ms.CallerLimits, fileMesh.CallerLimits...)
+		ms.Tenants = append(ms.Tenants, fileMesh.Tenants...)
 	}
 	for _, pr := range Check(&ms) {
 		// A problem without a position comes from an entry that could not be decoded, which
@@ -97,6 +98,7 @@
 	sortByName(ms.Routes, func(rt Route) string { return rt.Name })
 	sortByName(ms.Placements, func(pl Placement) string { return pl.Service })
 	sortByName(ms.CallerLimits, func(cl CallerLimits) string { return cl.Name })
+	sortByName(ms.Tenants, func(tn Tenant) string { return tn.Name })
 }
 
 func sortByName[T any](list []T, name func(T) string) {
@@ -115,6 +117,7 @@
 	cp.Routes = slices.Clone(ms.Routes)
 	cp.Placements = slices.Clone(ms.Placements)
 	cp.CallerLimits = slices.Clone(ms.CallerLimits)
+	cp.Tenants = slices.Clone(ms.Tenants)
 	cp.Sort()
 	// JSON is a subset of YAML that keeps the order of the keys.
 	js, err := json.Marshal(&cp)
--- a/internal/conf/pack/decode.go
+++ b/internal/conf/pack/decode.go
@@ -97,6 +97,8 @@
 		return appendFrom(&ms.Placements, old.Placements, i)
 	case KindLimits:
 		return appendFrom(&ms.CallerLimits, old.CallerLimits, i)
+	case KindTenant:
+		return appendFrom(&ms.Tenants, old.Tenants, i)
 	}
 	return false
 }
@@ -138,6 +140,8 @@
 		return decodeInto(&ms.Placements, rs.Body, func(pl *decl.Placement) *strict.Pos { return &pl.Pos }, rs.Key)
 	case KindLimits:
 		return decodeInto(&ms.CallerLimits, rs.Body, func(cl *decl.CallerLimits) *strict.Pos { return &cl.Pos }, rs.Key)
+	case KindTenant:
+		return decodeInto(&ms.Tenants, rs.Body, func(tn *decl.Tenant) *strict.Pos { return &tn.Pos }, rs.Key)
 	}
 	return fmt.Errorf("this release does not know the kind %q", rs.Key.Kind)
 }
--- a/internal/conf/pack/pack.go
+++ b/internal/conf/pack/pack.go
@@ -26,6 +26,7 @@
 	KindRoute     Kind = "route"
 	KindPlacement Kind = "placement"
 	KindLimits    Kind = "caller-limits"
+	KindTenant    Kind = "tenant"
 )
 
 // Key identifies a resource.
@@ -121,6 +122,7 @@
 		encodeList(&res, KindRoute, ms.Routes, func(rt *decl.Route) string { return rt.Name }),
 		encodeList(&res, KindPlacement, ms.Placements, func(pl *decl.Placement) string { return pl.Service }),
 		encodeList(&res, KindLimits, ms.CallerLimits, func(cl *decl.CallerLimits) string { return cl.Name }),
+		encodeList(&res, KindTenant, ms.Tenants, func(tn *decl.Tenant) string { return tn.Name }),
 	)
 	if err != nil {
 		return nil, err
--- a/internal/conf/snap/many_test.go
+++ b/internal/conf/snap/many_test.go
@@ -87,7 +87,7 @@
 			if fmt.Sprint(werr) != fmt.Sprint(gerr) {
 				t.Fatalf("version %d: error %v, want %v", v, gerr, werr)
 			}
-			if diff := cmp.Diff(want, got, cmp.AllowUnexported(Snapshot{}, Service{}, Route{}, header{})); diff != "" {
+			if diff := cmp.Diff(want, got, cmp.AllowUnexported(Snapshot{}, TenantSet{}, Service{}, Route{}, header{})); diff != "" {
 				t.Fatalf("version %d (-separate +successive):\n%s", v, diff)
 			}
 		}
--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -26,6 +26,8 @@
 	// ServiceList lists the services in the order of their Index.
 	ServiceList []*Service
 	VMs         map[string]VM
+	// Tenants holds the tenants; without any, requests need no API key.
+	Tenants *TenantSet
 	// Limits holds the limits for callers; a zero field stands for the daemon's own limit.
 	Limits decl.CallerLimits
 	// Classes lists the classes in the order of their Index; the first one is for requests
@@ -74,10 +76,12 @@
 	// Attempts is the maximum number of backend servers that a request is sent to, 0 for the
 	// daemon's own limit.
 	Attempts int
-	prefix   string
-	literal  bool
-	methods  []string
-	headers  []header
+	// Public is set if requests need no API key.
+	Public  bool
+	prefix  string
+	literal bool
+	methods []string
+	headers []header
 }
 
 // Target is a service of a route and the sum of the weights of the targets up to and including
@@ -136,11 +140,15 @@
 // Compiler compiles successive versions. It reuses what has not changed, which is cheaper than
 // separate calls of Compile. The zero value is ready for use; it is not safe for concurrent use.
 type Compiler struct {
-	de pack.Decoder
+	de      pack.Decoder
+	tenants tenantCompiler
 }
 
 // Reset discards what the compiler keeps of the last version.
-func (cp *Compiler) Reset() { cp.de.Reset() }
+func (cp *Compiler) Reset() {
+	cp.de.Reset()
+	cp.tenants = tenantCompiler{}
+}
 
 // Compile is like the function Compile.
 func (cp *Compiler) Compile(version uint64, co *pack.Content, domain string) (*Snapshot, error) {
@@ -171,6 +179,7 @@
 	classes := sn.compileClasses(ms)
 	sn.compileServices(ms, classes)
 	sn.compileRoutes(ms, classes)
+	sn.Tenants = cp.tenants.compile(ms.Tenants)
 	return sn, nil
 }
 
@@ -271,6 +280,7 @@
 			Objective: time.Duration(drt.Objective),
 			Priority:  drt.Priority,
 			Attempts:  drt.Attempts,
+			Public:    drt.Public,
 			prefix:    drt.Match.PathPrefix,
 			literal:   drt.Match.Literal,
 			methods:   drt.Match.Methods,
--- a/internal/conf/strict/strict.go
+++ b/internal/conf/strict/strict.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"reflect"
 	"regexp"
 	"slices"
@@ -54,9 +55,35 @@
 	return lineInError.ReplaceAllString(txt, "")
 }
 
+// Secret is implemented by types whose text must not appear in problems.
+type Secret interface{ IsSecret() }
+
+var secretType = reflect.TypeFor[Secret]()
+
+// holdsSecret reports whether values of type t contain a Secret.
+func holdsSecret(t reflect.Type) bool {
+	if t.Implements(secretType) {
+		return true
+	}
+	switch t.Kind() {
+	case reflect.Slice, reflect.Pointer, reflect.Map:
+		return holdsSecret(t.Elem())
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if holdsSecret(t.Field(i).Type) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 type decoder struct {
 	file string
 	prs  Problems
+	// hide is set while a value is decoded that holds a Secret: a misplaced secret must not be shown
+	// as the value that was found.
+	hide bool
 }
 
 func (de *decoder) pos(n *yaml.Node) Pos {
@@ -64,10 +91,10 @@
 }
 
 func (de *decoder) typeError(n *yaml.Node, subject, kind, remedy string) {
-	de.prs.Add(de.pos(n), fmt.Sprintf("%s must be %s, not %s", subject, kind, describe(n)), remedy)
+	de.prs.Add(de.pos(n), fmt.Sprintf("%s must be %s, not %s", subject, kind, de.describe(n)), remedy)
 }
 
-func describe(n *yaml.Node) string {
+func (de *decoder) describe(n *yaml.Node) string {
 	switch n.Kind {
 	case yaml.MappingNode:
 		return "a mapping"
@@ -79,12 +106,16 @@
 	if n.Tag == "!!null" {
 		return "empty"
 	}
+	if de.hide {
+		return "a single value"
+	}
 	return strconv.Quote(n.Value)
 }
 
 var textUnmarshalerType = reflect.TypeFor[encoding.TextUnmarshaler]()
 
 func (de *decoder) decodeValue(n *yaml.Node, v reflect.Value, subject string) {
+	de.hide = holdsSecret(v.Type())
 	if n.Kind == yaml.AliasNode || n.Anchor != "" {
 		de.typeError(n, subject, "written out", "anchors and aliases are not read")
 		return
@@ -140,6 +171,13 @@
 			return
 		}
 		v.SetInt(i)
+	case reflect.Float64:
+		f, err := strconv.ParseFloat(n.Value, 64)
+		if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+			de.typeError(n, subject, "a number", "")
+			return
+		}
+		v.SetFloat(f)
 	default:
 		panic("strict: unsupported type " + v.Type().String())
 	}
@@ -151,6 +189,8 @@
 		return "true or false"
 	case reflect.Int:
 		return "a whole number"
+	case reflect.Float64:
+		return "a number"
 	}
 	return "a string"
 }
