path: requests of tenants are authenticated and limited

An unknown or missing key is 401, what exceeds the limit 429 with Retry-After; neither is sent anywhere. What has not run is given back to the limit; the outlet's own retries count once. A tenant's priority replaces its route's. A request's key in crash reports has the tenant in place of the API key, which inlets no longer see. Not done: telling a server's calls by its address alone.

--- a/internal/path/ident/ident.go
+++ b/internal/path/ident/ident.go
@@ -1,6 +1,7 @@
 package ident
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
@@ -9,6 +10,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
 // Key identifies a request by its method, host, target, caller's credentials and body. It is taken
@@ -23,9 +26,10 @@
 // kept of a streamed body.
 const MaxPrefixBytes = 8 << 10
 
-// keyFields returns the parts of a request, besides its body, that are part of its key.
+// keyFields returns the parts of a request, besides its body, that are part of its key. Outlets
+// replace the API key of a request by its tenant, which inlets see as well.
 func keyFields(r *http.Request) [4]string {
-	return [...]string{r.Method, r.Host, r.URL.RequestURI(), r.Header.Get("Authorization")}
+	return [...]string{r.Method, r.Host, r.URL.RequestURI(), cmp.Or(r.Header.Get(result.TenantHeader), r.Header.Get("Authorization"))}
 }
 
 // HeaderHash returns a cheap hash of a request without its body. Requests with the same key have
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -378,7 +378,12 @@
 // outgoing returns the request to the backend server. Of this system's headers it carries only the
 // remaining timeout.
 func (in *Inlet) outgoing(ctx context.Context, r *http.Request, tg *Target, pr *ident.PrefixReader) *http.Request {
-	out := proxy.Outgoing(ctx, r, tg.Addr, in.Names.WithDefaults().Timeout)
+	nm := in.Names.WithDefaults()
+	out := proxy.Outgoing(ctx, r, tg.Addr, nm.Timeout)
+	delete(out.Header, http.CanonicalHeaderKey(nm.Tenant))
+	if tenant := r.Header[result.TenantHeader]; tenant != nil {
+		out.Header[http.CanonicalHeaderKey(nm.Tenant)] = tenant
+	}
 	if in.Names.Instance != "" && tg.Lifetime != "" {
 		out.Header.Set(in.Names.Instance, tg.Lifetime)
 	}
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -176,6 +176,10 @@
 	if nm.Instance != "" {
 		out.Header.Del(nm.Instance)
 	}
+	delete(out.Header, http.CanonicalHeaderKey(nm.Tenant))
+	if rq.tenant != nil {
+		out.Header[result.TenantHeader] = rq.tenant.Header
+	}
 	if nm.Caller != "" {
 		out.Header.Set(nm.Caller, rq.ou.service)
 	}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/path/retry"
 	"github.com/flamingomast/flamingomast/internal/path/shed"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
@@ -28,16 +29,19 @@
 // Outlet is an HTTP handler that forwards the requests of callers to backend servers. Its table may
 // be replaced at any time.
 type Outlet struct {
-	// Stats holds the request statistics by service and class.
-	Stats      hist.Set
-	fw         *proxy.Forwarder
-	log        *slog.Logger
-	token      string
-	names      result.HeaderNames
-	service    string
-	work       func() limit.Activity
-	retryBound retry.Bound
-	poison     func() *poison.View
+	// Stats holds the request statistics by service and class, TenantStats those of the tenants with
+	// the highest limits.
+	Stats, TenantStats hist.Set
+	fw                 *proxy.Forwarder
+	log                *slog.Logger
+	token              string
+	names              result.HeaderNames
+	service            string
+	fromServer         func(remoteAddr string) bool
+	quota              *admit.Gate
+	work               func() limit.Activity
+	retryBound         retry.Bound
+	poison             func() *poison.View
 	// poisonJitter is this outlet's random delay, at most poison.RetryJitter, before it retries a
 	// refused poison request.
 	poisonJitter time.Duration
@@ -65,6 +69,8 @@
 	routeStats []*routeStats   // by route index
 	// throttles are indexed by service, then by class.
 	throttles [][]*shed.Throttle
+	// tenantStats has the statistics of each tenant. Most tenants of a large mesh share one.
+	tenantStats map[string]*hist.Series
 }
 
 // Options configures an outlet; the zero value is valid.
@@ -81,6 +87,11 @@
 	LinkRate float64
 	// Work returns what the VM's own backend server is doing; nil if the VM has none.
 	Work func() limit.Activity
+	// FromServer reports whether a connection with a remote address (host:port) comes from the VM's
+	// own backend server, whose calls need no API key; nil if callers may use the same address.
+	FromServer func(remoteAddr string) bool
+	// Quota admits the requests of tenants; nil stands for one that no other outlet takes part in.
+	Quota *admit.Gate
 	// RetryBound bounds the retries to each service, summed over all outlets; nil stands for
 	// retry.Default.
 	RetryBound *retry.Bound
@@ -92,10 +103,16 @@
 
 // New returns an outlet without a table. It refuses requests until SetTable is called.
 func New(op Options) *Outlet {
-	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.WithDefaults(), service: op.Service, linkRate: op.LinkRate, work: op.Work, retryBound: retry.Default, poison: op.Poison, poisonJitter: rand.N(poison.RetryJitter), started: time.Now()}
+	ou := &Outlet{fw: op.Forwarder, log: op.Log, token: op.Token, names: op.Names.WithDefaults(), service: op.Service, linkRate: op.LinkRate, work: op.Work, retryBound: retry.Default, poison: op.Poison, fromServer: op.FromServer, quota: op.Quota, poisonJitter: rand.N(poison.RetryJitter), started: time.Now()}
 	if ou.poison == nil {
 		ou.poison = func() *poison.View { return nil }
 	}
+	if ou.fromServer == nil {
+		ou.fromServer = func(string) bool { return false }
+	}
+	if ou.quota == nil {
+		ou.quota = admit.New(func() *admit.Directive { return &admit.Directive{ReceivedAt: time.Now(), Outlets: 1} })
+	}
 	if op.RetryBound != nil {
 		ou.retryBound = *op.RetryBound
 	}
@@ -130,7 +147,7 @@
 		}
 	}
 	if old != nil && old.tb.Snap == tb.Snap {
-		ou.routing.Set(&routing{tb: tb, budgets: old.budgets, routeStats: old.routeStats, throttles: old.throttles})
+		ou.routing.Set(&routing{tb: tb, budgets: old.budgets, routeStats: old.routeStats, throttles: old.throttles, tenantStats: old.tenantStats})
 		return
 	}
 	budgets, throttles, routes := map[string]*retry.Budget{}, map[[2]string]*shed.Throttle{}, map[string]*routeStats{}
@@ -146,6 +163,12 @@
 		}
 	}
 	next := &routing{tb: tb}
+	if old != nil && old.tb.Snap.Tenants == tb.Snap.Tenants {
+		next.tenantStats = old.tenantStats
+	} else {
+		ou.quota.Update(tb.Snap.Tenants.Limits(), time.Now())
+		next.tenantStats = ou.seriesOfTenants(tb.Snap.Tenants)
+	}
 	for _, sv := range tb.Snap.ServiceList {
 		bu := budgets[sv.Name]
 		if bu == nil {
@@ -209,6 +232,18 @@
 		ou.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoRoute})
 		return
 	}
+	tenant, rf := ou.authenticate(r, rt.tb.Snap, route)
+	if rf == nil {
+		rf = ou.checkLimit(tenant, start)
+	}
+	if rf != nil {
+		if tenant != nil {
+			rt.tenantStats[tenant.Name].Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		}
+		ou.logTenantRefusal(r, rt.tb.Snap, route, tenant, rf)
+		ou.refuse(w, r, rf)
+		return
+	}
 	limit := route.Deadline
 	rs := rt.routeStats[route.Index]
 	timeout, ok := ou.callerTimeout(r.Header)
@@ -221,13 +256,15 @@
 	priority, parentRetry := route.Priority, 0.0
 	if wk := ou.work(); rs.callerRetries.CountArrival(start, shorter && !callerRetry, wk.Running > 0) {
 		final, priority, parentRetry = true, wk.Priority, wk.Repeats
+	} else if tenant != nil && tenant.HasPriority {
+		priority = tenant.Priority
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), start.Add(limit))
 	defer cancel()
 	sv := route.Target(rand.IntN(route.TotalWeight()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, base: rt.tb.Group(sv), gp: rt.tb.Group(sv).ForRequest(start, rand.Float64()), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, rs: rs, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, parentRetry: parentRetry, callerRetry: callerRetry, callerTry: callerTry,
+		version: rt.tb.Snap.Version, rs: rs, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, parentRetry: parentRetry, callerRetry: callerRetry, callerTry: callerTry, tenant: tenant, tenantStats: rt.tenantStats,
 	}
 	undo := ou.setDeadlines(w, start.Add(limit))
 	defer func() {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -16,6 +16,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/path/retry"
 	"github.com/flamingomast/flamingomast/internal/path/shed"
+	"github.com/flamingomast/flamingomast/internal/stat/hist"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
@@ -41,6 +42,9 @@
 	queued, limit time.Duration
 	// elapsed is the time from the caller's first try until this one, 0 if this is the first.
 	elapsed time.Duration
+	// tenant is nil if the request has none.
+	tenant      *snap.Tenant
+	tenantStats map[string]*hist.Series
 	// final is set if the caller cannot retry after a refusal.
 	final bool
 	// priority is that of the route or, for a call of a backend server, that of the request it is
@@ -223,6 +227,9 @@
 // response says when the caller should retry.
 func (rq *request) refuse(rf *result.Refusal) {
 	rq.record(rf.Outcome, rf.Reason)
+	if rq.tenant != nil && rf.Outcome == result.NotRun {
+		rq.ou.quota.Return(rq.tenant.Name)
+	}
 	rq.setRetryAfter(rf)
 	retryAdvised := rf.Outcome == result.NotRun && rf.Reason != result.ReasonPoison
 	rq.ou.callerTries.Failed(rq.callerTry, time.Now(), retryAdvised, &rq.rs.callerRetries)
@@ -289,6 +296,11 @@
 		name += "/" + string(re)
 	}
 	sr.Outcomes.Add(name, 1)
+	if rq.tenant != nil {
+		ts := rq.tenantStats[rq.tenant.Name]
+		ts.Latency.Record(took)
+		ts.Outcomes.Add(name, 1)
+	}
 	sr.Attempts.Add(strconv.Itoa(rq.attempts), 1)
 	rq.logResult(oc, re, took)
 }
@@ -305,7 +317,7 @@
 	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
 		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
 		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
-		slog.Int("attempts", rq.attempts), slog.String(logs.TargetVM, rq.vm), rq.softwareAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
+		slog.Int("attempts", rq.attempts), slog.String(logs.TargetVM, rq.vm), rq.softwareAttr(), rq.tenantAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
 		slog.Duration(logs.Queued, rq.queued), slog.Duration(logs.Limit, rq.limit), rq.causeAttr(),
 		slog.Duration(logs.Objective, rq.route.Objective),
 		slog.Duration(logs.Wait, rq.spent.Wait), slog.Duration(logs.ServiceTime, rq.spent.ServiceTime), slog.Duration(logs.Took, took))
@@ -320,6 +332,14 @@
 	return slog.String(logs.Software, rq.software)
 }
 
+// tenantAttr returns the log attribute for the tenant, empty if the request has none.
+func (rq *request) tenantAttr() slog.Attr {
+	if rq.tenant == nil {
+		return slog.Attr{}
+	}
+	return slog.String(logs.Tenant, rq.tenant.Name)
+}
+
 // causeAttr returns the log attribute for the error of the last attempt, empty if the request was
 // answered.
 func (rq *request) causeAttr() slog.Attr {
@@ -338,9 +358,11 @@
 }
 
 // id returns the caller's request id, empty if callers set none.
-func (rq *request) id() string {
-	if name := rq.ou.names.RequestID; name != "" {
-		return rq.r.Header.Get(name)
+func (rq *request) id() string { return rq.ou.requestID(rq.r) }
+
+func (ou *Outlet) requestID(r *http.Request) string {
+	if name := ou.names.RequestID; name != "" {
+		return r.Header.Get(name)
 	}
 	return ""
 }
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -71,6 +71,8 @@
 	ReasonUpgrade          Reason = "upgrade-not-carried"
 	ReasonCallerGone       Reason = "caller-gone"
 	ReasonForeignResponse  Reason = "foreign-answer"
+	ReasonNoKey            Reason = "key-missing-or-unknown"
+	ReasonOverLimit        Reason = "over-tenant-limit"
 )
 
 // The headers of this system. All begin with Prefix, and all but TimeoutHeader are dropped from
@@ -110,6 +112,8 @@
 	// RepeatHeader is the probability, from 0 to 1, that the request has been sent to a backend
 	// server before. It is omitted if it certainly has not.
 	RepeatHeader = Prefix + "Repeat"
+	// TenantHeader names the tenant of the request, if it has one.
+	TenantHeader = Prefix + "Tenant"
 	// TokenHeader carries the mesh token, which authenticates the outlet to the inlet.
 	TokenHeader = Prefix + "Token"
 	// RateHeader on a request is how many bytes per second of its response the sender can
@@ -123,6 +127,9 @@
 	SlotTimesHeader = Prefix + "Spent"
 )
 
+// AuthScheme precedes the API key in the Authorization header.
+const AuthScheme = "Token"
+
 // HeaderNames are the names of the headers that callers and backend servers exchange with this
 // system. An empty name means this system's own header, if there is one, or that the header is
 // not used.
@@ -134,6 +141,8 @@
 	RequestID string
 	// Caller is set to the service of the VM on which the request originated.
 	Caller string
+	// Tenant is set to the tenant of the request, and removed if it has none.
+	Tenant string
 	// Instance is set to the lifetime of the intended backend server. Any other one answers 421
 	// and does not run the request.
 	Instance string
@@ -149,8 +158,8 @@
 	FractionalRetryAfter bool
 }
 
-// WithDefaults returns the names, with this system's own for Timeout and NotRun if they are
-// empty.
+// WithDefaults returns the names, with this system's own for Timeout, NotRun and Tenant if they
+// are empty.
 func (hn HeaderNames) WithDefaults() HeaderNames {
 	if hn.Timeout == "" {
 		hn.Timeout = TimeoutHeader
@@ -158,6 +167,9 @@
 	if hn.NotRun == "" {
 		hn.NotRun = NotRunHeader
 	}
+	if hn.Tenant == "" {
+		hn.Tenant = TenantHeader
+	}
 	return hn
 }
 
@@ -218,6 +230,10 @@
 		return http.StatusMisdirectedRequest
 	case ReasonBadToken:
 		return http.StatusForbidden
+	case ReasonNoKey:
+		return http.StatusUnauthorized
+	case ReasonOverLimit:
+		return http.StatusTooManyRequests
 	}
 	switch {
 	case re == ReasonDeadlinePassed && oc != NotRun:
@@ -241,6 +257,9 @@
 	if rf.RetryAfter > 0 {
 		hdr.Set("Retry-After", FormatRetryAfter(rf.RetryAfter, fractions))
 	}
+	if rf.Reason == ReasonNoKey {
+		hdr.Set("WWW-Authenticate", AuthScheme)
+	}
 	if rf.Crashes > 0 {
 		hdr.Set(CrashesHeader, strconv.Itoa(rf.Crashes))
 	}
--- a/internal/stat/hist/hist.go
+++ b/internal/stat/hist/hist.go
@@ -113,5 +113,20 @@
 	return sr
 }
 
+// Has reports whether there is a series of a service and class.
+func (st *Set) Has(service, class string) bool {
+	_, ok := st.series.Load(key{service: service, class: class})
+	return ok
+}
+
+// Len returns the number of series.
+func (st *Set) Len() (n int) {
+	st.series.Range(func(any, any) bool {
+		n++
+		return true
+	})
+	return n
+}
+
 // Var returns all series as an expvar variable.
 func (st *Set) Var() expvar.Var { return &st.vars }
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -6,6 +6,8 @@
 	Request = "request"
 	// Attempt is an attempt at one backend server that did not yield an answer from it.
 	Attempt = "attempt"
+	// TenantRefused is a request that was refused for its API key or the limit of its tenant.
+	TenantRefused = "tenant-refused"
 	// InletRefused is a request that an inlet did not forward to its backend server, InletFailed
 	// one that it forwarded and that was not answered.
 	InletRefused = "inlet-refused"
@@ -46,6 +48,16 @@
 	Reason  = "reason"
 	// TargetVM is the VM that a request was sent to, Lifetime the lifetime of its backend server.
 	TargetVM = "to-vm"
+	// Tenant is the tenant of a request. It is not set if the request has none.
+	Tenant = "tenant"
+	// TenantRate and TenantBurst are the limit of a tenant over all outlets, TenantShare the part of
+	// its requests that the outlet admits. DirectiveAge is the age of the directive that says so in
+	// nanoseconds, negative if there was none. RetryAfter is when the caller was asked to retry.
+	TenantRate   = "limit-rate"
+	TenantBurst  = "limit-burst"
+	TenantShare  = "admit"
+	DirectiveAge = "directive-age"
+	RetryAfter   = "retry-after"
 	// Service is the service that a line concerns.
 	Service = "service"
 	// Software is the software version of the backend server. It is set only for services with a
