mesh: relays count the requests of tenants

Members report to one relay, relays exchange sums, and send their members what to admit. Fields are added only: an older release ignores them.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -8,6 +8,8 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
+	"github.com/flamingomast/flamingomast/internal/quota/ledger"
 	"github.com/flamingomast/flamingomast/internal/roll/canary"
 )
 
@@ -41,6 +43,10 @@
 	Epoch Cell[store.Epoch]
 	// Rollouts holds the newest rollout of each service.
 	Rollouts Cell[canary.View]
+	// Directive says which tenants exceed their limits.
+	Directive Cell[admit.Directive]
+	// TenantUse is what tenants use of their limits, nil unless this daemon is a relay.
+	TenantUse Cell[TenantUse]
 	// Poison holds the requests during which backend servers crashed.
 	Poison Cell[poison.View]
 	// Replaced is the record of another process that has taken over this VM's name.
@@ -55,6 +61,12 @@
 	Peers []string
 }
 
+// TenantUse is what tenants use of their limits, as reported by some of all outlets.
+type TenantUse struct {
+	Reporting, Outlets int
+	Uses               []ledger.Use
+}
+
 // Config is a version of the configuration with its full content.
 type Config struct {
 	Version uint64
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
 	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
 )
 
 // fleet is a platform and the control planes of daemons on an in-memory network.
@@ -42,6 +43,8 @@
 	submitted   int
 	// counts returns the request counts of a VM's backend server; nil if there are no servers.
 	counts func(vm string) Counts
+	// onGate is called with the gate of each process that starts; nil if tenants send no requests.
+	onGate func(vm string, ga *admit.Gate)
 }
 
 // vmFault is a fault of the platform that affects one VM.
@@ -148,8 +151,14 @@
 	if fl.counts != nil {
 		counts = func() Counts { return fl.counts(vm.Name) }
 	}
+	var quota Quota
+	if fl.onGate != nil {
+		ga := admit.New(func() *admit.Directive { return tn.Board.Directive.Get() })
+		quota = Quota{Usage: ga.Usage, Due: ga.Due, Spare: quotaSlack / 2}
+		fl.onGate(vm.Name, ga)
+	}
 	tn.Node = New(Config{
-		Source: src, Counts: counts,
+		Source: src, Counts: counts, Quota: quota,
 		VM: vm.Name, Domain: vm.Domain, Control: addr, Inlet: vm.Name + ":8000", Seeds: seeds, Store: gd.Store(), OnNewEpoch: gd.ResetBreaker,
 		Dial: func(ctx context.Context, to string) (net.Conn, error) { return fl.nw.Dial(ctx, ho, to) },
 	})
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -58,6 +58,8 @@
 	Compile func(version uint64, co *pack.Content, domain string) (*snap.Snapshot, error)
 	// Counts returns the request counts of the VM's backend server; nil if there is none.
 	Counts func() Counts
+	// Quota connects the VM's outlet; the zero value means that it does not count requests.
+	Quota Quota
 	// Drain makes the inlet refuse new requests and returns how many are still running.
 	Drain func() int
 }
@@ -161,6 +163,7 @@
 	// following is set while this daemon follows the store.
 	following board.Cell[bool]
 	tallies   tallies
+	quota     *quotaController
 	stamps    atomic.Uint64
 	// restoring is set while a version lost by the store is being rewritten.
 	restoring atomic.Bool
@@ -241,6 +244,7 @@
 	nd.http = newHTTPClient(cf)
 	nd.linker = newLinker(nd)
 	nd.poison = &poisonSyncer{nd: nd}
+	nd.quota = newQuotaController(nd)
 	// The wall clock usually gives a higher incarnation than the predecessor had. If it does not,
 	// the first contact with a peer corrects it.
 	self := &member.Record{
@@ -261,7 +265,7 @@
 	stop := context.AfterFunc(ctx, nd.cancel)
 	defer stop()
 	for _, fn := range []func(context.Context){
-		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runFreshReads, nd.runDirectory, nd.runRollouts, nd.runTallies,
+		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runFreshReads, nd.runDirectory, nd.runRollouts, nd.runTallies, nd.quota.run,
 	} {
 		nd.background(func() { fn(nd.ctx) })
 	}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -116,6 +116,12 @@
 	for _, ta := range pk.Tallies {
 		nd.handleTally(pr, ta, now)
 	}
+	for _, us := range pk.Usages {
+		nd.handleUsage(pr, us)
+	}
+	if pk.Directive != nil {
+		nd.handleDirective(pr, pk.Directive, now)
+	}
 }
 
 func (nd *Node) handleHello(pr *link.Peer, hello *wirepb.Hello) {
--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -223,6 +223,9 @@
 	return connect.NewResponse(sr.nd.Status(ctx, req.Msg.Forwarded)), nil
 }
 
+// maxListedTenants bounds how many tenants a status lists.
+const maxListedTenants = 20
+
 // Status returns the state of the mesh. A daemon that is no relay asks one, unless forwarded is
 // set.
 func (nd *Node) Status(ctx context.Context, forwarded bool) *wirepb.StatusResponse {
@@ -250,6 +253,14 @@
 			res.PlatformError = pl.Err.Error()
 		}
 	}
+	if tu := nd.Board.TenantUse.Get(); tu != nil {
+		for _, us := range tu.Uses[:min(maxListedTenants, len(tu.Uses))] {
+			res.Tenants = append(res.Tenants, &wirepb.TenantStatus{
+				Tenant: us.Tenant, Rate: us.Limit.Rate, Burst: us.Limit.Burst, Demand: us.Demand, Admit: us.Admit,
+				Reporting: uint32(tu.Reporting), Outlets: uint32(tu.Outlets),
+			})
+		}
+	}
 	nd.mu.Lock()
 	defer nd.mu.Unlock()
 	for dm, su := range nd.summaries {
--- a/internal/mesh/ctrl/traffic.go
+++ b/internal/mesh/ctrl/traffic.go
@@ -30,6 +30,7 @@
 	add("summaries", sizeOfAll(pk.Summaries))
 	add("reach", sizeOfAll(pk.Reach)+sizeOfAll(pk.Hashes))
 	add("ends", sizeOfAll(pk.Ends))
+	add("usage", sizeOfAll(pk.Usages)+sizeOf(pk.Directive))
 	heard := 0
 	for _, vm := range pk.Heard {
 		heard += len(vm) + fieldOverhead
--- a/internal/mesh/link/link.go
+++ b/internal/mesh/link/link.go
@@ -88,6 +88,7 @@
 	crashes    map[poison.Report]bool
 	rollouts   map[string]*canary.Rollout
 	tallies    map[tallyKey]*wirepb.Tally
+	usages     map[string]*wirepb.Usage
 }
 
 // Follow is an announcement that a daemon follows the store or, if Lost is set, that the store no
@@ -228,6 +229,7 @@
 	}
 	pk.Ends = groupCrashes(pr.crashes, time.Now())
 	pr.addRollouts(pk, time.Now())
+	pr.addUsages(pk)
 	clear(pr.crashes)
 	clear(pr.records)
 	clear(pr.held)
