--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -18,6 +18,22 @@
 	PlatformError  string         `json:"platform-error,omitempty"`
 	PlatformBehind bool           `json:"platform-behind,omitempty"`
 	Domains        []DomainStatus `json:"failure-domains"`
+	// Tenants are those that send the most requests, of those with a limit.
+	Tenants []TenantStatus `json:"tenants,omitempty"`
+}
+
+// TenantStatus says how much of its limit a tenant uses, as the outlets that report to relays know.
+type TenantStatus struct {
+	Name string `json:"name"`
+	// Rate and Burst are the limit over all outlets, Demand the requests per second that come and
+	// Admit the part of them that outlets admit.
+	Rate   float64 `json:"rate"`
+	Burst  float64 `json:"burst"`
+	Demand float64 `json:"demand"`
+	Admit  float64 `json:"admit"`
+	// Reporting is how many of the Outlets these numbers cover.
+	Reporting int `json:"reporting"`
+	Outlets   int `json:"outlets"`
 }
 
 // DomainStatus is the state of one failure domain.
@@ -84,6 +100,11 @@
 		slices.Sort(ds.Behind)
 		st.Domains = append(st.Domains, *ds)
 	}
+	for _, ts := range res.Tenants {
+		st.Tenants = append(st.Tenants, TenantStatus{
+			Name: ts.Tenant, Rate: ts.Rate, Burst: ts.Burst, Demand: ts.Demand, Admit: ts.Admit, Reporting: int(ts.Reporting), Outlets: int(ts.Outlets),
+		})
+	}
 	slices.SortFunc(st.Domains, func(a, b DomainStatus) int { return cmp.Compare(a.Name, b.Name) })
 	return st
 }
--- a/internal/node/cmds/account.go
+++ b/internal/node/cmds/account.go
@@ -66,6 +66,13 @@
 	for _, wi := range ac.Windows {
 		fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t\n", wi.From.Format("15:04:05"), wi.InTime, wi.Late, wi.Refused, wi.Failed)
 	}
+	if len(ac.Tenants) > 0 {
+		fmt.Fprintln(tw)
+		fmt.Fprintln(tw, "tenant\tin time\tlate\trefused\tover limit\tfailed\t")
+		for _, tn := range ac.Tenants {
+			fmt.Fprintf(tw, "%s\t%d\t%d\t%d\t%d\t%d\t\n", tn.Name, tn.InTime, tn.Late, tn.Refused, tn.OverLimit, tn.Failed)
+		}
+	}
 	if err := tw.Flush(); err != nil {
 		return err
 	}
--- a/internal/node/cmds/fleet.go
+++ b/internal/node/cmds/fleet.go
@@ -176,6 +176,18 @@
 		addRemark("refused", ds.Refused)
 		fmt.Fprintf(ap.out, "%-20s %-10s %8d %8d  %s\n", ds.Name, versions, ds.Members, ds.Serving, strings.Join(remarks, "; "))
 	}
+	ap.printTenants(st.Tenants)
+}
+
+// printTenants prints what tenants use of their limits.
+func (ap *app) printTenants(tenants []admin.TenantStatus) {
+	if len(tenants) == 0 {
+		return
+	}
+	fmt.Fprintf(ap.out, "\n%-20s %10s %10s %10s %8s  %s\n", "TENANT", "RATE/S", "BURST", "SENT/S", "ADMITTED", "OUTLETS")
+	for _, ts := range tenants {
+		fmt.Fprintf(ap.out, "%-20s %10.6g %10.6g %10.1f %7.0f%%  %d of %d\n", ts.Name, ts.Rate, ts.Burst, ts.Demand, 100*ts.Admit, ts.Reporting, ts.Outlets)
+	}
 }
 
 func (ap *app) drainCmd() *ffcli.Command {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/flamingomast/flamingomast/internal/plat/guard"
 	"github.com/flamingomast/flamingomast/internal/plat/remote"
 	"github.com/flamingomast/flamingomast/internal/plat/store"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
 	"github.com/flamingomast/flamingomast/internal/stat/meter"
 	"github.com/flamingomast/flamingomast/internal/stat/usage"
 )
@@ -129,7 +130,9 @@
 	if dm.adapter.Source != nil {
 		src = dm.adapter.Source(se.Domains)
 	}
+	quota := admit.New(func() *admit.Directive { return dm.Node.Board.Directive.Get() })
 	dm.Node = ctrl.New(ctrl.Config{
+		Quota:  ctrl.Quota{Usage: quota.Usage, Due: quota.Due, Spare: se.QuotaSpare},
 		Source: src,
 		VM:     se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token, Capacity: uint32(se.LinkRate / 1e6),
 		Store: dm.guard.Store(), OnNewEpoch: dm.guard.ResetBreaker, Counts: dm.counts, FirstStart: se.FirstStart, Log: dm.log, Dial: dm.controlBytes.Dialer(dialer.Dial), Drain: dm.Drain,
@@ -138,6 +141,7 @@
 	dm.Outlet = outlet.New(outlet.Options{
 		Log: dm.log, LogSample: se.LogSample, Token: se.Token, Names: dm.adapter.Names, Service: se.Service, LinkRate: se.LinkRate,
 		Work: func() limit.Activity { return dm.Inlet.Gate.Activity() }, RetryBound: &se.RetryBound, Poison: dm.Node.Board.Poison.Get,
+		FromServer: dm.isServer, Quota: quota,
 		Forwarder: proxy.New(proxy.Options{Dial: dm.pathBytes.Dialer(dialer.Dial), MaxIdle: maxIdlePerInlet, IdleTimeout: inletIdleTimeout}),
 	})
 	dm.Inlet = inlet.New(proxy.Options{}, link)
@@ -334,6 +338,7 @@
 	num("processor-ms", func() int64 { return ownUsage().CPUTime.Milliseconds() })
 	m.Set("outlet", dm.Outlet.Stats.Var())
 	m.Set("inlet", dm.Inlet.Stats.Var())
+	m.Set("outlet-tenants", dm.Outlet.TenantStats.Var())
 	return m
 }
 
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -254,6 +255,16 @@
 	})
 }
 
+// isServer reports whether a connection with a remote address (host:port) comes from the VM's own
+// backend server.
+func (dm *Daemon) isServer(remoteAddr string) bool {
+	if dm.se.ServerSource == "" {
+		return false
+	}
+	host, _, err := net.SplitHostPort(remoteAddr)
+	return err == nil && host == dm.se.ServerSource
+}
+
 // counts returns the request counts of the VM's own backend server.
 func (dm *Daemon) counts() ctrl.Counts {
 	self := dm.Node.Board.Self.Get()
--- a/internal/node/demo/callers.go
+++ b/internal/node/demo/callers.go
@@ -87,6 +87,9 @@
 	if !get {
 		req.Header.Set(IDHeader, id)
 	}
+	if key := cl.fl.apiKey; key != "" {
+		req.Header.Set("Authorization", result.AuthScheme+" "+key)
+	}
 	cl.requests.Add(1)
 	res, err := cl.http.Do(req)
 	if err != nil {
--- a/internal/node/demo/demo.go
+++ b/internal/node/demo/demo.go
@@ -58,8 +58,10 @@
 
 // fleet is everything that a demonstration runs.
 type fleet struct {
-	op           Options
-	ms           *decl.Mesh
+	op Options
+	ms *decl.Mesh
+	// apiKey is that of the demonstration's own tenant, empty if no tenants are declared.
+	apiKey       string
 	st           *fakekv.Service
 	platformAddr string
 	runs         RunCounter
@@ -93,12 +95,26 @@
 	// Wait has to run after cancel, since the goroutines end only when ctx does.
 	defer fl.wg.Wait()
 	defer cancel()
+	fl.addTenant()
 	if err := fl.start(ctx); err != nil {
 		return nil, err
 	}
 	return fl.runScenario(ctx)
 }
 
+// addTenant declares a tenant for the requests of the demonstration if any tenant is declared:
+// declarations may hold only the digests of keys.
+func (fl *fleet) addTenant() {
+	if len(fl.ms.Tenants) == 0 {
+		return
+	}
+	fl.apiKey = rand.Text()
+	fl.ms.Tenants = append(fl.ms.Tenants, decl.Tenant{Name: demoTenant, Keys: []decl.KeyDigest{decl.HashKey(fl.apiKey)}})
+}
+
+// demoTenant is the tenant of the demonstration's requests.
+const demoTenant = "dev-callers"
+
 func (fl *fleet) logEvent(name string, attrs ...any) { fl.op.Log.Info(name, attrs...) }
 
 func (fl *fleet) start(ctx context.Context) error {
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -42,6 +42,9 @@
 	// Server is the address of the backend server on this VM, if known at startup. A starting
 	// daemon asks it whether it serves.
 	Server string
+	// ServerSource is the IP address from which the backend server calls the outlet; empty if callers
+	// use it as well.
+	ServerSource string
 	// Domains maps all failure domains to their regions, for platforms whose configurations do not
 	// declare them.
 	Domains map[string]string
@@ -61,6 +64,8 @@
 	FirstStart bool
 	// RetryBound limits the retries of all daemons together, per service.
 	RetryBound retry.Bound
+	// QuotaSpare is how many requests beyond its burst a tenant may send after a pause.
+	QuotaSpare float64
 }
 
 // String returns the settings without secrets.
@@ -81,11 +86,11 @@
 	vm, domain, outlet, inlet, control, admin string
 	platform, seeds, token, logLevel          string
 	ready, announce, adapter                  string
-	service, server, domains                  string
+	service, server, serverSource, domains    string
 	logSample                                 string
 	drainTimeout                              string
 	memoryMB, linkMbps                        string
-	retryRatio, retrySpare                    string
+	retryRatio, retrySpare, quotaSpare        string
 	firstStart                                string
 }
 
@@ -103,6 +108,7 @@
 	fs.StringVar(&rw.adapter, "adapter", "", "name of the platform adapter; empty for flamingomast's own interface")
 	fs.StringVar(&rw.service, "service", "", "service that runs on this VM, reported to the backend servers that it calls")
 	fs.StringVar(&rw.server, "server", "", "address of the backend server on this VM, which is asked at startup whether it serves, IP:PORT")
+	fs.StringVar(&rw.serverSource, "server-source", "", "IP address from which only the backend server on this VM calls the outlet; its calls need no API key")
 	fs.StringVar(&rw.domains, "failure-domains", "", "all failure domains with their regions, where the platform does not declare them, NAME=REGION,…")
 	fs.StringVar(&rw.seeds, "seeds", "", "control addresses of other daemons to try before the platform is asked, IP:PORT,…")
 	fs.StringVar(&rw.token, "mesh-token", "", "secret shared by all daemons; empty for none")
@@ -113,6 +119,7 @@
 	fs.StringVar(&rw.linkMbps, "link-mbps", "0", "rate of the VM's network link in Mbit/s, used to pace large responses; 0 for no pacing")
 	fs.StringVar(&rw.retryRatio, "retry-ratio", "", "retries allowed per request of a service, over all daemons; 0.2 unless set, 0 for none")
 	fs.StringVar(&rw.retrySpare, "retry-spare", "", "additional retries of a service that all daemons together may send within a few seconds; 50 unless set")
+	fs.StringVar(&rw.quotaSpare, "quota-spare", "", "requests beyond its burst that all daemons together may admit of a tenant after a pause; 0 unless set")
 	fs.StringVar(&rw.firstStart, "first-start", "false", "true while the whole mesh starts for the first time, so that nothing has to be read from the platform; false at every later start")
 	fs.String("config", "", "YAML file with any of these settings")
 }
@@ -276,6 +283,13 @@
 			*it.dst = rd.addr(it.name, it.value)
 		}
 	}
+	if rw.serverSource != "" {
+		ip, err := netip.ParseAddr(rw.serverSource)
+		if err != nil {
+			rd.addProblem("server-source", fmt.Sprintf("server-source is %q", rw.serverSource), "set it to an IP address")
+		}
+		se.ServerSource = ip.String()
+	}
 	se.Adapter = rd.optionalName("adapter", rw.adapter)
 	se.Service = rd.optionalName("service", rw.service)
 	se.Domains = rd.domains(rw.domains)
@@ -309,6 +323,7 @@
 	}
 	se.RetryBound.Ratio = rd.number("retry-ratio", rw.retryRatio, retry.Default.Ratio, 1)
 	se.RetryBound.Spare = rd.number("retry-spare", rw.retrySpare, retry.Default.Spare, maxRetrySpare)
+	se.QuotaSpare = rd.number("quota-spare", rw.quotaSpare, 0, maxQuotaSpare)
 	se.DrainTimeout, err = time.ParseDuration(rw.drainTimeout)
 	if err != nil || se.DrainTimeout < 0 {
 		rd.addProblem("drain-timeout", fmt.Sprintf("drain-timeout is %q", rw.drainTimeout), "set it to a duration such as 30s")
@@ -319,6 +334,9 @@
 // maxRetrySpare is the highest accepted retry-spare: retries allowed beyond the ratio.
 const maxRetrySpare = 1_000_000
 
+// maxQuotaSpare is the highest accepted quota-spare.
+const maxQuotaSpare = 1_000_000
+
 // number parses a number from 0 to limit, or returns def if value is empty.
 func (rd *Reader) number(setting, value string, def, limit float64) float64 {
 	if value == "" {
--- a/internal/stat/acct/acct.go
+++ b/internal/stat/acct/acct.go
@@ -19,6 +19,8 @@
 	From   time.Time `json:"from"`
 	Until  time.Time `json:"until"`
 	Routes []*Route  `json:"routes"`
+	// Tenants counts the requests by tenant, largest first.
+	Tenants []*Tenant `json:"tenants,omitempty"`
 	// Windows divide the time from From to Until into windows of equal length.
 	Windows []*Window `json:"windows"`
 	// DroppedLines counts the log lines that the daemons dropped to limit the rate. If there are
@@ -59,6 +61,14 @@
 	Took        Quantiles `json:"took"`
 }
 
+// Tenant summarizes the requests of one tenant.
+type Tenant struct {
+	Name string `json:"name"`
+	Counts
+	// OverLimit counts the requests that were refused for the tenant's limit.
+	OverLimit int `json:"over-limit"`
+}
+
 // Counts holds the numbers of requests by outcome.
 type Counts struct {
 	InTime  int `json:"in-time"`
@@ -99,7 +109,7 @@
 func (rd *Reader) Read(r io.Reader) error {
 	return diag.Scan(r, &rd.Skipped, func(ln *diag.Line) {
 		switch ln.Event {
-		case logs.Request:
+		case logs.Request, logs.TenantRefused:
 			rd.requests = append(rd.requests, ln)
 		case logs.Usage:
 			rd.processes.add(ln)
@@ -131,7 +141,7 @@
 	}
 	ac.From, ac.Until = rd.requests[0].Time, rd.requests[len(rd.requests)-1].Time
 	calls, slots := failedCalls(rd.requests), slotUseOf(rd.requests, rd.slots)
-	routes := map[string]*routeSamples{}
+	routes, tenants := map[string]*routeSamples{}, map[string]*Tenant{}
 	for _, ln := range rd.requests {
 		name := ln.Text("route")
 		rs := routes[name]
@@ -144,7 +154,16 @@
 			rs.NotDelivered++
 		}
 		ac.window(ln.Time).add(ln)
+		if name := ln.Text(logs.Tenant); name != "" {
+			if tenants[name] == nil {
+				tenants[name] = &Tenant{Name: name}
+			}
+			tenants[name].add(ln)
+		}
 	}
+	ac.Tenants = slices.SortedFunc(maps.Values(tenants), func(a, b *Tenant) int {
+		return cmp.Or(cmp.Compare(b.all(), a.all()), cmp.Compare(a.Name, b.Name))
+	})
 	for _, name := range slices.Sorted(maps.Keys(routes)) {
 		ac.Routes = append(ac.Routes, routes[name].summarize())
 	}
@@ -186,6 +205,13 @@
 	}
 }
 
+func (tn *Tenant) add(ln *diag.Line) {
+	tn.Counts.add(ln)
+	if result.Reason(ln.Text(logs.Reason)) == result.ReasonOverLimit {
+		tn.OverLimit++
+	}
+}
+
 // routeSamples is a route with the durations of its answered requests.
 type routeSamples struct {
 	*Route
--- a/internal/stat/diag/cause.go
+++ b/internal/stat/diag/cause.go
@@ -47,7 +47,7 @@
 func (co *Collector) endLine() *Line {
 	var end *Line
 	for _, ln := range co.requestLines {
-		if ln.Event == logs.Request && ln.Text(logs.ID) == co.id {
+		if (ln.Event == logs.Request || ln.Event == logs.TenantRefused) && ln.Text(logs.ID) == co.id {
 			end = ln
 		}
 	}
@@ -95,6 +95,13 @@
 	case reason.NoCapacity():
 		add("refused after %d servers had no room (%s)", attempts, reason)
 		list = append(list, co.refusals()...)
+	case reason == result.ReasonNoKey:
+		add("refused by the outlet of %s: by version %.0f of the configuration, route %s needs an API key that a tenant holds, and the request carried none or an unknown one",
+			end.VM, end.Number(logs.Version), end.Text("route"))
+	case reason == result.ReasonOverLimit:
+		add("refused by the outlet of %s: tenant %s sends more than version %.0f of the configuration allows over all outlets, %g requests per second and %g more after a pause",
+			end.VM, end.Text(logs.Tenant), end.Number(logs.Version), end.Number(logs.TenantRate), end.Number(logs.TenantBurst))
+		list = append(list, tenantShare(end))
 	case reason == result.ReasonPoison:
 		add("not sent by the outlet of %s: backend servers crashed when they ran this request, whichever outlet it came through", end.VM)
 		list = append(list, co.crashes()...)
@@ -114,6 +121,15 @@
 	return append(list, co.staleVersion(end)...)
 }
 
+// tenantShare says which part of its tenant's requests the outlet admitted, and how it knew.
+func tenantShare(end *Line) string {
+	age := end.Duration(logs.DirectiveAge)
+	if age < 0 {
+		return fmt.Sprintf("no relay counted the requests of this outlet, so it admitted only its own part of the limit, %.2g of it", end.Number(logs.TenantShare))
+	}
+	return fmt.Sprintf("the outlet admitted %.3g of the tenant's requests, as its relay had said %v before", end.Number(logs.TenantShare), age.Round(time.Millisecond))
+}
+
 // timing breaks down the time that the request took.
 func (co *Collector) timing(end *Line) []string {
 	var list []string
--- a/internal/stat/diag/diag_test.go
+++ b/internal/stat/diag/diag_test.go
@@ -37,6 +37,16 @@
 			line(19, "b", "inlet-refused", `"id":"x","reason":"slots-full","load":"6/1/6/80"`),
 		}, []string{"refused after 2 servers had no room (slots-full)", "the inlet of b says slots-full with load 6/1/6/80", "the outlet believed 1 requests there, 900ms old"}},
 		{"throttled by the outlet", []string{request(30, "not-run", "slots-full", 0, "")}, []string{"refused without being sent"}},
+		{"401", []string{
+			line(30, "a", "tenant-refused", `"id":"x","route":"find","version":7,"outcome":"not-run","reason":"key-missing-or-unknown"`),
+			line(10, "b", "version-held", `"version":8`),
+		}, []string{"refused by the outlet of a: by version 7 of the configuration, route find needs an API key", "it was routed by version 7; b had held version 8 for 20ms by then"}},
+		{"429", []string{
+			line(30, "a", "tenant-refused", `"id":"x","route":"find","version":7,"outcome":"not-run","reason":"over-tenant-limit","tenant":"acme","limit-rate":50,"limit-burst":25,"admit":0.2,"directive-age":120000000`),
+		}, []string{"refused by the outlet of a: tenant acme sends more than version 7 of the configuration allows over all outlets, 50 requests per second and 25 more", "admitted 0.2 of the tenant's requests, as its relay had said 120ms before"}},
+		{"429 at an isolated outlet", []string{
+			line(30, "a", "tenant-refused", `"id":"x","route":"find","version":7,"outcome":"not-run","reason":"over-tenant-limit","tenant":"acme","limit-rate":50,"limit-burst":25,"admit":0.0147,"directive-age":-1`),
+		}, []string{"tenant acme sends more", "no relay counted the requests of this outlet, so it admitted only its own part of the limit, 0.015 of it"}},
 		{"no server known", []string{request(30, "not-run", string(result.ReasonNoServer), 0, "")}, []string{"no server of booking was known to the outlet of a"}},
 		{"502, the server closed the connection", []string{
 			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
