mesh/ctrl: versions in quick succession do not keep relays from counting

Cause: the ticker of reports and directives began anew with each version. With one every 200 ms it never fired, directives ran out after 1.5 s, and outlets admitted only their own part. Ruled out: the limit itself, the tenant was below it. TestQuotaManyVersions fails before, with 2,668 of 3,050 requests admitted at 68 daemons; with the change all are. Besides: buckets of extreme rates no longer overflow (TestExtremeLimits), and an outlet without a directive asks callers back within the time in which one is to be expected, not after the refill of its own part, which may be minutes.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -39,15 +39,17 @@
 }
 
 // quotaController reports the use of tenants' limits to the relays and, on a relay, decides what
-// the outlets of its members admit. Only runQuota uses it, unless a field says otherwise.
+// the outlets of its members admit. Only its run method uses it, but for received.
 type quotaController struct {
 	nd *Node
-	// received has the messages of peers that runQuota has not processed yet.
+	// received has the messages of peers that wait to be processed.
 	received chan receivedUsage
 
 	// relay is whether this daemon was a relay when its role was last looked at.
 	relay  bool
 	ledger ledger.Ledger
+	// urgent fires when shares are to be computed before the next tick, nil if they are not.
+	urgent <-chan time.Time
 	// sums has the requests of this relay's members, reported those of its last report. They only
 	// grow while the process runs, also if it is a relay again later.
 	sums, reported map[string]admit.Counts
@@ -96,55 +98,55 @@
 	if qc.nd.cf.Quota.Usage == nil {
 		return
 	}
+	// The ticker keeps running when the configuration changes: versions may follow each other more
+	// quickly than it ticks.
+	tick := time.NewTicker(ledger.ReportInterval)
+	defer tick.Stop()
+	limited := true
 	for ctx.Err() == nil {
 		sn, changed := qc.nd.Board.Held.Watch()
-		if sn == nil || !sn.Tenants.Limited {
-			select {
-			case <-changed:
-			case <-qc.received:
-			case <-ctx.Done():
+		wasLimited := limited
+		limited = sn != nil && sn.Tenants.Limited
+		if limited {
+			if !wasLimited {
+				tick.Reset(ledger.ReportInterval)
 			}
+			qc.handleNext(ctx, changed, tick.C)
 			continue
 		}
-		qc.runLimited(ctx, changed)
-	}
-}
-
-// runLimited runs until the configuration changes.
-func (qc *quotaController) runLimited(ctx context.Context, changed <-chan struct{}) {
-	nd := qc.nd
-	tick := time.NewTicker(ledger.ReportInterval)
-	defer tick.Stop()
-	urgent := time.NewTimer(time.Hour)
-	defer urgent.Stop()
-	pending := false
-	for {
-		qc.updateRole()
+		tick.Stop()
 		select {
-		case <-ctx.Done():
-			return
 		case <-changed:
-			return
-		case <-nd.cf.Quota.Due:
-			qc.reportOwn(true)
-		case ru := <-qc.received:
-			qc.handle(ru)
-		case <-urgent.C:
-			pending = false
-			qc.decide(true)
-			continue
-		case <-tick.C:
-			qc.reportOwn(false)
-			qc.decide(false)
-			continue
-		}
-		if qc.relay && !pending && qc.ledger.Urgent(qc.limit, time.Now()) {
-			pending = true
-			urgent.Reset(minShareInterval)
+		case <-qc.received:
+		case <-ctx.Done():
 		}
 	}
 }
 
+// handleNext waits for the next event and handles it.
+func (qc *quotaController) handleNext(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time) {
+	qc.updateRole()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-qc.nd.cf.Quota.Due:
+		qc.reportOwn(true)
+	case ru := <-qc.received:
+		qc.handle(ru)
+	case <-qc.urgent:
+		qc.urgent = nil
+		qc.decide(true)
+		return
+	case <-tick:
+		qc.reportOwn(false)
+		qc.decide(false)
+		return
+	}
+	if qc.relay && qc.urgent == nil && qc.ledger.Urgent(qc.limit, time.Now()) {
+		qc.urgent = time.After(minShareInterval)
+	}
+}
+
 // limit returns the limit of a tenant in the configuration in force.
 func (qc *quotaController) limit(tenant string) admit.Limit {
 	return qc.nd.Board.Held.Get().Tenants.Limit(tenant)
--- a/internal/mesh/ctrl/quota_test.go
+++ b/internal/mesh/ctrl/quota_test.go
@@ -306,6 +306,21 @@
 	})
 }
 
+// TestQuotaManyVersions guards against versions in quick succession that keep relays from counting: the
+// outlets would be left without a directive and refuse what is below the limit.
+func TestQuotaManyVersions(t *testing.T) {
+	eachQuotaSize(t, limitFor, func(t *testing.T, qf *quotaFleet) {
+		for i := range 25 {
+			qf.version = qf.apply(sample.Change(qf.ms, i), qf.version)
+			served := qf.send(200*time.Millisecond, 0.9*qf.limit.Rate, nil)
+			if served < 0.99 {
+				t.Errorf("%.3f of the requests admitted during version %d", served, i)
+			}
+		}
+		qf.checkWindows(time.Time{}, qf.limit)
+	})
+}
+
 // TestQuotaStoreAway guards against limits that depend on the platform's store.
 func TestQuotaStoreAway(t *testing.T) {
 	eachQuotaSize(t, limitFor, func(t *testing.T, qf *quotaFleet) {
--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -98,7 +98,8 @@
 	// credit accumulates the admitted share in units of 1/creditUnit: each time it passes a whole
 	// number, one request is admitted.
 	credit atomic.Uint64
-	// shared limits what this outlet admits of the whole limit, alone what it admits without a directive.
+	// shared limits what this outlet admits of the whole limit, alone what it admits without a
+	// directive.
 	shared, alone bucket
 }
 
@@ -196,7 +197,10 @@
 	if !di.isValid(now) || di.Learning {
 		part := tn.Limit.part(di.outlets())
 		tn.alone.shorten(part, now)
-		return tn.alone.take(part, now)
+		de := tn.alone.take(part, now)
+		// By then a directive may have come.
+		de.RetryAfter = min(de.RetryAfter, DirectiveTTL)
+		return de
 	}
 	sh, limited := di.Shares[name]
 	tn.alone.prepare(tn.Limit.part(di.outlets()), limited, now)
@@ -242,14 +246,21 @@
 	return Limit{Rate: li.Rate / float64(outlets), Burst: li.Burst / float64(outlets)}
 }
 
+// maxRefill bounds the times of a bucket, so that those of very low rates do not overflow.
+const maxRefill = 24 * time.Hour
+
 // interval is the time in which one request becomes available.
-func (li Limit) interval() time.Duration { return time.Duration(float64(time.Second) / li.Rate) }
+func (li Limit) interval() time.Duration {
+	return time.Duration(min(max(1, float64(time.Second)/li.Rate), float64(maxRefill)))
+}
 
 // capacity is how many requests are available after a pause, at least one.
 func (li Limit) capacity() float64 { return max(1, li.Burst) }
 
 // refill is the time in which an empty bucket becomes full.
-func (li Limit) refill() time.Duration { return time.Duration(li.capacity() * float64(li.interval())) }
+func (li Limit) refill() time.Duration {
+	return time.Duration(min(li.capacity()*float64(li.interval()), float64(maxRefill)))
+}
 
 // bucket is a token bucket in the form of the generic cell rate algorithm: it keeps the time at
 // which the bucket will be full again, in nanoseconds of package mono. The zero value is full.
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -164,6 +164,25 @@
 	})
 }
 
+// TestExtremeLimits guards against overflows and endless loops.
+func TestExtremeLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, li := range []Limit{{Rate: 1e-12}, {Rate: 1e-12, Burst: 1e7}, {Rate: 1e-3, Burst: 1e7}, {Rate: 1e7}, {Rate: 1e7, Burst: 1e7}, {Rate: 1e12, Burst: 1e12}} {
+			ga, di := newTestGate(li)
+			for _, next := range []*Directive{nil, {Outlets: 1, ReceivedAt: time.Now()}, {Outlets: 1 << 30, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.5}}}} {
+				di.Store(next)
+				for range 100 {
+					if de := ga.Admit(tenantName, time.Now()); !de.Admitted && (de.RetryAfter < 0 || de.RetryAfter > 2*maxRefill) {
+						t.Errorf("%+v: %+v", li, de)
+					}
+				}
+				ga.Update(map[string]Limit{tenantName: {Rate: 5, Burst: 5}}, time.Now())
+				ga.Update(map[string]Limit{tenantName: li}, time.Now())
+			}
+		}
+	})
+}
+
 // TestDue: much that was admitted must be reported at once, and a little must not be.
 func TestDue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
