--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -47,6 +47,9 @@
 	onGate func(vm string, ga *admit.Gate)
 }
 
+// size is the size of a fleet.
+type size struct{ vms, domains, services int }
+
 // vmFault is a fault of the platform that affects one VM.
 type vmFault int
 
--- a/internal/mesh/ctrl/scale_test.go
+++ b/internal/mesh/ctrl/scale_test.go
@@ -68,9 +68,6 @@
 	return ld
 }
 
-// size is the size of a fleet.
-type size struct{ vms, domains, services int }
-
 // withSizedFleet starts a fleet of the given size, waits until it is stable, calls fn and stops it.
 func withSizedFleet(t *testing.T, sz size, fn func(fl *fleet)) {
 	t.Helper()
