path/notice, path/inlet: log what backend servers say about their rate and departure

The inlet beside the server sees all of its responses; it now logs each change once (backend-server-limit, backend-server-leaving) and the first value that cannot be used.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -64,6 +64,8 @@
 	counts atomic.Pointer[tally.Counter]
 	// buffered is the memory taken by responses that were read and are not sent yet.
 	buffered proxy.Budget
+	// notices is what the current instance of the server says about itself.
+	notices notices
 	// link paces the VM's link; nil if it is not paced.
 	link *pacer.Pacer
 }
@@ -105,6 +107,7 @@
 		in.crashes.forget()
 	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
+		in.notices.reset()
 		in.fw.Load().Close()
 		if tg.Lifetime != "" {
 			in.counts.Store(&tally.Counter{})
@@ -275,6 +278,7 @@
 		in.refuse(w, r, rf)
 		return
 	}
+	in.readNotice(tg, at.Response)
 	if rf := in.checkShed(at.Response); rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -127,6 +127,13 @@
 	SlotTimesHeader = Prefix + "Spent"
 )
 
+// The headers in which a backend server says how many requests per second it takes from all callers
+// together, and that it is leaving. Callers receive them as well.
+const (
+	ServerLimitHeader   = "Server-Rate-Limit"
+	ServerLeavingHeader = "Server-Draining"
+)
+
 // AuthScheme precedes the API key in the Authorization header.
 const AuthScheme = "Token"
 
@@ -154,12 +161,15 @@
 	// Lifetime is the header in which a backend server returns its lifetime on a readiness check,
 	// Load the one in which it returns its running and waiting requests and its slots.
 	Lifetime, Load string
+	// Limit on a backend server's response is how many requests per second it takes from all callers
+	// together, Leaving is 1 if it is to get no more requests.
+	Limit, Leaving string
 	// FractionalRetryAfter allows fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
 
-// WithDefaults returns the names, with this system's own for Timeout, NotRun and Tenant if they
-// are empty.
+// WithDefaults returns the names, with this system's own for Timeout, NotRun, Tenant, Limit and
+// Leaving if they are empty.
 func (hn HeaderNames) WithDefaults() HeaderNames {
 	if hn.Timeout == "" {
 		hn.Timeout = TimeoutHeader
@@ -170,6 +180,12 @@
 	if hn.Tenant == "" {
 		hn.Tenant = TenantHeader
 	}
+	if hn.Limit == "" {
+		hn.Limit = ServerLimitHeader
+	}
+	if hn.Leaving == "" {
+		hn.Leaving = ServerLeavingHeader
+	}
 	return hn
 }
 
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -15,6 +15,12 @@
 	// SetDeadlineFailed is a failure to set the deadline of a caller's connection: the caller has
 	// disconnected, or the connection does not support deadlines.
 	SetDeadlineFailed = "caller-deadline-unset"
+	// ServerLimit is a backend server's rate limit that was named, changed or lifted, and
+	// ServerNoticeInvalid a response header about it that cannot be used. ServerLeaving is a backend
+	// server that says in a response that it is leaving.
+	ServerLimit         = "backend-server-limit"
+	ServerNoticeInvalid = "backend-server-notice-invalid"
+	ServerLeaving       = "backend-server-leaving"
 	// ServerCrashed is the crash of a backend server: its process ended while it ran requests.
 	ServerCrashed = "backend-server-ended"
 	// RunningAtCrash is a request that a backend server was running when it crashed.
@@ -58,6 +64,10 @@
 	TenantShare  = "admit"
 	DirectiveAge = "directive-age"
 	RetryAfter   = "retry-after"
+	// ServerRate is the rate limit of a backend server in requests per second, negative if there is
+	// none. PreviousRate is the one before.
+	ServerRate   = "rate"
+	PreviousRate = "previous-rate"
 	// Service is the service that a line concerns.
 	Service = "service"
 	// Software is the software version of the backend server. It is set only for services with a
