path/rate, path/inlet, path/pick: a server's rate limit is kept over all outlets

Callers saw nothing; a server in need that named a limit of 20.7 requests a second got 55 to 65 (129 requests allowed in 4 s, 219 sent), one that named 4.5 got 59 where 32 are allowed.

Cause: nothing read the header. A server was chosen by load and speed alone, and its limit went on to callers like any other header. Ruled out: that each outlet keeps it for itself (arrivals do not fall at all, at 9 outlets or 300), and that it is kept and forgotten (no change at a version or a restart).

The sum over all outlets is seen in one place already: all requests to a server pass the inlet beside it. Ways weighed: shares of the limit at each outlet, told by relays as for tenants, take seconds to agree, messages, and a part of 3.4 a second over 300 outlets is one request in 90 s; one process of the mesh that counts has the same delay and another failure. So the inlet admits by token buckets (path/rate): one at admission, one when the request is sent, since admitted requests wait for slots. What it refuses has not run and goes to other servers at once; each refused outlet is told a turn of its own and leaves the server alone until then, by rank. A new process beside the server learns the limit from the outlets, which send what they know of it with their requests.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -17,6 +17,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/rate"
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/roll/tally"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
@@ -64,8 +65,10 @@
 	counts atomic.Pointer[tally.Counter]
 	// buffered is the memory taken by responses that were read and are not sent yet.
 	buffered proxy.Budget
-	// notices is what the current instance of the server says about itself.
+	// notices is what the current instance of the server says about itself, rate limits its requests
+	// to the rate that it names.
 	notices notices
+	rate    rate.Limiter
 	// link paces the VM's link; nil if it is not paced.
 	link *pacer.Pacer
 }
@@ -106,8 +109,10 @@
 	if old != nil && old.Addr == "" && tg.Addr != "" {
 		in.crashes.forget()
 	}
+	if old != nil && (old.Addr == "" && old.Lifetime == "" || !old.instance().Same(tg.instance())) {
+		in.resetNotices()
+	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
-		in.notices.reset()
 		in.fw.Load().Close()
 		if tg.Lifetime != "" {
 			in.counts.Store(&tally.Counter{})
@@ -140,6 +145,13 @@
 		in.refuse(w, r, rf)
 		return
 	}
+	token, rf := in.reserveToken(&rq)
+	if rf != nil {
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
+		return
+	}
+	defer token.Cancel()
 	release, rf := in.isolate(r)
 	if rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -159,6 +171,12 @@
 		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadlinePassed})
 		return
 	}
+	if retryAfter, ok := token.Send(time.Now()); !ok {
+		rf := overServerLimit(retryAfter)
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
+		return
+	}
 	in.forward(ctx, w, r, tg, &admittedRequest{start: start, sr: sr, slot: slot, tf: tf})
 	sr.Latency.Record(time.Since(start))
 }
@@ -179,6 +197,7 @@
 	if tg.Addr == "" {
 		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer}
 	}
+	in.adoptNotice(tg, hdr.Get(result.ServerHeader))
 	return tg, nil
 }
 
@@ -193,6 +212,7 @@
 func (in *Inlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
 	load := in.load().String()
 	w.Header().Set(result.LoadHeader, load)
+	in.setNotice(w.Header())
 	event := logs.InletRefused
 	if rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed {
 		event = logs.InletFailed
@@ -262,6 +282,7 @@
 	pr := ident.NewPrefixReader(r.Body)
 	rr := in.crashes.begin(tg)
 	defer in.crashes.finish(rr, false)
+	sentAt := time.Now()
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, pr))
 	if at.Response == nil {
 		in.countFailure(r, ctx.Err() != nil, ar)
@@ -278,7 +299,7 @@
 		in.refuse(w, r, rf)
 		return
 	}
-	in.readNotice(tg, at.Response)
+	in.readNotice(tg, at.Response, sentAt)
 	if rf := in.checkShed(at.Response); rf != nil {
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
@@ -304,6 +325,7 @@
 	}
 	in.countResponse(r, at.Response.StatusCode >= http.StatusInternalServerError, ar.spent(time.Now()).ServiceTime, tg)
 	proxy.CopyHeader(w, at.Response, func(hdr http.Header) {
+		in.setNotice(hdr)
 		hdr[result.LoadHeader] = []string{in.load().String()}
 		hdr[result.SlotTimesHeader] = []string{ar.spent(time.Now()).String()}
 	})
--- a/internal/path/inlet/notice.go
+++ b/internal/path/inlet/notice.go
@@ -4,63 +4,168 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/notice"
+	"github.com/flamingomast/flamingomast/internal/path/rate"
+	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
-// notices is what the current instance of the backend server says about itself in its responses.
-// Its methods are safe for concurrent use.
+// notices is what the current instance of the backend server has said about itself.
 type notices struct {
+	// encoded is sent to outlets with each response; nil if nothing is in force.
+	encoded atomic.Pointer[string]
+
+	// mu guards the fields below, and changes of the limit.
 	mu sync.Mutex
-	// limit is the rate limit in force, noLimit if there is none.
-	limit float64
-	named bool
-	// leaving is set once the server has said that it is leaving, invalid once a value that cannot
-	// be used was logged.
-	leaving, invalid bool
+	// current is the notice in force.
+	current notice.Notice
+	// invalid is set once a value that cannot be used was logged.
+	invalid bool
 }
 
 // noLimit stands for a missing rate limit in the log.
 const noLimit = -1
 
-// reset forgets everything, for another instance of the server.
-func (no *notices) reset() {
+// The sources of a notice in the log.
+const (
+	sourceResponse = "response"
+	sourceOutlet   = "outlet"
+)
+
+// instance identifies the instance of the target's server.
+func (tg *Target) instance() notice.Instance {
+	return notice.Instance{Lifetime: tg.Lifetime, StartedMs: tg.StartedMs}
+}
+
+// resetNotices forgets what the server has said, since another instance took its place.
+func (in *Inlet) resetNotices() {
+	no := &in.notices
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	no.limit, no.named, no.leaving, no.invalid = 0, false, false, false
+	no.current, no.invalid = notice.Notice{}, false
+	no.encoded.Store(nil)
+	in.rate.Reset()
 }
 
-// readNotice reads and logs what a response of the server says about it.
-func (in *Inlet) readNotice(tg *Target, res *http.Response) {
+// readNotice applies what a response of the server, to a request sent at sentAt, says about it.
+func (in *Inlet) readNotice(tg *Target, res *http.Response, sentAt time.Time) {
 	if in.Names.Instance != "" && res.StatusCode == http.StatusMisdirectedRequest {
 		// Another instance answered.
 		return
 	}
 	nm := in.Names.WithDefaults()
 	re, err := notice.Names{Limit: nm.Limit, Leaving: nm.Leaving}.Read(res.Header)
+	in.Heard(tg, re, err, sentAt)
+}
+
+// Heard applies what the target's server said about itself, in a response to a request sent at
+// sentAt. err is about values that cannot be used.
+func (in *Inlet) Heard(tg *Target, re notice.Reading, err error, sentAt time.Time) {
+	if re == (notice.Reading{}) && err == nil && in.notices.encoded.Load() == nil && in.rate.Heard() {
+		return
+	}
 	no := &in.notices
 	no.mu.Lock()
 	defer no.mu.Unlock()
+	if cur := in.target.Load(); cur == nil || !cur.instance().Same(tg.instance()) {
+		// Another instance took its place meanwhile.
+		return
+	}
 	if err != nil && !no.invalid {
 		no.invalid = true
 		in.Log.Warn(logs.ServerNoticeInvalid, slog.String(logs.Lifetime, tg.Lifetime), slog.Any(logs.Error, err))
 	}
-	if re.Leaving && !no.leaving {
-		no.leaving = true
-		in.Log.Info(logs.ServerLeaving, slog.String(logs.Lifetime, tg.Lifetime))
+	switch now := time.Now(); re.LimitState {
+	case notice.LimitNamed:
+		in.rate.Name(re.Limit, now)
+	case notice.LimitAbsent:
+		in.rate.Lift(sentAt, now)
+	}
+	in.updateNotice(tg, sourceResponse)
+}
+
+// adoptNotice applies what an outlet knows of the server. The server may have said it before this
+// process started.
+func (in *Inlet) adoptNotice(tg *Target, text string) {
+	if text == "" {
+		return
+	}
+	known, ok := notice.Parse(text)
+	if !ok || tg.Lifetime == "" || !known.Same(tg.instance()) {
+		return
+	}
+	if !known.Limited || in.rate.Heard() {
+		return
+	}
+	no := &in.notices
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if cur := in.target.Load(); cur != nil && cur.instance().Same(tg.instance()) && in.rate.Adopt(known.Limit, time.Now()) {
+		in.updateNotice(tg, sourceOutlet)
 	}
-	named := re.LimitState == notice.LimitNamed
-	if re.LimitState == notice.LimitInvalid || named == no.named && re.Limit == no.limit {
+}
+
+// updateNotice publishes the notice in force and logs a change of it. in.notices.mu must be held.
+func (in *Inlet) updateNotice(tg *Target, source string) {
+	no := &in.notices
+	next := no.current
+	next.Instance = tg.instance()
+	next.Limit, next.Limited = in.rate.Limit()
+	if !next.Limited {
+		next.Limit = 0
+	}
+	if next == no.current {
 		return
 	}
-	rate, previous := float64(noLimit), float64(noLimit)
-	if no.named {
-		previous = no.limit
+	if next.Limited != no.current.Limited || next.Limit != no.current.Limit {
+		in.Log.Info(logs.ServerLimit, slog.String(logs.Lifetime, tg.Lifetime), slog.Float64(logs.ServerRate, rateOf(next)),
+			slog.Float64(logs.PreviousRate, rateOf(no.current)), slog.String(logs.Source, source))
+	}
+	no.current = next
+	if next.Empty() {
+		no.encoded.Store(nil)
+		return
 	}
-	if named {
-		rate = re.Limit
+	text := next.String()
+	no.encoded.Store(&text)
+}
+
+// rateOf returns the rate limit of a notice for the log.
+func rateOf(no notice.Notice) float64 {
+	if no.Limited {
+		return no.Limit
 	}
-	no.named, no.limit = named, re.Limit
-	in.Log.Info(logs.ServerLimit, slog.String(logs.Lifetime, tg.Lifetime), slog.Float64(logs.ServerRate, rate), slog.Float64(logs.PreviousRate, previous))
+	return noLimit
+}
+
+// setNotice adds the notice in force to the header of a response.
+func (in *Inlet) setNotice(hdr http.Header) {
+	if text := in.notices.encoded.Load(); text != nil {
+		hdr[result.ServerHeader] = []string{*text}
+	}
+}
+
+// Notice returns the notice in force.
+func (in *Inlet) Notice() notice.Notice {
+	in.notices.mu.Lock()
+	defer in.notices.mu.Unlock()
+	return in.notices.current
+}
+
+// reserveToken takes a token for a request, or refuses the request if the server takes no more at
+// the moment: another server may be able to run it at once.
+func (in *Inlet) reserveToken(rq *limit.Request) (rate.Token, *result.Refusal) {
+	token, retryAfter, ok := in.rate.Reserve(result.Rank(rq.Priority, rq.Final), time.Now())
+	if !ok {
+		return token, overServerLimit(retryAfter)
+	}
+	return token, nil
+}
+
+func overServerLimit(retryAfter time.Duration) *result.Refusal {
+	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonServerLimit, RetryAfter: retryAfter}
 }
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -24,6 +24,7 @@
 		rq.ou.largeResponses.Add(1)
 		defer rq.ou.largeResponses.Add(-1)
 	}
+	sentAt := time.Now()
 	at := rq.ou.fw.Do(rq.outgoing(ep))
 	if at.Response == nil {
 		oc, re := at.Outcome()
@@ -35,7 +36,11 @@
 	if ld, ok := result.ParseLoad(at.Response.Header.Get(result.LoadHeader)); ok {
 		ep.SetLoad(ld, time.Now(), rq.gp)
 	}
+	rq.readNotice(ep, at.Response, sentAt)
 	if rf := result.FromResponse(at.Response); rf != nil {
+		if rf.Reason == result.ReasonServerLimit {
+			ep.HoldBack(rq.rank(), time.Now().Add(rf.RetryAfter))
+		}
 		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		// Drain a short body so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(at.Response.Body, 4<<10))
@@ -134,7 +139,7 @@
 		return pick.Busy
 	}
 	switch rf.Reason {
-	case result.ReasonCallerGone:
+	case result.ReasonCallerGone, result.ReasonServerLimit:
 		return pick.Busy
 	case result.ReasonWrongTarget, result.ReasonDraining, result.ReasonNoServer, result.ReasonNoConnection:
 		return pick.Unreachable
@@ -207,6 +212,9 @@
 	if rq.ou.token != "" {
 		out.Header[result.TokenHeader] = []string{rq.ou.token}
 	}
+	if en := rq.ou.notices.Get(ep.VM); en != nil {
+		out.Header[result.ServerHeader] = []string{en.Text}
+	}
 	rq.body.attach(out, rq.r)
 	return out
 }
--- /dev/null
+++ b/internal/path/outlet/notice.go
@@ -0,0 +1,33 @@
+package outlet
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/pick"
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// readNotice records what an inlet's response to a request sent at sentAt says of the inlet's
+// server.
+func (rq *request) readNotice(ep *pick.Endpoint, res *http.Response, sentAt time.Time) {
+	now := time.Now()
+	if text := res.Header.Get(result.ServerHeader); text != "" {
+		rq.ou.notices.Hear(ep.VM, text, now)
+		return
+	}
+	// A refusal does not come from the server, and a new process beside it may know nothing yet.
+	if res.Header.Get(result.OutcomeHeader) == "" && rq.ou.notices.Lift(ep.VM, sentAt, now) {
+		ep.ReleaseHold()
+	}
+}
+
+// overServerLimit returns the refusal of a request for which each server that could be used gets as
+// many requests as it takes, or nil if that is not the cause.
+func (rq *request) overServerLimit(now time.Time) *result.Refusal {
+	wait := rq.gp.NextTurn(now, rq.rank())
+	if wait <= 0 {
+		return nil
+	}
+	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonServerLimit, RetryAfter: wait}
+}
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -14,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
+	"github.com/flamingomast/flamingomast/internal/path/notice"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/piping"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
@@ -58,6 +59,8 @@
 	largeResponses atomic.Int32
 	// activeRequests and bufferedBytes bound the memory that callers can make the outlet use.
 	activeRequests, bufferedBytes proxy.Budget
+	// notices holds what backend servers have said about themselves.
+	notices notice.Memory
 	// callerTries remembers failed requests, so that a caller's retry of one is recognized.
 	callerTries resend.Tracker
 }
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -102,7 +102,14 @@
 	var last *result.Refusal
 	for {
 		ep := rq.gp.Pick(time.Now(), rq.criteria(), &rq.tried, rand.IntN)
+		if ep == nil && rq.gp != rq.base && rq.base.Len() > 0 {
+			rq.gp = rq.base
+			continue
+		}
 		if ep == nil {
+			if last == nil {
+				last = rq.overServerLimit(time.Now())
+			}
 			if last == nil {
 				last = &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer, RetryAfter: time.Second}
 			}
@@ -140,10 +147,13 @@
 func (rq *request) criteria() pick.Criteria {
 	return pick.Criteria{
 		Size: rq.rs.expectedSize(), StayInDomain: pacer.IsNarrow(rq.ou.linkRate),
-		Rank: result.Rank(rq.priority, rq.final), ServiceTime: time.Duration(rq.rs.held.Load()), FoundFull: rq.rejections > 0,
+		Rank: rq.rank(), ServiceTime: time.Duration(rq.rs.held.Load()), FoundFull: rq.rejections > 0,
 	}
 }
 
+// rank returns the request's rank at inlets.
+func (rq *request) rank() int { return result.Rank(rq.priority, rq.final) }
+
 // staleConn reports whether the request was sent on a keep-alive connection that was already
 // closed. That says nothing about the server, which may be tried again.
 func staleConn(rf *result.Refusal) bool {
@@ -267,6 +277,11 @@
 		return
 	}
 	delay := rq.retryDelay(rf)
+	if rf.Reason == result.ReasonServerLimit {
+		// Earlier retries have no chance.
+		rf.RetryAfter = delay + rand.N(max(1, delay/2))
+		return
+	}
 	if delay < time.Second {
 		rf.RetryAfter = delay + rand.N(delay)
 		return
@@ -279,6 +294,11 @@
 	if rf.Reason == result.ReasonShed {
 		return shedRetryDelay
 	}
+	if rf.Reason == result.ReasonServerLimit {
+		if wait := rq.gp.NextTurn(time.Now(), rq.rank()); wait > 0 {
+			return wait
+		}
+	}
 	shortest := defaultRetryDelay
 	if rq.route.Objective > 0 {
 		shortest = rq.route.Objective / objectiveDivisor
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -74,6 +74,9 @@
 	measurements    atomic.Int32  // number of responses in slowness
 	reportedWaits   atomic.Uint64 // reported waits by rank in ms, 16 bits each
 	linkFreeAt      atomic.Int64  // time at which the VM's link will have sent its backlog
+	// heldBack is the time, by rank, until which the server takes no requests, since it limits their
+	// rate.
+	heldBack [result.Ranks]atomic.Int64
 }
 
 // NewEndpoint returns an endpoint with new counters.
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -191,20 +191,21 @@
 		if !gp.spill && best != nil {
 			return best
 		}
-		if cr.StayInDomain && Large(cr.Size) && gp.tiers[i].hasAvailable(now) {
+		if cr.StayInDomain && Large(cr.Size) && gp.tiers[i].hasAvailable(now, cr.Rank) {
 			return best
 		}
 	}
 	if best != nil || cr.FoundFull {
 		return best
 	}
-	return gp.lastResort(now, tried, rnd)
+	return gp.lastResort(now, cr.Rank, tried, rnd)
 }
 
-// hasAvailable reports whether the tier has a reachable server that is not ejected.
-func (tr *tier) hasAvailable(now time.Time) bool {
+// hasAvailable reports whether the tier has a reachable server that is neither ejected nor held
+// back.
+func (tr *tier) hasAvailable(now time.Time, rank int) bool {
 	for _, ep := range tr.reachable.list {
-		if !ep.Ejected(now) {
+		if !ep.Ejected(now) && !ep.isHeldBack(now, rank) {
 			return true
 		}
 	}
@@ -226,9 +227,9 @@
 		return nil, 0
 	}
 	var sampled [sampleSize]*Endpoint
-	n := sample(&sampled, pl.list[:pl.subset], now, tried, rnd)
+	n := sample(&sampled, pl.list[:pl.subset], now, cr.Rank, tried, rnd)
 	if n == 0 && pl.subset < len(pl.list) {
-		n = sample(&sampled, pl.list[pl.subset:], now, tried, rnd)
+		n = sample(&sampled, pl.list[pl.subset:], now, cr.Rank, tried, rnd)
 	}
 	var best *Endpoint
 	var bestCost, bestNoisy time.Duration
@@ -247,17 +248,17 @@
 // its measurement would never be updated.
 const costNoise = 15
 
-// sample collects servers that are neither tried nor ejected, starting at a random one, and returns
-// how many there are. A server passed over because of its slow start is used only if there is no
+// sample collects servers that are neither tried, ejected nor held back, starting at a random one, and
+// returns how many there are. A server passed over because of its slow start is used only if there is no
 // other.
-func sample(sampled *[sampleSize]*Endpoint, list []*Endpoint, now time.Time, tried *Tried, rnd Random) int {
+func sample(sampled *[sampleSize]*Endpoint, list []*Endpoint, now time.Time, rank int, tried *Tried, rnd Random) int {
 	start := rnd(len(list))
 	n := 0
 	var skipped *Endpoint
 	for i := range list {
 		ep := list[(start+i)%len(list)]
 		switch {
-		case ep.Ejected(now) || tried.has(ep):
+		case ep.Ejected(now) || ep.isHeldBack(now, rank) || tried.has(ep):
 			continue
 		case ep.skipInSlowStart(now, rnd):
 			skipped = ep
@@ -278,14 +279,14 @@
 // refusal certainly does not help. Ejected servers that cannot be connected to are excluded and
 // probed separately. A request sent there would hang and keep the slot of its parent request
 // occupied.
-func (gp *Group) lastResort(now time.Time, tried *Tried, rnd Random) *Endpoint {
+func (gp *Group) lastResort(now time.Time, rank int, tried *Tried, rnd Random) *Endpoint {
 	if len(gp.all) == 0 {
 		return nil
 	}
 	start := rnd(len(gp.all))
 	for i := range gp.all {
 		ep := gp.all[(start+i)%len(gp.all)]
-		if !tried.has(ep) && !(ep.live.unreachable.Load() && ep.Ejected(now)) {
+		if !tried.has(ep) && !ep.isHeldBack(now, rank) && !(ep.live.unreachable.Load() && ep.Ejected(now)) {
 			return ep
 		}
 	}
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -73,6 +73,7 @@
 	ReasonForeignResponse  Reason = "foreign-answer"
 	ReasonNoKey            Reason = "key-missing-or-unknown"
 	ReasonOverLimit        Reason = "over-tenant-limit"
+	ReasonServerLimit      Reason = "over-server-limit"
 )
 
 // The headers of this system. All begin with Prefix, and all but TimeoutHeader are dropped from
@@ -122,6 +123,9 @@
 	// LoadHeader on an inlet's response has the numbers of running requests, waiting requests and
 	// slots, followed by the times in Load.
 	LoadHeader = Prefix + "Load"
+	// ServerHeader has what the backend server behind an inlet has said about itself (package notice):
+	// on an inlet's response as known to the inlet, on a request as known to its outlet.
+	ServerHeader = Prefix + "Server"
 	// SlotTimesHeader on an inlet's response has the milliseconds for which the request waited
 	// for a slot and held it, separated by a slash.
 	SlotTimesHeader = Prefix + "Spent"
--- a/internal/stat/diag/cause.go
+++ b/internal/stat/diag/cause.go
@@ -95,6 +95,10 @@
 	case reason.NoCapacity():
 		add("refused after %d servers had no room (%s)", attempts, reason)
 		list = append(list, co.refusals()...)
+	case reason == result.ReasonServerLimit:
+		add("refused by the outlet of %s after %d attempts: each server of %s that it could use was getting as many requests as that server says it takes; see the %s lines",
+			end.VM, attempts, end.Text("service"), logs.ServerLimit)
+		list = append(list, co.refusals()...)
 	case reason == result.ReasonNoKey:
 		add("refused by the outlet of %s: by version %.0f of the configuration, route %s needs an API key that a tenant holds, and the request carried none or an unknown one",
 			end.VM, end.Number(logs.Version), end.Text("route"))
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -65,9 +65,11 @@
 	DirectiveAge = "directive-age"
 	RetryAfter   = "retry-after"
 	// ServerRate is the rate limit of a backend server in requests per second, negative if there is
-	// none. PreviousRate is the one before.
+	// none, and PreviousRate is the one before.
 	ServerRate   = "rate"
 	PreviousRate = "previous-rate"
+	// Source is where a daemon learned something from.
+	Source = "source"
 	// Service is the service that a line concerns.
 	Service = "service"
 	// Software is the software version of the backend server. It is set only for services with a
