path/inlet, path/outlet, node/daemon: a server that says that it is leaving gets no more requests

Callers saw nothing; a server that said in each response that it is leaving and went on announcing itself got 65 requests a second from the outlets that passed this on, for as long as its record stayed.

Cause: only announcements and withdrawals were read, not responses. Ruled out: a late record, as the record of that server never changes.

The inlet takes the word for the departure that it is: it refuses (not run) what comes and what waits, the daemon keeps it like an announced one, so that peers and the store know it, and later announcements of the instance do not revoke it. Each outlet that hears of it excludes the server itself, whatever its record says, and sends what it knows with each request to that VM, so that a new process beside the server refuses as well.

A server without a lifetime that was leaving and whose announcement expired is not taken for its successor (TestLeavingWithoutLifetime).

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -149,6 +149,7 @@
 	dm.Inlet.Token = se.Token
 	dm.Inlet.Poison, dm.Inlet.Report = dm.Node.Board.Poison.Get, dm.Node.ReportCrashes
 	dm.Inlet.Unreachable = func(inlet.Target) { dm.serverUnreachable() }
+	dm.Inlet.Leaving = dm.serverLeaving
 	return dm
 }
 
--- a/internal/node/daemon/local.go
+++ b/internal/node/daemon/local.go
@@ -146,6 +146,21 @@
 	dm.local.update(func(tr *server.Tracker) { tr.MarkUnreachable(now) })
 }
 
+// serverLeaving handles a response of the backend server that says that it is leaving, as if it had
+// announced that: it may go on announcing that it serves.
+func (dm *Daemon) serverLeaving(tg inlet.Target) {
+	now := time.Now()
+	var st server.Status
+	var de member.Departure
+	dm.local.update(func(tr *server.Tracker) {
+		tr.MarkLeaving(member.Departure{Lifetime: tg.Lifetime, StartedMs: tg.StartedMs}, now)
+		st, de = tr.Status(now), tr.LastDeparture()
+	})
+	if st.Leaving {
+		dm.startDeparture(de)
+	}
+}
+
 // runLocalServer applies changes of the backend server's state, of the configuration and of the
 // drain to the inlet and to the daemon's record.
 func (dm *Daemon) runLocalServer(ctx context.Context) {
--- a/internal/node/daemon/recovery.go
+++ b/internal/node/daemon/recovery.go
@@ -59,10 +59,7 @@
 // for peers that have not heard of it. A write that takes longer than storeTimeout continues in the
 // background.
 func (dm *Daemon) recordDeparture(ctx context.Context, de member.Departure) {
-	dm.Inlet.ServerLeaving()
-	dm.configureLimiter(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
-	sd := &storedDeparture{Lifetime: de.Lifetime, StartedMs: de.StartedMs, Number: de.Number, expiresAt: time.Now().Add(departureTTL), stored: make(chan struct{})}
-	dm.departure.Set(sd)
+	sd := dm.startDeparture(de)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
 	stored := false
@@ -75,6 +72,15 @@
 		slog.Uint64("number", de.Number), slog.Bool("stored", stored))
 }
 
+// startDeparture stops new requests for the server and begins to store that it is leaving.
+func (dm *Daemon) startDeparture(de member.Departure) *storedDeparture {
+	dm.Inlet.ServerLeaving()
+	dm.configureLimiter(dm.Node.Board.Held.Get(), server.Status{Leaving: true})
+	sd := &storedDeparture{Lifetime: de.Lifetime, StartedMs: de.StartedMs, Number: de.Number, expiresAt: time.Now().Add(departureTTL), stored: make(chan struct{})}
+	dm.departure.Set(sd)
+	return sd
+}
+
 // runStoreDeparture stores the newest departure. It retries until the store has it or it would have
 // expired there, and writes it again in each new epoch of the store, which may have lost it.
 func (dm *Daemon) runStoreDeparture(ctx context.Context) {
--- a/internal/node/server/server.go
+++ b/internal/node/server/server.go
@@ -90,6 +90,9 @@
 // was sent by an earlier instance that has ended: accepting it would send requests to a server that
 // is gone, until the current one announces itself again. It is accepted once the current one has
 // been silent for freshTime.
+//
+// Instances without a lifetime look alike. One that was leaving and whose announcement has expired is
+// taken to have ended.
 func (tr *Tracker) Announce(an admin.Announcement, now time.Time) bool {
 	ins := tr.instances[an.Lifetime]
 	if ins != nil && ins.precedes(&an, now) {
@@ -102,7 +105,7 @@
 	case tr.keepsCurrent(ins, &an, now):
 		return false
 	}
-	if ins == nil || ins.removed && an.Lifetime == "" {
+	if ins == nil || an.Lifetime == "" && (ins.removed || ins.leaving && !now.Before(ins.expiresAt)) {
 		ins = &instance{since: now}
 		tr.remember(an.Lifetime, ins)
 	}
@@ -200,6 +203,9 @@
 	}
 }
 
+// MarkLeaving marks an instance of the server as leaving for a reason other than an announcement.
+func (tr *Tracker) MarkLeaving(de member.Departure, now time.Time) { tr.markLeaving(de, now) }
+
 // markLeaving marks an instance of the server as leaving and returns it, or nil if a later one of
 // the same lifetime is known.
 func (tr *Tracker) markLeaving(de member.Departure, now time.Time) *instance {
--- a/internal/node/server/server_test.go
+++ b/internal/node/server/server_test.go
@@ -231,3 +231,21 @@
 		t.Errorf("a returned status has changed to %d slots", st.Announcement.Slots)
 	}
 }
+
+// TestLeavingWithoutLifetime guards against a server that gives no lifetime being taken for the one
+// before it, which was leaving, for good.
+func TestLeavingWithoutLifetime(t *testing.T) {
+	var tr Tracker
+	now := time.Now()
+	an := admin.Announcement{Service: "booking", TTLMs: 8000}
+	tr.Announce(an, now)
+	tr.MarkLeaving(member.Departure{}, now)
+	tr.Announce(an, now.Add(7*s))
+	if st := tr.Status(now.Add(7 * s)); !st.Leaving {
+		t.Error("an announcement ended the departure")
+	}
+	tr.Announce(an, now.Add(16*s))
+	if st := tr.Status(now.Add(16 * s)); st.Announcement == nil || st.Leaving {
+		t.Error("the next server gets no requests")
+	}
+}
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -43,6 +43,9 @@
 	Gate  *limit.Limiter
 	// Unreachable is called when the backend server accepts no connection.
 	Unreachable func(Target)
+	// Leaving is called once for an instance of the backend server that says in a response that it is
+	// leaving. It must not block.
+	Leaving func(Target)
 	// Poison returns the requests that are known to have crashed servers; Report sends new reports
 	// to all daemons. Both are set before use.
 	Poison func() *poison.View
@@ -81,7 +84,7 @@
 // New returns an inlet without a target; op says how to connect to its backend server. Large
 // responses are paced by link, which may be nil.
 func New(op proxy.Options, link *pacer.Pacer) *Inlet {
-	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Poison: func() *poison.View { return nil }, Report: func([]poison.Report) {}, Log: slog.New(slog.DiscardHandler), op: op, link: link}
+	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Leaving: func(Target) {}, Poison: func() *poison.View { return nil }, Report: func([]poison.Report) {}, Log: slog.New(slog.DiscardHandler), op: op, link: link}
 	in.buffered.Limit = maxBuffered
 	in.counts.Store(&tally.Counter{})
 	in.fw.Store(proxy.New(op))
@@ -109,8 +112,8 @@
 	if old != nil && old.Addr == "" && tg.Addr != "" {
 		in.crashes.forget()
 	}
-	if old != nil && (old.Addr == "" && old.Lifetime == "" || !old.instance().Same(tg.instance())) {
-		in.resetNotices()
+	if tg.Addr != "" {
+		in.setNoticeInstance(tg.instance(), old == nil || old.Addr == "")
 	}
 	if old != nil && (old.Lifetime != tg.Lifetime || old.StartedMs != tg.StartedMs) {
 		in.fw.Load().Close()
@@ -171,6 +174,10 @@
 		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadlinePassed})
 		return
 	}
+	if in.notices.leaving.Load() {
+		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDraining})
+		return
+	}
 	if retryAfter, ok := token.Send(time.Now()); !ok {
 		rf := overServerLimit(retryAfter)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -198,6 +205,9 @@
 		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonNoServer}
 	}
 	in.adoptNotice(tg, hdr.Get(result.ServerHeader))
+	if in.notices.leaving.Load() {
+		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDraining}
+	}
 	return tg, nil
 }
 
--- a/internal/path/inlet/notice.go
+++ b/internal/path/inlet/notice.go
@@ -18,6 +18,8 @@
 type notices struct {
 	// encoded is sent to outlets with each response; nil if nothing is in force.
 	encoded atomic.Pointer[string]
+	// leaving is set once the instance has said that it is leaving.
+	leaving atomic.Bool
 
 	// mu guards the fields below, and changes of the limit.
 	mu sync.Mutex
@@ -41,13 +43,20 @@
 	return notice.Instance{Lifetime: tg.Lifetime, StartedMs: tg.StartedMs}
 }
 
-// resetNotices forgets what the server has said, since another instance took its place.
-func (in *Inlet) resetNotices() {
+// setNoticeInstance records which instance serves now, and forgets what another one has said. An
+// instance that is back after a while, for which absent is set, is recognized by its lifetime only.
+func (in *Inlet) setNoticeInstance(ins notice.Instance, absent bool) {
 	no := &in.notices
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	no.current, no.invalid = notice.Notice{}, false
+	same := no.current.Instance.Same(ins) && !(absent && ins.Lifetime == "")
+	if same {
+		no.current.Instance = ins
+		return
+	}
+	no.current, no.invalid = notice.Notice{Instance: ins}, false
 	no.encoded.Store(nil)
+	no.leaving.Store(false)
 	in.rate.Reset()
 }
 
@@ -68,24 +77,21 @@
 	if re == (notice.Reading{}) && err == nil && in.notices.encoded.Load() == nil && in.rate.Heard() {
 		return
 	}
-	no := &in.notices
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	if cur := in.target.Load(); cur == nil || !cur.instance().Same(tg.instance()) {
-		// Another instance took its place meanwhile.
-		return
-	}
-	if err != nil && !no.invalid {
-		no.invalid = true
-		in.Log.Warn(logs.ServerNoticeInvalid, slog.String(logs.Lifetime, tg.Lifetime), slog.Any(logs.Error, err))
-	}
-	switch now := time.Now(); re.LimitState {
-	case notice.LimitNamed:
-		in.rate.Name(re.Limit, now)
-	case notice.LimitAbsent:
-		in.rate.Lift(sentAt, now)
-	}
-	in.updateNotice(tg, sourceResponse)
+	in.changeNotice(tg, sourceResponse, func(no *notices) {
+		if err != nil && !no.invalid {
+			no.invalid = true
+			in.Log.Warn(logs.ServerNoticeInvalid, slog.String(logs.Lifetime, tg.Lifetime), slog.Any(logs.Error, err))
+		}
+		switch now := time.Now(); re.LimitState {
+		case notice.LimitNamed:
+			in.rate.Name(re.Limit, now)
+		case notice.LimitAbsent:
+			in.rate.Lift(sentAt, now)
+		}
+		if re.Leaving {
+			no.leaving.Store(true)
+		}
+	})
 }
 
 // adoptNotice applies what an outlet knows of the server. The server may have said it before this
@@ -98,14 +104,37 @@
 	if !ok || tg.Lifetime == "" || !known.Same(tg.instance()) {
 		return
 	}
-	if !known.Limited || in.rate.Heard() {
+	newLimit, newLeaving := known.Limited && !in.rate.Heard(), known.Leaving && !in.notices.leaving.Load()
+	if !newLimit && !newLeaving {
 		return
 	}
+	in.changeNotice(tg, sourceOutlet, func(no *notices) {
+		if newLimit {
+			in.rate.Adopt(known.Limit, time.Now())
+		}
+		if newLeaving {
+			no.leaving.Store(true)
+		}
+	})
+}
+
+// changeNotice calls fn, which changes what the target's server has said, unless another instance
+// took its place meanwhile. It reports a departure.
+func (in *Inlet) changeNotice(tg *Target, source string, fn func(*notices)) {
 	no := &in.notices
 	no.mu.Lock()
-	defer no.mu.Unlock()
-	if cur := in.target.Load(); cur != nil && cur.instance().Same(tg.instance()) && in.rate.Adopt(known.Limit, time.Now()) {
-		in.updateNotice(tg, sourceOutlet)
+	cur := in.target.Load()
+	if cur == nil || !cur.instance().Same(tg.instance()) {
+		no.mu.Unlock()
+		return
+	}
+	wasLeaving := no.current.Leaving
+	fn(no)
+	in.updateNotice(tg, source)
+	leaves := no.current.Leaving && !wasLeaving
+	no.mu.Unlock()
+	if leaves {
+		in.Leaving(*cur)
 	}
 }
 
@@ -118,9 +147,13 @@
 	if !next.Limited {
 		next.Limit = 0
 	}
+	next.Leaving = no.leaving.Load()
 	if next == no.current {
 		return
 	}
+	if next.Leaving && !no.current.Leaving {
+		in.Log.Info(logs.ServerLeaving, slog.String(logs.Lifetime, tg.Lifetime), slog.String(logs.Source, source))
+	}
 	if next.Limited != no.current.Limited || next.Limit != no.current.Limit {
 		in.Log.Info(logs.ServerLimit, slog.String(logs.Lifetime, tg.Lifetime), slog.Float64(logs.ServerRate, rateOf(next)),
 			slog.Float64(logs.PreviousRate, rateOf(no.current)), slog.String(logs.Source, source))
--- a/internal/path/outlet/limited_test.go
+++ b/internal/path/outlet/limited_test.go
@@ -197,7 +197,7 @@
 // TestServerLimitOverAllOutlets guards against a rate limit that a server names for all callers
 // together being ignored, or kept by each outlet for itself.
 func TestServerLimitOverAllOutlets(t *testing.T) {
-	for _, outlets := range []int{9, 68, 300} {
+	for _, outlets := range outletCounts {
 		for _, tc := range []struct {
 			limit string
 			rate  float64
@@ -228,7 +228,7 @@
 // TestServerLimitAcrossRestart guards against a limit being forgotten by a new process beside the
 // server, which knows nothing, while the outlets that were told go on.
 func TestServerLimitAcrossRestart(t *testing.T) {
-	for _, outlets := range []int{9, 68, 300} {
+	for _, outlets := range outletCounts {
 		t.Run(fmt.Sprint(outlets, " outlets"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				lr := newLimitRig(t, outlets, limitedFleet)
@@ -255,7 +255,7 @@
 func TestLeavingServerWhoseRecordStays(t *testing.T) {
 	// drainTime is how long an outlet may go on after such a response.
 	const drainTime = 2 * time.Second
-	for _, outlets := range []int{9, 68, 300} {
+	for _, outlets := range outletCounts {
 		for _, restarts := range []bool{false, true} {
 			t.Run(fmt.Sprint(outlets, " outlets/the daemon beside it restarts: ", restarts), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
--- a/internal/path/outlet/notice.go
+++ b/internal/path/outlet/notice.go
@@ -13,7 +13,9 @@
 func (rq *request) readNotice(ep *pick.Endpoint, res *http.Response, sentAt time.Time) {
 	now := time.Now()
 	if text := res.Header.Get(result.ServerHeader); text != "" {
-		rq.ou.notices.Hear(ep.VM, text, now)
+		if en := rq.ou.notices.Hear(ep.VM, text, now); en != nil && en.Leaving {
+			ep.Exclude()
+		}
 		return
 	}
 	// A refusal does not come from the server, and a new process beside it may know nothing yet.
--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -77,6 +77,8 @@
 	// heldBack is the time, by rank, until which the server takes no requests, since it limits their
 	// rate.
 	heldBack [result.Ranks]atomic.Int64
+	// excluded is set once the server has said that it is leaving.
+	excluded atomic.Bool
 }
 
 // NewEndpoint returns an endpoint with new counters.
--- a/internal/path/pick/hold.go
+++ b/internal/path/pick/hold.go
@@ -28,16 +28,20 @@
 	}
 }
 
+// Exclude keeps all requests from the server for good. It is called if the server says that it is
+// leaving, whatever its record says.
+func (ep *Endpoint) Exclude() { ep.live.excluded.Store(true) }
+
 // isHeldBack reports whether requests of a rank are kept from the server.
 func (ep *Endpoint) isHeldBack(now time.Time, rank int) bool {
-	return ep.live.heldBack[rank].Load() > mono.Nanos(now)
+	return ep.live.excluded.Load() || ep.live.heldBack[rank].Load() > mono.Nanos(now)
 }
 
 // NextTurn returns the time until one of the servers takes a request of a rank again that is only
 // held back. It returns 0 if there is no such server.
 func (gp *Group) NextTurn(now time.Time, rank int) (wait time.Duration) {
 	for _, ep := range gp.all {
-		if ep.Ejected(now) || !ep.isHeldBack(now, rank) {
+		if ep.Ejected(now) || ep.live.excluded.Load() || !ep.isHeldBack(now, rank) {
 			continue
 		}
 		if d := time.Duration(ep.live.heldBack[rank].Load() - mono.Nanos(now)); wait == 0 || d < wait {
