path/outlet, path/pick: callers refused for servers' limits get turns of their own

After a limit is lifted the rate doubles every 250 ms for 1.5 s instead of every second for 5 s: the slots protect the server as well, and with servers short each second costs callers. A server's refusals that name no limit do not lift one.

--- a/internal/path/inlet/notice.go
+++ b/internal/path/inlet/notice.go
@@ -68,12 +68,13 @@
 	}
 	nm := in.Names.WithDefaults()
 	re, err := notice.Names{Limit: nm.Limit, Leaving: nm.Leaving}.Read(res.Header)
-	in.Heard(tg, re, err, sentAt)
+	// A server may refuse requests at a place that knows nothing of its limit.
+	in.applyReading(tg, re, err, sentAt, in.checkShed(res) == nil)
 }
 
-// Heard applies what the target's server said about itself, in a response to a request sent at
-// sentAt. err is about values that cannot be used.
-func (in *Inlet) Heard(tg *Target, re notice.Reading, err error, sentAt time.Time) {
+// applyReading applies what the target's server said about itself, in a response to a request sent at
+// sentAt. err is about values that cannot be used, ran whether the server ran the request.
+func (in *Inlet) applyReading(tg *Target, re notice.Reading, err error, sentAt time.Time, ran bool) {
 	if re == (notice.Reading{}) && err == nil && in.notices.encoded.Load() == nil && in.rate.Heard() {
 		return
 	}
@@ -86,7 +87,9 @@
 		case notice.LimitNamed:
 			in.rate.Name(re.Limit, now)
 		case notice.LimitAbsent:
-			in.rate.Lift(sentAt, now)
+			if ran {
+				in.rate.Lift(sentAt, now)
+			}
 		}
 		if re.Leaving {
 			no.leaving.Store(true)
--- a/internal/path/outlet/notice.go
+++ b/internal/path/outlet/notice.go
@@ -24,12 +24,25 @@
 	}
 }
 
+// turnSpacing returns the time between two requests of this outlet to a server with a rate limit if all
+// outlets send as many, 0 if unknown.
+func (rq *request) turnSpacing(ep *pick.Endpoint) time.Duration {
+	en := rq.ou.notices.Get(ep.VM)
+	if en == nil || !en.Limited || en.Limit <= 0 {
+		return 0
+	}
+	seconds := float64(rq.ou.Table().Outlets) / en.Limit
+	return time.Duration(min(seconds, maxTurnSpacing.Seconds()) * float64(time.Second))
+}
+
+// maxTurnSpacing bounds the time between two turns, so that very low limits do not overflow.
+const maxTurnSpacing = time.Hour
+
 // overServerLimit returns the refusal of a request for which each server that could be used gets as
 // many requests as it takes, or nil if that is not the cause.
 func (rq *request) overServerLimit(now time.Time) *result.Refusal {
-	wait := rq.gp.NextTurn(now, rq.rank())
-	if wait <= 0 {
+	if !rq.gp.OverLimit(now, rq.rank()) {
 		return nil
 	}
-	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonServerLimit, RetryAfter: wait}
+	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonServerLimit}
 }
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -262,6 +262,9 @@
 	// shedRetryDelay is for requests that a backend server shed although it had free slots: a later
 	// retry has no better chance.
 	shedRetryDelay = 10 * time.Millisecond
+	// retryJitterDivisor gives the jitter of a retry that has a turn of its own, as a fraction of the
+	// delay.
+	retryJitterDivisor = 8
 )
 
 // setRetryAfter sets when the caller of a request that has not run should retry: when a slot is
@@ -278,8 +281,8 @@
 	}
 	delay := rq.retryDelay(rf)
 	if rf.Reason == result.ReasonServerLimit {
-		// Earlier retries have no chance.
-		rf.RetryAfter = delay + rand.N(max(1, delay/2))
+		// An earlier retry has no chance.
+		rf.RetryAfter = delay + rand.N(max(1, delay/retryJitterDivisor))
 		return
 	}
 	if delay < time.Second {
@@ -295,7 +298,7 @@
 		return shedRetryDelay
 	}
 	if rf.Reason == result.ReasonServerLimit {
-		if wait := rq.gp.NextTurn(time.Now(), rq.rank()); wait > 0 {
+		if wait := rq.gp.PromiseTurn(time.Now(), rq.rank()); wait > 0 {
 			return wait
 		}
 	}
--- a/internal/path/pick/hold.go
+++ b/internal/path/pick/hold.go
@@ -1,30 +1,41 @@
 package pick
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/mono"
 )
 
+// hold keeps requests of one rank from a server that limits their rate. Times are in nanoseconds of
+// package mono.
+type hold struct {
+	// until is when it ends, spacing the expected time between two turns of this outlet.
+	until, spacing atomic.Int64
+	// promised is the time from which turns have not been promised to callers.
+	promised atomic.Int64
+}
+
 // HoldBack keeps requests of a rank, and of the ranks below it, from the server until a time, at which
 // the server's inlet expects to take one of this outlet's. An earlier time that was set before and
-// is not over stays: each refusal gets a turn of its own, and the first one is to be used.
-func (ep *Endpoint) HoldBack(rank int, until time.Time) {
-	now := mono.Nanos(time.Now())
+// is not over stays: each refusal gets a turn of its own, and the first one is to be used. spacing is
+// the least time between two turns of this outlet if all outlets get as many.
+func (ep *Endpoint) HoldBack(rank int, until time.Time, spacing time.Duration) {
+	now, end := mono.Nanos(time.Now()), mono.Nanos(until)
 	for i := rank; i < result.Ranks; i++ {
-		held := &ep.live.heldBack[i]
-		if old := held.Load(); old <= now {
-			// Of two concurrent refusals either may win.
-			held.CompareAndSwap(old, mono.Nanos(until))
+		ho := &ep.live.holds[i]
+		// Of two concurrent refusals either may win.
+		if old := ho.until.Load(); old <= now && ho.until.CompareAndSwap(old, end) {
+			ho.spacing.Store(max(end-now, int64(spacing)))
 		}
 	}
 }
 
 // ReleaseHold ends HoldBack.
 func (ep *Endpoint) ReleaseHold() {
-	for i := range ep.live.heldBack {
-		ep.live.heldBack[i].Store(0)
+	for i := range ep.live.holds {
+		ep.live.holds[i].until.Store(0)
 	}
 }
 
@@ -34,19 +45,47 @@
 
 // isHeldBack reports whether requests of a rank are kept from the server.
 func (ep *Endpoint) isHeldBack(now time.Time, rank int) bool {
-	return ep.live.excluded.Load() || ep.live.heldBack[rank].Load() > mono.Nanos(now)
+	return ep.live.excluded.Load() || ep.live.holds[rank].until.Load() > mono.Nanos(now)
 }
 
-// NextTurn returns the time until one of the servers takes a request of a rank again that is only
-// held back. It returns 0 if there is no such server.
-func (gp *Group) NextTurn(now time.Time, rank int) (wait time.Duration) {
+// OverLimit reports whether a server could be used that is only held back.
+func (gp *Group) OverLimit(now time.Time, rank int) bool {
 	for _, ep := range gp.all {
-		if ep.Ejected(now) || ep.live.excluded.Load() || !ep.isHeldBack(now, rank) {
+		if ep.awaitsTurn(now, rank) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsTurn reports whether the server is only held back from requests of a rank.
+func (ep *Endpoint) awaitsTurn(now time.Time, rank int) bool {
+	return !ep.Ejected(now) && !ep.live.excluded.Load() && ep.isHeldBack(now, rank)
+}
+
+// maxPromise is the longest time after which a caller is asked to return.
+const maxPromise = 10 * time.Second
+
+// PromiseTurn returns the time until one of the servers is expected to take a request of a rank again
+// from this outlet, at a turn that was not promised to another caller. It returns 0 if no server is
+// only held back.
+func (gp *Group) PromiseTurn(now time.Time, rank int) time.Duration {
+	var best *hold
+	var first int64
+	for _, ep := range gp.all {
+		if !ep.awaitsTurn(now, rank) {
 			continue
 		}
-		if d := time.Duration(ep.live.heldBack[rank].Load() - mono.Nanos(now)); wait == 0 || d < wait {
-			wait = d
+		ho := &ep.live.holds[rank]
+		if at := max(ho.until.Load(), ho.promised.Load()); best == nil || at < first {
+			best, first = ho, at
 		}
 	}
-	return max(0, wait)
+	if best == nil {
+		return 0
+	}
+	at := mono.Nanos(now)
+	first = min(first, at+int64(maxPromise))
+	best.promised.Store(first + best.spacing.Load())
+	return time.Duration(max(1, first-at))
 }
--- a/internal/path/rate/rate.go
+++ b/internal/path/rate/rate.go
@@ -18,10 +18,11 @@
 	reserveBurst = 250 * time.Millisecond
 	sendBurst    = time.Second
 	// After a limit is lifted, the rate doubles every rampDoubling, from minRampRate requests per
-	// second at least, and is not limited after rampTime. A server that has just recovered would
-	// otherwise get everything that was kept from it at once.
-	rampDoubling = time.Second
-	rampTime     = 5 * time.Second
+	// second at least, and is not limited after rampTime. A server that has just recovered, or that
+	// names its limit only in some responses, would otherwise get everything that was kept from it at
+	// once.
+	rampDoubling = 250 * time.Millisecond
+	rampTime     = 1500 * time.Millisecond
 	minRampRate  = 1
 	// maxTurn bounds the time after which a refused sender should return, and so the time until a
 	// lifted limit is noticed by all senders.
