cmd, node: servers' limits and departures on real processes, in status, metrics and explain

Cause of the test: the virtual fleets show the decisions, not a daemon that is killed (SIGKILL) beside its server and starts again 0.3 s later knowing nothing.

Ruled out as a help: reading the limit in the probe at the start of a daemon; the server is not the inlet's target yet, and the first request of an outlet that was told brings it.

A limit is adopted from outlets for servers without a lifetime as well: a wrong one ends with the first response.

--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -18,10 +18,21 @@
 	PlatformError  string         `json:"platform-error,omitempty"`
 	PlatformBehind bool           `json:"platform-behind,omitempty"`
 	Domains        []DomainStatus `json:"failure-domains"`
+	// Server is what the VM's own backend server says about itself, nil if nothing is in force.
+	Server *ServerStatus `json:"server,omitempty"`
 	// Tenants are those that send the most requests, of those with a limit.
 	Tenants []TenantStatus `json:"tenants,omitempty"`
 }
 
+// ServerStatus is what a backend server has said about itself in its responses.
+type ServerStatus struct {
+	Lifetime string `json:"lifetime,omitempty"`
+	// RateLimit is how many requests per second it takes from all callers together, nil if it names no
+	// limit.
+	RateLimit *float64 `json:"rate-limit,omitempty"`
+	Leaving   bool     `json:"leaving,omitempty"`
+}
+
 // TenantStatus says how much of its limit a tenant uses, as the outlets that report to relays know.
 type TenantStatus struct {
 	Name string `json:"name"`
--- a/internal/node/cmds/dev.go
+++ b/internal/node/cmds/dev.go
@@ -106,6 +106,8 @@
 	fs.Float64Var(&sr.FailureRate, "failing", 0, "share of the requests, 0 to 1, that are answered with 500")
 	fs.StringVar(&sr.FailurePath, "failing-path", "/", "path prefix of the requests that --failing applies to")
 	fs.DurationVar(&sr.FailureDelay, "failing-after", 0, "time after the start before --failing applies")
+	fs.StringVar(&sr.RateLimit, "rate-limit", "", "requests per second, from all callers together, that its responses name as its limit")
+	fs.DurationVar(&sr.LeavingDelay, "leaving-after", 0, "time after the start from which its responses say that it is leaving")
 	fs.StringVar(&sr.Calls, "calls", "", "service to call once for each request")
 	fs.StringVar(&sr.Outlet, "outlet", "", "outlet of the VM's daemon for these calls, IP:PORT")
 	printRuns := fs.Bool("print-runs", false, "print a line for each request that starts")
--- a/internal/node/cmds/fleet.go
+++ b/internal/node/cmds/fleet.go
@@ -176,9 +176,23 @@
 		addRemark("refused", ds.Refused)
 		fmt.Fprintf(ap.out, "%-20s %-10s %8d %8d  %s\n", ds.Name, versions, ds.Members, ds.Serving, strings.Join(remarks, "; "))
 	}
+	ap.printServer(st.Server)
 	ap.printTenants(st.Tenants)
 }
 
+// printServer prints what the backend server beside the daemon asked says about itself.
+func (ap *app) printServer(st *admin.ServerStatus) {
+	if st == nil {
+		return
+	}
+	if st.RateLimit != nil {
+		fmt.Fprintf(ap.out, "its backend server takes at most %g requests per second from all callers together\n", *st.RateLimit)
+	}
+	if st.Leaving {
+		fmt.Fprintln(ap.out, "its backend server says that it is leaving")
+	}
+}
+
 // printTenants prints what tenants use of their limits.
 func (ap *app) printTenants(tenants []admin.TenantStatus) {
 	if len(tenants) == 0 {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -294,7 +294,23 @@
 	if sn := dm.Node.Board.Held.Get(); sn != nil {
 		domains = sn.Domains
 	}
-	return admin.NewStatus(dm.se.VM, dm.Node.Board.HeldVersion(), domains, dm.Node.Status(ctx, false))
+	st := admin.NewStatus(dm.se.VM, dm.Node.Board.HeldVersion(), domains, dm.Node.Status(ctx, false))
+	st.Server = dm.serverStatus()
+	return st
+}
+
+// serverStatus returns what the VM's own backend server has said about itself, nil if nothing is in
+// force.
+func (dm *Daemon) serverStatus() *admin.ServerStatus {
+	no := dm.Inlet.Notice()
+	if no.Empty() {
+		return nil
+	}
+	st := &admin.ServerStatus{Lifetime: no.Lifetime, Leaving: no.Leaving}
+	if no.Limited {
+		st.RateLimit = &no.Limit
+	}
+	return st
 }
 
 // drainVM drains a VM, through its own daemon if it is another VM.
@@ -335,6 +351,13 @@
 	num("requests-poison", func() int64 { _, n := bd.Poison.Get().Counts(); return int64(n) })
 	num("slots-running", func() int64 { return int64(dm.Inlet.Gate.Load().Running) })
 	num("slots-waiting", func() int64 { return int64(dm.Inlet.Gate.Load().Waiting) })
+	m.Set("server-rate-limit", expvar.Func(func() any {
+		if st := dm.serverStatus(); st != nil && st.RateLimit != nil {
+			return *st.RateLimit
+		}
+		return nil
+	}))
+	m.Set("server-leaving", expvar.Func(func() any { return dm.Inlet.Notice().Leaving }))
 	num("resident-bytes", func() int64 { return ownUsage().Resident })
 	num("processor-ms", func() int64 { return ownUsage().CPUTime.Milliseconds() })
 	m.Set("outlet", dm.Outlet.Stats.Var())
--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	crand "crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 )
 
@@ -74,6 +76,14 @@
 	FailurePath  string
 	FailureDelay time.Duration
 	started      time.Time
+	// RateLimit is the rate limit that it names in its responses, empty for none.
+	RateLimit string
+	// LeavingDelay is how long after its start it says in its responses that it is leaving, 0 for
+	// never.
+	LeavingDelay time.Duration
+	// lifetime identifies the run, announcements counts those that were sent.
+	lifetime      string
+	announcements uint64
 	// Calls is the service that it calls once for each request, through the outlet at Outlet.
 	// It answers a request whose call fails with 500.
 	Calls, Outlet string
@@ -103,6 +113,7 @@
 		}
 	}
 	w.Header().Set(ServedByHeader, sr.VM)
+	sr.setNotice(w.Header())
 	if sr.shouldFail(r.URL.Path) {
 		http.Error(w, "failing", http.StatusInternalServerError)
 		return
@@ -114,6 +125,17 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s %s\n", sr.VM, r.Method, r.URL.Path, body)
 }
 
+// setNotice sets the headers of a response by which the server limits its rate or says that it is
+// leaving.
+func (sr *Server) setNotice(hdr http.Header) {
+	if sr.RateLimit != "" {
+		hdr.Set(result.ServerLimitHeader, sr.RateLimit)
+	}
+	if sr.LeavingDelay > 0 && time.Since(sr.started) >= sr.LeavingDelay {
+		hdr.Set(result.ServerLeavingHeader, "1")
+	}
+}
+
 // call calls the service Calls, if set, for a request.
 func (sr *Server) call(r *http.Request) error {
 	if sr.Calls == "" {
@@ -149,7 +171,7 @@
 // Run serves and announces itself until ctx ends; then it withdraws the announcement and waits
 // for running requests.
 func (sr *Server) Run(ctx context.Context) error {
-	sr.started = time.Now()
+	sr.started, sr.lifetime = time.Now(), crand.Text()
 	ln, err := net.Listen("tcp", sr.Listen)
 	if err != nil {
 		return err
@@ -185,7 +207,11 @@
 }
 
 func (sr *Server) announce(ctx context.Context, method, addr string) error {
-	body, err := json.Marshal(admin.Announcement{Service: sr.Service, Address: addr, Software: sr.Software})
+	sr.announcements++
+	body, err := json.Marshal(admin.Announcement{
+		Service: sr.Service, Address: addr, Software: sr.Software,
+		Lifetime: sr.lifetime, StartedMs: sr.started.UnixMilli(), Number: sr.announcements,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/path/inlet/notice.go
+++ b/internal/path/inlet/notice.go
@@ -68,13 +68,6 @@
 	}
 	nm := in.Names.WithDefaults()
 	re, err := notice.Names{Limit: nm.Limit, Leaving: nm.Leaving}.Read(res.Header)
-	// A server may refuse requests at a place that knows nothing of its limit.
-	in.applyReading(tg, re, err, sentAt, in.checkShed(res) == nil)
-}
-
-// applyReading applies what the target's server said about itself, in a response to a request sent at
-// sentAt. err is about values that cannot be used, ran whether the server ran the request.
-func (in *Inlet) applyReading(tg *Target, re notice.Reading, err error, sentAt time.Time, ran bool) {
 	if re == (notice.Reading{}) && err == nil && in.notices.encoded.Load() == nil && in.rate.Heard() {
 		return
 	}
@@ -87,7 +80,8 @@
 		case notice.LimitNamed:
 			in.rate.Name(re.Limit, now)
 		case notice.LimitAbsent:
-			if ran {
+			// A server may refuse requests at a place that knows nothing of its limit.
+			if in.checkShed(res) == nil {
 				in.rate.Lift(sentAt, now)
 			}
 		}
@@ -104,10 +98,14 @@
 		return
 	}
 	known, ok := notice.Parse(text)
-	if !ok || tg.Lifetime == "" || !known.Same(tg.instance()) {
+	if !ok || !known.Same(tg.instance()) {
 		return
 	}
 	newLimit, newLeaving := known.Limited && !in.rate.Heard(), known.Leaving && !in.notices.leaving.Load()
+	if tg.Lifetime == "" {
+		// It may be another instance. Its first response corrects a limit, but nothing a departure.
+		newLeaving = false
+	}
 	if !newLimit && !newLeaving {
 		return
 	}
--- a/internal/stat/diag/diag_test.go
+++ b/internal/stat/diag/diag_test.go
@@ -47,6 +47,10 @@
 		{"429 at an isolated outlet", []string{
 			line(30, "a", "tenant-refused", `"id":"x","route":"find","version":7,"outcome":"not-run","reason":"over-tenant-limit","tenant":"acme","limit-rate":50,"limit-burst":25,"admit":0.0147,"directive-age":-1`),
 		}, []string{"tenant acme sends more", "no relay counted the requests of this outlet, so it admitted only its own part of the limit, 0.015 of it"}},
+		{"503, servers limit their rates", []string{
+			request(30, "not-run", "over-server-limit", 1, `,"to-vm":"b"`),
+			line(20, "a", "attempt", `"id":"x","to-vm":"b","reason":"over-server-limit","load":1,"load-age":900000000`),
+		}, []string{"refused by the outlet of a after 1 attempts: each server of booking that it could use was getting as many requests as that server says it takes; see the backend-server-limit lines", "b did not take it (over-server-limit)"}},
 		{"no server known", []string{request(30, "not-run", string(result.ReasonNoServer), 0, "")}, []string{"no server of booking was known to the outlet of a"}},
 		{"502, the server closed the connection", []string{
 			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
