path/outlet: tests of servers' limits replace inlets without a race

The race detector reported the rig of the tests, not the product: the handler of a VM was replaced while requests read it (TestLeavingServerWhoseRecordStays, 9 outlets, restarts). It is an atomic pointer now, and restarts end before the rig closes.

--- a/internal/path/outlet/limited_all_test.go
+++ b/internal/path/outlet/limited_all_test.go
@@ -165,7 +165,8 @@
 		defer lr.close()
 		stop := time.Now().Add(30 * time.Second)
 		lowest := 3.0
-		go func() {
+		var wg conc.WaitGroup
+		wg.Go(func() {
 			for time.Now().Before(stop) {
 				time.Sleep(500*time.Millisecond + rand.N(time.Second))
 				i := 1 + rand.IntN(len(list)-1)
@@ -174,9 +175,10 @@
 					lr.restartInlet(rand.IntN(len(list)))
 				}
 			}
-		}()
+		})
 		list[0].set(fmt.Sprint(lowest), false)
 		ta := lr.load(200, 30*time.Second, constantPath(urgentPath))
+		wg.Wait()
 		if got := list[0].worst(list[0].namedAt.Add(limitGrace), anyOutlet); float64(got) > allowed(lowest) {
 			t.Errorf("%d requests in %v, %.0f allowed", got, limitWindow, allowed(lowest))
 		}
--- a/internal/path/outlet/limited_test.go
+++ b/internal/path/outlet/limited_test.go
@@ -5,10 +5,13 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/path/inlet"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
@@ -121,7 +124,9 @@
 type limitRig struct {
 	*loadRig
 	outlets []*outlet.Outlet
-	mu      sync.Mutex
+	// handlers are those of the VMs' inlets.
+	handlers []*swapHandler
+	mu       sync.Mutex
 	// toldLimit and toldLeaving are when an outlet first forwarded a response with the header.
 	toldLimit, toldLeaving map[string]time.Time
 }
@@ -151,7 +156,9 @@
 func newLimitRig(t *testing.T, n, servers int) *limitRig {
 	lr := &limitRig{loadRig: newLoadRig(t, servers, anyDomain), toldLimit: map[string]time.Time{}, toldLeaving: map[string]time.Time{}}
 	for i := range lr.recs {
+		lr.handlers = append(lr.handlers, &swapHandler{})
 		lr.setInlet(i, lr.recs[i])
+		lr.inlets[i].Handler = lr.handlers[i]
 	}
 	for range n {
 		ou := outlet.New(outlet.Options{Forwarder: lr.forwarder(), Names: result.HeaderNames{FractionalRetryAfter: true}})
@@ -163,13 +170,24 @@
 	return lr
 }
 
+// swapHandler is a handler that can be replaced while it serves.
+type swapHandler struct {
+	current atomic.Pointer[inlet.Inlet]
+}
+
+// ServeHTTP calls the current handler.
+func (sh *swapHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sh.current.Load().ServeHTTP(w, r)
+}
+
 // setInlet starts a new inlet, which knows nothing of the server's past, for the record of VM i.
 func (lr *limitRig) setInlet(i int, rec *member.Record) {
 	in := inlet.New(proxy.Options{Dial: lr.dial}, nil)
 	lr.closes = append(lr.closes, in.Close)
 	in.SetTarget(inlet.Target{VM: rec.VM, Process: pick.Process(rec), Service: "booking", Addr: rec.VM + ":1", Lifetime: rec.VM + "-1"})
 	in.Gate.Configure(slots, []limit.Class{{Name: "confirm", Share: 50, Queue: 8}, {Name: "default", Share: 25, Queue: 4}})
-	lr.inlets[i].Handler, lr.gates[i], lr.recs[i] = in, in.Gate, rec
+	lr.handlers[i].current.Store(in)
+	lr.gates[i], lr.recs[i] = in.Gate, rec
 }
 
 // restartInlet replaces the daemon of VM i by a new process.
@@ -236,13 +254,15 @@
 				defer lr.close()
 				ls := &limitedServer{limit: "3.4"}
 				lr.backends[0].fail = ls.respond
-				go func() {
+				var wg conc.WaitGroup
+				wg.Go(func() {
 					for range 4 {
 						time.Sleep(2900 * time.Millisecond)
 						lr.restartInlet(0)
 					}
-				}()
+				})
 				lr.load(limitedFleet*serverLoad, 13*time.Second, constantPath("/lookup"))
+				wg.Wait()
 				if got := ls.worst(ls.namedAt.Add(limitGrace), told(lr.toldLimit, toldMargin)); float64(got) > allowed(3.4) {
 					t.Errorf("%d requests in %v, %.0f allowed", got, limitWindow, allowed(3.4))
 				}
@@ -267,13 +287,15 @@
 					// All outlets hear it within these seconds.
 					lr.load(limitedFleet*serverLoad, 2*time.Second, constantPath("/lookup"))
 					ls.set("", true)
-					go func() {
+					var wg conc.WaitGroup
+					wg.Go(func() {
 						time.Sleep(drainTime)
 						if restarts {
 							lr.restartInlet(0)
 						}
-					}()
+					})
 					ta := lr.load(limitedFleet*serverLoad, 8*time.Second, constantPath("/lookup"))
+					wg.Wait()
 					if got := ls.worst(time.Time{}, told(lr.toldLeaving, drainTime)); got > 0 {
 						t.Errorf("%d requests in %v from outlets that had forwarded such a response %v before", got, limitWindow, drainTime)
 					}
