--- a/internal/path/outlet/limited_all_test.go
+++ b/internal/path/outlet/limited_all_test.go
@@ -79,6 +79,42 @@
 	}
 }
 
+// TestRestOfLimitedServers guards against requests being refused that other servers could run, when
+// some servers of different speeds limit their rate: at three quarters of what all can run, and
+// beyond what is left.
+func TestRestOfLimitedServers(t *testing.T) {
+	// speeds are those of the servers; one with speed 1 runs a request in serviceTime.
+	speeds := []float64{1.6, 0.5, 1.6, 0.7, 1, 0.7, 0.7, 0.5, 1}
+	const serviceTime, rate, seconds, tolerance = 80 * time.Millisecond, 276, 10, 0.03
+	for _, limits := range [][]float64{nil, {20.7, 4.5}, {20.7, 4.5, 15, 4}} {
+		t.Run(fmt.Sprint(len(limits), " limited"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lr, list := newRankedRig(t, 12, len(speeds), "")
+				defer lr.close()
+				capacity := 0.0
+				for i, be := range lr.backends {
+					perRequest := time.Duration(float64(serviceTime) / speeds[i])
+					be.work = uniform(perRequest)
+					if i < len(limits) {
+						list[i].set(fmt.Sprint(limits[i]), false)
+						capacity += limits[i]
+					} else {
+						capacity += slots / perRequest.Seconds()
+					}
+				}
+				path := func() string { return []string{urgentPath, slackPath, slackPath}[rand.IntN(3)] }
+				lr.load(rate, 3*time.Second, path)
+				ta := lr.load(rate, seconds*time.Second, path)
+				refused, least := float64(ta.total()-ta.good)/float64(ta.total()), max(0, 1-capacity*seconds/float64(ta.total()))
+				t.Logf("%.3f of %d refused, at least %.3f cannot be served; 99th of responses %v", refused, ta.total(), least, quantile(ta.latency, 0.99))
+				if refused > least+tolerance {
+					t.Errorf("%.3f refused, %.3f cannot be served", refused, least)
+				}
+			})
+		})
+	}
+}
+
 // TestRetryAfterOfLimitedServers guards against callers being asked to return at a time at which
 // they are refused again, although all of them could be served then.
 func TestRetryAfterOfLimitedServers(t *testing.T) {
