path/pick: HoldBack takes the time, accepts says what it asks

isHeldBack also answered for servers that are leaving, and HoldBack read the clock itself, other than the rest of the package. No change of behavior; tests of pick, inlet and of limits in outlet pass, 7 of 7.

--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -39,7 +39,7 @@
 	rq.readNotice(ep, at.Response, sentAt)
 	if rf := result.FromResponse(at.Response); rf != nil {
 		if rf.Reason == result.ReasonServerLimit {
-			ep.HoldBack(rq.rank(), time.Now().Add(rf.RetryAfter), rq.turnSpacing(ep))
+			ep.HoldBack(rq.rank(), time.Now(), rf.RetryAfter, rq.turnSpacing(ep))
 		}
 		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		// Drain a short body so that the connection can be reused.
--- a/internal/path/pick/hold.go
+++ b/internal/path/pick/hold.go
@@ -17,17 +17,17 @@
 	promised atomic.Int64
 }
 
-// HoldBack keeps requests of a rank, and of the ranks below it, from the server until a time, at which
-// the server's inlet expects to take one of this outlet's. An earlier time that was set before and
-// is not over stays: each refusal gets a turn of its own, and the first one is to be used. spacing is
-// the least time between two turns of this outlet if all outlets get as many.
-func (ep *Endpoint) HoldBack(rank int, until time.Time, spacing time.Duration) {
-	now, end := mono.Nanos(time.Now()), mono.Nanos(until)
+// HoldBack keeps requests of a rank, and of the ranks below it, from the server for a time, after
+// which the server's inlet expects to take one of this outlet's. An earlier hold that is not over
+// stays: each refusal gets a turn of its own, and the first one is to be used. spacing is the least
+// time between two turns of this outlet if all outlets get as many.
+func (ep *Endpoint) HoldBack(rank int, now time.Time, wait, spacing time.Duration) {
+	at := mono.Nanos(now)
 	for i := rank; i < result.Ranks; i++ {
 		ho := &ep.live.holds[i]
 		// Of two concurrent refusals either may win.
-		if old := ho.until.Load(); old <= now && ho.until.CompareAndSwap(old, end) {
-			ho.spacing.Store(max(end-now, int64(spacing)))
+		if old := ho.until.Load(); old <= at && ho.until.CompareAndSwap(old, at+int64(wait)) {
+			ho.spacing.Store(int64(max(wait, spacing)))
 		}
 	}
 }
@@ -43,9 +43,10 @@
 // leaving, whatever its record says.
 func (ep *Endpoint) Exclude() { ep.live.excluded.Store(true) }
 
-// isHeldBack reports whether requests of a rank are kept from the server.
-func (ep *Endpoint) isHeldBack(now time.Time, rank int) bool {
-	return ep.live.excluded.Load() || ep.live.holds[rank].until.Load() > mono.Nanos(now)
+// accepts reports whether the server may get requests of a rank, being neither excluded nor held back
+// from them.
+func (ep *Endpoint) accepts(now time.Time, rank int) bool {
+	return !ep.live.excluded.Load() && ep.live.holds[rank].until.Load() <= mono.Nanos(now)
 }
 
 // OverLimit reports whether a server could be used that is only held back.
@@ -60,7 +61,7 @@
 
 // awaitsTurn reports whether the server is only held back from requests of a rank.
 func (ep *Endpoint) awaitsTurn(now time.Time, rank int) bool {
-	return !ep.Ejected(now) && !ep.live.excluded.Load() && ep.isHeldBack(now, rank)
+	return !ep.Ejected(now) && !ep.live.excluded.Load() && !ep.accepts(now, rank)
 }
 
 // maxPromise is the longest time after which a caller is asked to return.
--- a/internal/path/pick/hold_test.go
+++ b/internal/path/pick/hold_test.go
@@ -15,13 +15,13 @@
 	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
 	ep := NewEndpoint(Endpoint{VM: "a"})
 	gp := &Group{all: []*Endpoint{ep}}
-	ep.HoldBack(2, at(3), 0)
-	ep.HoldBack(2, at(5), 0)
-	for rank, want := range [result.Ranks]bool{false, false, true, true} {
-		if got := ep.isHeldBack(at(1), rank); got != want {
-			t.Errorf("rank %d is held back: %v, want %v", rank, got, want)
+	ep.HoldBack(2, now, 3*time.Second, 0)
+	ep.HoldBack(2, now, 5*time.Second, 0)
+	for rank, want := range [result.Ranks]bool{true, true, false, false} {
+		if got := ep.accepts(at(1), rank); got != want {
+			t.Errorf("rank %d is accepted: %v, want %v", rank, got, want)
 		}
-		if ep.isHeldBack(at(3.1), rank) {
+		if !ep.accepts(at(3.1), rank) {
 			t.Errorf("rank %d is held back after the first turn", rank)
 		}
 	}
@@ -29,11 +29,11 @@
 		t.Error("the group is over the limit for other ranks than those held back, or for other times")
 	}
 	ep.ReleaseHold()
-	if ep.isHeldBack(at(1), 3) {
+	if !ep.accepts(at(1), 3) {
 		t.Error("held back after the release")
 	}
 	ep.Exclude()
-	if !ep.isHeldBack(at(100), 0) || gp.OverLimit(at(1), 3) {
+	if ep.accepts(at(100), 0) || gp.OverLimit(at(1), 3) {
 		t.Error("an excluded server gets requests, or its turn is awaited")
 	}
 }
@@ -42,15 +42,14 @@
 // and against a turn of an ejected server.
 func TestPromiseTurn(t *testing.T) {
 	now := time.Now()
-	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
 	a, b, c := NewEndpoint(Endpoint{VM: "a"}), NewEndpoint(Endpoint{VM: "b"}), NewEndpoint(Endpoint{VM: "c"})
 	gp := &Group{all: []*Endpoint{a, b, c}}
 	if got := gp.PromiseTurn(now, 1); got != 0 {
 		t.Errorf("a turn in %v without a limit", got)
 	}
-	a.HoldBack(1, at(0.5), time.Second)
-	b.HoldBack(1, at(2.2), 0)
-	c.HoldBack(1, at(0.1), 0)
+	a.HoldBack(1, now, 500*time.Millisecond, time.Second)
+	b.HoldBack(1, now, 2200*time.Millisecond, 0)
+	c.HoldBack(1, now, 100*time.Millisecond, 0)
 	c.eject(now)
 	var got []float64
 	for range 20 {
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -201,11 +201,11 @@
 	return gp.lastResort(now, cr.Rank, tried, rnd)
 }
 
-// hasAvailable reports whether the tier has a reachable server that is neither ejected nor held
-// back.
+// hasAvailable reports whether the tier has a reachable server that is not ejected and accepts
+// requests of the rank.
 func (tr *tier) hasAvailable(now time.Time, rank int) bool {
 	for _, ep := range tr.reachable.list {
-		if !ep.Ejected(now) && !ep.isHeldBack(now, rank) {
+		if !ep.Ejected(now) && ep.accepts(now, rank) {
 			return true
 		}
 	}
@@ -248,7 +248,7 @@
 // its measurement would never be updated.
 const costNoise = 15
 
-// sample collects servers that are neither tried, ejected nor held back, starting at a random one, and
+// sample collects servers that are not tried, not ejected and accept the rank, starting at a random one, and
 // returns how many there are. A server passed over because of its slow start is used only if there is no
 // other.
 func sample(sampled *[sampleSize]*Endpoint, list []*Endpoint, now time.Time, rank int, tried *Tried, rnd Random) int {
@@ -258,7 +258,7 @@
 	for i := range list {
 		ep := list[(start+i)%len(list)]
 		switch {
-		case ep.Ejected(now) || ep.isHeldBack(now, rank) || tried.has(ep):
+		case ep.Ejected(now) || !ep.accepts(now, rank) || tried.has(ep):
 			continue
 		case ep.skipInSlowStart(now, rnd):
 			skipped = ep
@@ -286,7 +286,7 @@
 	start := rnd(len(gp.all))
 	for i := range gp.all {
 		ep := gp.all[(start+i)%len(gp.all)]
-		if !tried.has(ep) && !ep.isHeldBack(now, rank) && !(ep.live.unreachable.Load() && ep.Ejected(now)) {
+		if !tried.has(ep) && ep.accepts(now, rank) && !(ep.live.unreachable.Load() && ep.Ejected(now)) {
 			return ep
 		}
 	}
