--- a/internal/node/soak/fleet.go
+++ b/internal/node/soak/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,10 @@
 	daemonDown, serverDown bool
 	// maxHeld is the newest version that the daemon was seen to hold.
 	maxHeld uint64
+
+	// rateLimit is the rate limit in requests per second that its server names, 0 for none.
+	rateLimit float64
+	limited   limitedRuns
 }
 
 // fleet is a mesh of processes: the platform, and a daemon and a backend server on each VM.
@@ -131,6 +136,9 @@
 			if i%calledEvery == calledEvery-1 {
 				v.service = calledService
 			}
+			if i == limitedVM {
+				v.rateLimit = limitedRate
+			}
 			fl.vms = append(fl.vms, v)
 		}
 	}
@@ -204,6 +212,7 @@
 	if err := fl.writeSettings(v); err != nil {
 		return err
 	}
+	v.limited.recordStart()
 	pr, err := fl.la.start("daemon-"+v.name, nil, "daemon", "--config", v.settingsFile, "--vm", v.name, "--failure-domain", v.domain, "--outlet", v.outlet,
 		"--inlet", v.inlet, "--control", v.control, "--admin", v.admin, "--platform", fl.platformAddr,
 		"--seeds", strings.Join(seeds[:min(3, len(seeds))], ","), "--mesh-token", "soak")
@@ -228,17 +237,22 @@
 	if v.software == "v2" && fl.failureRate != "" {
 		args = append(args, "--failing", fl.failureRate)
 	}
-	pr, err := fl.la.start("server-"+v.name, func(line string) { fl.recordRunLine(line, v.software == "v2") }, args...)
+	if v.rateLimit > 0 {
+		args = append(args, "--rate-limit", strconv.FormatFloat(v.rateLimit, 'f', -1, 64))
+	}
+	v.limited.recordStart()
+	pr, err := fl.la.start("server-"+v.name, func(line string) { fl.recordRunLine(line, v) }, args...)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.server, v.serverDown = pr, false
 	return err
 }
 
-func (fl *fleet) recordRunLine(line string, target bool) {
+func (fl *fleet) recordRunLine(line string, v *vm) {
 	var ran demo.RunEvent
 	if json.Unmarshal([]byte(line), &ran) == nil && ran.ID != "" {
-		fl.requests.recordRun(ran.ID, target)
+		fl.requests.recordRun(ran.ID, v.software == "v2")
+		v.limited.recordRun(time.Now())
 	}
 }
 
--- a/internal/node/soak/plan_test.go
+++ b/internal/node/soak/plan_test.go
@@ -94,6 +94,24 @@
 	}
 }
 
+// TestLimitedRuns guards against missing a server that gets more than its rate limit.
+func TestLimitedRuns(t *testing.T) {
+	began := time.Now()
+	var lr limitedRuns
+	lr.recordStart()
+	// 75 at the limit, 5 and the slots of one start.
+	for range 100 {
+		lr.recordRun(began)
+	}
+	if failure := lr.check(5, began.Add(10*time.Second)); failure != "" {
+		t.Error(failure)
+	}
+	lr.recordRun(began)
+	if lr.check(5, began.Add(10*time.Second)) == "" {
+		t.Error("one more than allowed is not found")
+	}
+}
+
 // TestStopTracker guards against attributing to the stop of a daemon a failure that has another
 // cause, and against missing a request that the stop interrupted.
 func TestStopTracker(t *testing.T) {
--- a/internal/node/soak/soak.go
+++ b/internal/node/soak/soak.go
@@ -71,7 +71,7 @@
 	defer cancel()
 	fl := &fleet{
 		op: op, la: &launcher{ctx: context.WithoutCancel(ctx), binary: op.Binary, dir: op.Dir},
-		results: newResultSet(IntactResponse, AtMostOnce, MonotonicVersion, Recovery, Convergence, NoUnexpectedExit),
+		results: newResultSet(IntactResponse, AtMostOnce, MonotonicVersion, Recovery, Convergence, NoUnexpectedExit, ServerLimit),
 	}
 	defer fl.la.killAll()
 	if err := fl.start(ctx); err != nil {
@@ -102,6 +102,11 @@
 	re.Rollout = fl.checkRollout(ctx)
 	fl.requests.check(fl.results)
 	fl.stops.check(fl.results, fl.requests.hasRun)
+	for _, v := range fl.vms {
+		if v.rateLimit > 0 {
+			fl.results.record(ServerLimit, v.limited.check(v.rateLimit, time.Now()))
+		}
+	}
 	fl.checkExits()
 	re.Results = fl.results.list()
 	return re, err
--- a/internal/path/outlet/limited_test.go
+++ b/internal/path/outlet/limited_test.go
@@ -129,11 +129,25 @@
 	mu       sync.Mutex
 	// toldLimit and toldLeaving are when an outlet first forwarded a response with the header.
 	toldLimit, toldLeaving map[string]time.Time
+	// onlyToldLeaving is set if no other outlets get requests.
+	onlyToldLeaving bool
+}
+
+// pickOutlet returns the index of a random outlet.
+func (lr *limitRig) pickOutlet() int {
+	lr.mu.Lock()
+	defer lr.mu.Unlock()
+	for {
+		i := rand.IntN(len(lr.outlets))
+		if !lr.onlyToldLeaving || !lr.toldLeaving[fmt.Sprint(i)].IsZero() {
+			return i
+		}
+	}
 }
 
 // ServeHTTP sends a request through a random outlet.
 func (lr *limitRig) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	i := rand.IntN(len(lr.outlets))
+	i := lr.pickOutlet()
 	name := fmt.Sprint(i)
 	r.Header.Set("Outlet", name)
 	lr.outlets[i].ServeHTTP(w, r)
@@ -248,26 +262,31 @@
 // server, which knows nothing, while the outlets that were told go on.
 func TestServerLimitAcrossRestart(t *testing.T) {
 	for _, outlets := range outletCounts {
-		t.Run(fmt.Sprint(outlets, " outlets"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				lr := newLimitRig(t, outlets, limitedFleet)
-				defer lr.close()
-				ls := &limitedServer{limit: "3.4"}
-				lr.backends[0].fail = ls.respond
-				var wg conc.WaitGroup
-				wg.Go(func() {
-					for range 4 {
-						time.Sleep(2900 * time.Millisecond)
-						lr.restartInlet(0)
+		for _, interval := range []time.Duration{2900 * time.Millisecond, 200 * time.Millisecond} {
+			t.Run(fmt.Sprint(outlets, " outlets/", interval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					const span = 13 * time.Second
+					lr := newLimitRig(t, outlets, limitedFleet)
+					defer lr.close()
+					ls := &limitedServer{limit: "3.4"}
+					lr.backends[0].fail = ls.respond
+					var wg conc.WaitGroup
+					wg.Go(func() {
+						for at := interval; at < span; at += interval {
+							time.Sleep(interval)
+							lr.restartInlet(0)
+						}
+					})
+					lr.load(limitedFleet*serverLoad, span, constantPath("/lookup"))
+					wg.Wait()
+					got := ls.worst(ls.namedAt.Add(limitGrace), told(lr.toldLimit, toldMargin))
+					t.Logf("%d requests in the worst %v, %.0f allowed", got, limitWindow, allowed(3.4))
+					if float64(got) > allowed(3.4) {
+						t.Errorf("%d requests in %v, %.0f allowed", got, limitWindow, allowed(3.4))
 					}
 				})
-				lr.load(limitedFleet*serverLoad, 13*time.Second, constantPath("/lookup"))
-				wg.Wait()
-				if got := ls.worst(ls.namedAt.Add(limitGrace), told(lr.toldLimit, toldMargin)); float64(got) > allowed(3.4) {
-					t.Errorf("%d requests in %v, %.0f allowed", got, limitWindow, allowed(3.4))
-				}
 			})
-		})
+		}
 	}
 }
 
@@ -286,13 +305,19 @@
 					lr.backends[0].fail = ls.respond
 					// All outlets hear it within these seconds.
 					lr.load(limitedFleet*serverLoad, 2*time.Second, constantPath("/lookup"))
+					atInlet := lr.inlets[0].n()
 					ls.set("", true)
 					var wg conc.WaitGroup
 					wg.Go(func() {
-						time.Sleep(drainTime)
-						if restarts {
-							lr.restartInlet(0)
+						// Later than any outlet that was told may send a request.
+						time.Sleep(drainTime + 200*time.Millisecond)
+						if !restarts {
+							return
 						}
+						lr.mu.Lock()
+						lr.onlyToldLeaving = true
+						lr.mu.Unlock()
+						lr.restartInlet(0)
 					})
 					ta := lr.load(limitedFleet*serverLoad, 8*time.Second, constantPath("/lookup"))
 					wg.Wait()
@@ -302,6 +327,11 @@
 					if ta.good < ta.total() {
 						t.Errorf("%d of %d answered", ta.good, ta.total())
 					}
+					// Each outlet hears it from the inlet once for each of its processes.
+					t.Logf("%d requests to the inlet beside the server, %d outlets were told", lr.inlets[0].n()-atInlet, len(lr.toldLeaving))
+					if got := lr.inlets[0].n() - atInlet; got > 2*outlets+slots {
+						t.Errorf("%d requests to the inlet beside the server, from %d outlets", got, outlets)
+					}
 				})
 			})
 		}
--- a/internal/path/rate/rate_test.go
+++ b/internal/path/rate/rate_test.go
@@ -29,7 +29,8 @@
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 		limit := rapid.SampledFrom([]float64{0, 0.05, 0.4, 1, 3.4, 20.7, 80}).Draw(t, "limit")
 		demand := rapid.Float64Range(0.2, 200).Draw(t, "demand")
-		maxWait := rapid.SampledFrom([]float64{0, 0.1, 3}).Draw(t, "max wait")
+		maxWait := rapid.SampledFrom([]float64{0, 0.1, 3, 3.9}).Draw(t, "max wait")
+		together := rapid.Bool().Draw(t, "waits end together")
 		restartEvery := rapid.SampledFrom([]float64{1.1, 3, 100}).Draw(t, "restart every")
 		li := &Limiter{}
 		li.Name(limit, at(0))
@@ -62,7 +63,11 @@
 			}
 			queue = rest
 			if to, _, ok := li.Reserve(rnd.IntN(4), at(now)); ok {
-				queue = append(queue, waiting{to, now + rnd.Float64()*maxWait})
+				until := now + rnd.Float64()*maxWait
+				if together && maxWait > 0 {
+					until = math.Ceil(now/maxWait) * maxWait
+				}
+				queue = append(queue, waiting{to, until})
 			}
 		}
 		for i, from := range sent {
@@ -79,6 +84,32 @@
 	})
 }
 
+// TestAdmittedRequestsSentTogether guards against requests that were admitted in time, and waited for
+// slots, being sent together.
+func TestAdmittedRequestsSentTogether(t *testing.T) {
+	const limit, wait = 20.7, 3.9
+	li := &Limiter{}
+	li.Name(limit, at(0))
+	for round := range 4 {
+		var tokens []Token
+		for i := range 390 {
+			if to, _, ok := li.Reserve(0, at(float64(round)*wait+float64(i)/100)); ok {
+				tokens = append(tokens, to)
+			}
+		}
+		n := 0
+		for _, to := range tokens {
+			if _, ok := to.Send(at(float64(round+1) * wait)); ok {
+				n++
+			}
+			to.Cancel()
+		}
+		if most := 1 + limit; float64(n) > most {
+			t.Errorf("%d of %d are sent at once, want %v at most", n, len(tokens), most)
+		}
+	}
+}
+
 // served returns how many of the requests that come at a rate for some seconds get a token.
 func served(li *Limiter, from, seconds, demand float64, rank int) (n int) {
 	for i := range int(seconds * demand) {
