--- a/internal/path/pick/endpoint.go
+++ b/internal/path/pick/endpoint.go
@@ -63,18 +63,19 @@
 // liveState holds the counters that are updated with each request.
 type liveState struct {
 	running         atomic.Int32
-	reported        atomic.Uint64      // load, mean service time in ms, time in ms: 16, 16 and 32 bits
-	runningAtReport atomic.Int32       // running at the time of the report
-	lastResponse    atomic.Int64       // time of the last response, or of the first request since idle
-	failureRate     atomic.Int32       // weighted failure rate, in units of 1/fixedOne
-	ejected         atomic.Int64       // time until which the server is ejected
-	ejections       atomic.Int32       // consecutive ejections
-	unreachable     atomic.Bool        // connecting failed; the server is probed separately from requests
-	slowness        atomic.Uint64      // float64 bits of service time/typical service time, 0 if unknown
-	measurements    atomic.Int32       // number of responses in slowness
-	reportedWaits   atomic.Uint64      // reported waits by rank in ms, 16 bits each
-	linkFreeAt      atomic.Int64       // time at which the VM's link will have sent its backlog
-	holds           [result.Ranks]hold // by rank
+	reported        atomic.Uint64 // load, mean service time in ms, time in ms: 16, 16 and 32 bits
+	runningAtReport atomic.Int32  // running at the time of the report
+	lastResponse    atomic.Int64  // time of the last response, or of the first request since idle
+	failureRate     atomic.Int32  // weighted failure rate, in units of 1/fixedOne
+	ejected         atomic.Int64  // time until which the server is ejected
+	ejections       atomic.Int32  // consecutive ejections
+	unreachable     atomic.Bool   // connecting failed; the server is probed separately from requests
+	slowness        atomic.Uint64 // float64 bits of service time/typical service time, 0 if unknown
+	measurements    atomic.Int32  // number of responses in slowness
+	reportedWaits   atomic.Uint64 // reported waits by rank in ms, 16 bits each
+	linkFreeAt      atomic.Int64  // time at which the VM's link will have sent its backlog
+	// holds keep requests from the server, by rank.
+	holds [result.Ranks]hold
 	// excluded is set once the server has said that it is leaving.
 	excluded atomic.Bool
 }
