path/result: the headers of servers about themselves are Server-Limit and Server-Leaving

There is no reason for two sets. The adapter goes on naming its own.

Ruled out: a prefix like that of the other headers, since inlets remove those and callers are to see these. Tests of inlet, notice, limits in outlet pass.

--- a/internal/path/outlet/limited_test.go
+++ b/internal/path/outlet/limited_test.go
@@ -23,8 +23,8 @@
 
 // The headers in which servers name their limit and say that they are leaving.
 const (
-	limitHeader   = "Server-Rate-Limit"
-	leavingHeader = "Server-Draining"
+	limitHeader   = "Server-Limit"
+	leavingHeader = "Server-Leaving"
 )
 
 // The bound on requests to a server that has named a rate limit, as stated to operators: in any
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -134,8 +134,8 @@
 // The headers in which a backend server says how many requests per second it takes from all callers
 // together, and that it is leaving. Callers receive them as well.
 const (
-	ServerLimitHeader   = "Server-Rate-Limit"
-	ServerLeavingHeader = "Server-Draining"
+	ServerLimitHeader   = "Server-Limit"
+	ServerLeavingHeader = "Server-Leaving"
 )
 
 // AuthScheme precedes the API key in the Authorization header.
