path/outlet: a test of servers' limits across cuts

Outlets that were cut off from a limited server for 1.5 s, four times, return together: 9, 68 and 300 of them stay within the limit of 3.4 a second (25 in 4 s), and the server gets at least half of it afterwards. No change of the code.

--- a/internal/path/outlet/limited_all_test.go
+++ b/internal/path/outlet/limited_all_test.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 )
 
 // The paths of more and of less urgent requests.
@@ -193,6 +194,42 @@
 	}
 }
 
+// TestServerLimitAcrossCuts guards against a limit being exceeded when outlets that were cut off from
+// the server return together, and against the server getting nothing afterwards.
+func TestServerLimitAcrossCuts(t *testing.T) {
+	for _, outlets := range outletCounts {
+		t.Run(fmt.Sprint(outlets, " outlets"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit, cuts, cutTime = 3.4, 4, 1500 * time.Millisecond
+				lr := newLimitRig(t, outlets, limitedFleet)
+				defer lr.close()
+				ls := &limitedServer{limit: fmt.Sprint(limit)}
+				lr.backends[0].fail = ls.respond
+				inletAddr := lr.recs[0].Inlet
+				var wg conc.WaitGroup
+				wg.Go(func() {
+					for range cuts {
+						time.Sleep(cutTime)
+						lr.nw.SetPartition(func(a, b *memnet.Host) bool { return a.Addr == inletAddr || b.Addr == inletAddr })
+						time.Sleep(cutTime)
+						lr.nw.SetPartition(nil)
+					}
+				})
+				lr.load(limitedFleet*serverLoad, 2*cuts*cutTime, constantPath("/lookup"))
+				wg.Wait()
+				if got := ls.worst(ls.namedAt.Add(limitGrace), anyOutlet); float64(got) > allowed(limit) {
+					t.Errorf("%d requests in %v, %.0f allowed", got, limitWindow, allowed(limit))
+				}
+				healed := time.Now()
+				lr.load(limitedFleet*serverLoad, 10*time.Second, constantPath("/lookup"))
+				if got := ls.since(healed); got < 10*limit/2 {
+					t.Errorf("%d requests in 10 s after the cuts, at a limit of %v a second", got, limit)
+				}
+			})
+		})
+	}
+}
+
 // TestChangingServersKeepLimits guards against limits being forgotten while servers name them, lift
 // them and change them at random, and daemons restart.
 func TestChangingServersKeepLimits(t *testing.T) {
