--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -385,9 +385,9 @@
 	case !refusing || res.Header.Get(in.Names.WithDefaults().NotRun) == "":
 		return nil
 	}
-	// Another server may be able to run the request at once. The time is for the caller, if none can.
-	retryAfter := result.ParseRetryAfter(res.Header.Get("Retry-After"))
-	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed, RetryAfter: retryAfter}
+	// Retry-After from the backend server is ignored: the gate never sends it more requests than it
+	// has slots, so it was not full, and another server may be able to serve the request at once.
+	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonShed}
 }
 
 // checkForeign returns a refusal if the response belongs to another request or does not come from
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -280,8 +280,8 @@
 		return
 	}
 	delay := rq.retryDelay(rf)
-	if rf.Reason == result.ReasonServerLimit || rf.Reason == result.ReasonShed && rf.RetryAfter > 0 {
-		// The servers have named the time, so an earlier retry has no chance.
+	if rf.Reason == result.ReasonServerLimit {
+		// An earlier retry has no chance.
 		rf.RetryAfter = delay + rand.N(max(1, delay/retryJitterDivisor))
 		return
 	}
@@ -295,7 +295,7 @@
 // retryDelay returns the shortest delay after which the caller of a refused request should retry.
 func (rq *request) retryDelay(rf *result.Refusal) time.Duration {
 	if rf.Reason == result.ReasonShed {
-		return max(shedRetryDelay, rf.RetryAfter)
+		return shedRetryDelay
 	}
 	if rf.Reason == result.ReasonServerLimit {
 		if wait := rq.gp.PromiseTurn(time.Now(), rq.rank()); wait > 0 {
