--- a/internal/node/demo/server.go
+++ b/internal/node/demo/server.go
@@ -210,7 +210,7 @@
 	sr.announcements++
 	body, err := json.Marshal(admin.Announcement{
 		Service: sr.Service, Address: addr, Software: sr.Software,
-		Lifetime: sr.lifetime, StartedMs: sr.started.UnixMilli(), Number: sr.announcements,
+		Lifetime: sr.lifetime, Number: sr.announcements,
 	})
 	if err != nil {
 		return err
