quota/admit, mesh/ctrl: serve tenants below their limits after a restart

Cause: a process without a directive admits 1 of 1,000 of each limit, its buckets begin empty, the first directive comes 1.1 to 1.6 s after the start since a daemon becomes a relay only after it was chosen for a second, and a new relay learns for one more second.

- The number of outlets is taken from the members, which are complete 0.3 s after a start of 68, once it has not grown for 120 ms.
- Beyond its part an outlet has a credit in its first 3 s: an eighth, over all outlets, of what the operators' tolerance leaves above the limit (quota-overage, quota-window, quota-spare), drawn so that fractions of a request add up.
- A daemon that has been chosen as a relay for 200 ms counts for its members, and keeps them within their part.
- Where most daemons have just started, 300 ms of learning suffice.
- A relay adds half of the spare to each burst; the whole of it left nothing for what comes before the first reports.

Ruled out: the exchange between relays (each side of a partition serves its part).

TestQuotaRestartBelowLimits and TestQuotaRestartBound, 47 tenants.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -43,6 +43,9 @@
 	Epoch Cell[store.Epoch]
 	// Rollouts holds the newest rollout of each service.
 	Rollouts Cell[canary.View]
+	// Outlets is how many outlets the mesh has as far as this daemon knows, nil until that is settled
+	// or if no tenant has a limit.
+	Outlets Cell[int]
 	// Directive says which tenants exceed their limits.
 	Directive Cell[admit.Directive]
 	// TenantUse is what tenants use of their limits, nil unless this daemon is a relay.
--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -157,7 +157,14 @@
 	var quota Quota
 	if fl.onGate != nil {
 		ga := admit.New(func() *admit.Directive { return tn.Board.Directive.Get() })
-		quota = Quota{Usage: ga.Usage, Due: ga.Due, Spare: quotaSlack / 2}
+		ga.Outlets = func() int {
+			if n := tn.Board.Outlets.Get(); n != nil {
+				return *n
+			}
+			return 0
+		}
+		ga.Tolerance = admit.Tolerance{Window: quotaWindow, Overage: quotaOverage, Spare: quotaSlack}
+		quota = Quota{Usage: ga.Usage, Due: ga.Due, Tolerance: ga.Tolerance}
 		fl.onGate(vm.Name, ga)
 	}
 	tn.Node = New(Config{
--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
@@ -54,6 +55,10 @@
 	// ownRelayCache has the relays chosen among the members of ownRelayView.
 	ownRelayCache []*member.Record
 	ownRelayView  *member.View
+	// chosen has the relays last chosen for the local failure domain.
+	chosen atomic.Pointer[[]*member.Record]
+	// willRelay is set once this daemon has been chosen as a relay for countAfter.
+	willRelay atomic.Bool
 }
 
 type outLink struct {
@@ -201,11 +206,22 @@
 	return lk.ownRelayCache
 }
 
+// chosenRelays returns the daemons that are relays of the local failure domain, or will be. It may be
+// called by any goroutine.
+func (lk *linker) chosenRelays() []*member.Record {
+	if list := lk.chosen.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
 // setRole makes the daemon a relay once it has been chosen for promoteAfter, and removes the role
 // once it has not been chosen for gracePeriod.
 func (lk *linker) setRole() {
 	nd := lk.nd
-	chosen := slices.ContainsFunc(lk.ownRelays(), func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
+	own := lk.ownRelays()
+	lk.chosen.Store(&own)
+	chosen := slices.ContainsFunc(own, func(rc *member.Record) bool { return rc.VM == nd.cf.VM })
 	if chosen && !lk.membersKnown() {
 		chosen = false
 	}
@@ -213,6 +229,7 @@
 	if chosen != lk.isChosen || lk.chosenSince.IsZero() {
 		lk.isChosen, lk.chosenSince = chosen, now
 	}
+	lk.willRelay.Store(chosen && now.Sub(lk.chosenSince) >= countAfter)
 	after := gracePeriod
 	if chosen {
 		after = promoteAfter
--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/relay"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
 	"github.com/flamingomast/flamingomast/internal/quota/admit"
 	"github.com/flamingomast/flamingomast/internal/quota/ledger"
@@ -21,8 +24,22 @@
 	coveredAfter = link.HeartbeatInterval + directiveInterval
 	// minShareInterval is the shortest time between two computations of shares.
 	minShareInterval = 40 * time.Millisecond
-	// learnTime is how long a new relay collects reports before its members rely on it.
-	learnTime = time.Second
+	// learnTime is how long a new relay collects reports before its members rely on it, and
+	// startLearnTime the same if the daemons have started together: then none of them follows a
+	// directive of an earlier relay.
+	learnTime      = time.Second
+	startLearnTime = 300 * time.Millisecond
+	// startPeriod is the age up to which a process counts as just started.
+	startPeriod = 3 * time.Second
+	// countAfter is how long a daemon must have been chosen as a relay before it counts for the
+	// members that will be linked to it, earlier than it becomes a relay: after a restart of all
+	// daemons, outlets that wait for relays would refuse most tenants for longer than a second.
+	countAfter = 200 * time.Millisecond
+	// startTick is how often a process that starts looks whether its number of outlets is settled,
+	// that is, has not grown by more than outletsGrowth, a factor, for outletsSettleTime.
+	startTick         = 20 * time.Millisecond
+	outletsSettleTime = 120 * time.Millisecond
+	outletsGrowth     = 1.05
 	// goneRetention is how long the outlet of a VM that is gone is assumed to use its part of all
 	// limits: the VM may be unreachable rather than dead.
 	goneRetention = 30 * time.Second
@@ -34,19 +51,24 @@
 	// they should be reported at once.
 	Usage func() []admit.Usage
 	Due   <-chan struct{}
-	// Spare is how many requests beyond its burst a tenant may send after a pause.
-	Spare float64
+	// Tolerance is by how much the limits of tenants may be exceeded.
+	Tolerance admit.Tolerance
 }
 
 // quotaController reports the use of tenants' limits to the relays and, on a relay, decides what
 // the outlets of its members admit. Only its run method uses it, but for received.
 type quotaController struct {
 	nd *Node
+	// directiveFrom is the peer whose directive this daemon follows.
+	directiveFrom atomic.Pointer[link.Peer]
+	// outlets is the last population, which has not changed since outletsSince.
+	outlets      int
+	outletsSince time.Time
 	// received has the messages of peers that wait to be processed.
 	received chan receivedUsage
 
-	// relay is whether this daemon was a relay when its role was last looked at.
-	relay  bool
+	// counts is whether this daemon counted for others when its role was last looked at.
+	counts bool
 	ledger ledger.Ledger
 	// urgent fires when shares are to be computed before the next tick, nil if they are not.
 	urgent <-chan time.Time
@@ -77,17 +99,20 @@
 	return qc
 }
 
-// updateRole discards what this daemon has learned as a relay when it becomes one, or no longer is.
+// counting reports whether this daemon counts the requests of others: it is a relay, or will be.
+func (qc *quotaController) counting() bool { return qc.nd.isRelay() || qc.nd.linker.willRelay.Load() }
+
+// updateRole discards what this daemon has learned when it begins to count, or no longer does.
 func (qc *quotaController) updateRole() {
-	if qc.relay == qc.nd.isRelay() {
+	if qc.counts == qc.counting() {
 		return
 	}
-	qc.relay = qc.nd.isRelay()
+	qc.counts = qc.counting()
 	qc.reset()
 }
 
 func (qc *quotaController) reset() {
-	qc.ledger = ledger.Ledger{Spare: qc.nd.cf.Quota.Spare, Since: time.Now()}
+	qc.ledger = ledger.Ledger{Tolerance: qc.nd.cf.Quota.Tolerance, Since: time.Now()}
 	qc.goneSince = map[string]time.Time{}
 	qc.sentAt, qc.sentShares = time.Time{}, false
 	qc.nd.Board.TenantUse.Set(nil)
@@ -102,6 +127,8 @@
 	// quickly than it ticks.
 	tick := time.NewTicker(ledger.ReportInterval)
 	defer tick.Stop()
+	start := time.NewTicker(startTick)
+	defer start.Stop()
 	limited := true
 	for ctx.Err() == nil {
 		sn, changed := qc.nd.Board.Held.Watch()
@@ -111,7 +138,10 @@
 			if !wasLimited {
 				tick.Reset(ledger.ReportInterval)
 			}
-			qc.handleNext(ctx, changed, tick.C)
+			if qc.nd.Board.Outlets.Get() != nil {
+				start.Stop()
+			}
+			qc.handleNext(ctx, changed, tick.C, start.C)
 			continue
 		}
 		tick.Stop()
@@ -124,7 +154,7 @@
 }
 
 // handleNext waits for the next event and handles it.
-func (qc *quotaController) handleNext(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time) {
+func (qc *quotaController) handleNext(ctx context.Context, changed <-chan struct{}, tick, start <-chan time.Time) {
 	qc.updateRole()
 	select {
 	case <-ctx.Done():
@@ -137,12 +167,15 @@
 		qc.urgent = nil
 		qc.decide(true)
 		return
+	case <-start:
+		qc.countOutlets()
 	case <-tick:
+		qc.countOutlets()
 		qc.reportOwn(false)
 		qc.decide(false)
 		return
 	}
-	if qc.relay && qc.urgent == nil && qc.ledger.Urgent(qc.limit, time.Now()) {
+	if qc.counts && qc.urgent == nil && qc.ledger.Urgent(qc.limit, time.Now()) {
 		qc.urgent = time.After(minShareInterval)
 	}
 }
@@ -156,8 +189,8 @@
 // relay.
 func (qc *quotaController) reportOwn(urgent bool) {
 	nd := qc.nd
-	rl := nd.linkedRelay()
-	if !nd.isRelay() && rl == nil {
+	rl := qc.linkedRelay()
+	if !qc.counts && rl == nil {
 		return
 	}
 	usage := nd.cf.Quota.Usage()
@@ -165,28 +198,53 @@
 		return
 	}
 	re := ledger.Report{Source: nd.Board.Self.Get().Process(), Usage: usage}
-	if nd.isRelay() {
+	if qc.counts {
 		qc.addMember(re)
 		return
 	}
 	rl.SendUsage(link.UsageToWire(re, re.Source, nd.cf.Domain, nd.nextStamp()), urgent)
 }
 
-// linkedRelay returns the peer of the failure domain that this daemon has opened a link to, or nil if
-// there is none. Of several it is always the same one, a relay if possible: counts reported to two
-// relays would be added up.
-func (nd *Node) linkedRelay() (rl *link.Peer) {
-	better := func(a, b *link.Peer) bool {
-		return b == nil || a.Relay && !b.Relay || a.Relay == b.Relay && a.Record.VM < b.Record.VM
-	}
-	nd.eachPeer(func(pr *link.Peer) {
-		if pr.Outgoing && pr.Record.Domain == nd.cf.Domain && better(pr, rl) {
+// linkedRelay returns the peer of the failure domain that this daemon has opened a link to and that
+// counts its requests, or nil if there is none. Of several relays it is always the same one: counts
+// reported to two would be added up.
+func (qc *quotaController) linkedRelay() (rl *link.Peer) {
+	qc.nd.eachPeer(func(pr *link.Peer) {
+		if pr.Outgoing && pr.Relay && pr.Record.Domain == qc.nd.cf.Domain && (rl == nil || pr.Record.VM < rl.Record.VM) {
 			rl = pr
 		}
 	})
+	if rl == nil && qc.nd.Board.Directive.Get().IsValid(time.Now()) {
+		return qc.directiveFrom.Load()
+	}
 	return rl
 }
 
+// futureRelay returns the VM that counts for a member of the failure domain before there are relays,
+// given the records of the daemons that will be relays.
+func futureRelay(chosen []*member.Record, vm string) string {
+	for _, rc := range relay.Order(chosen, vm) {
+		if rc.VM != vm {
+			return rc.VM
+		}
+	}
+	return ""
+}
+
+// countsFor returns a function that reports whether this daemon counts for a peer.
+func (qc *quotaController) countsFor() func(pr *link.Peer) bool {
+	nd := qc.nd
+	isMember := func(pr *link.Peer) bool { return !pr.Relay && pr.Record.Domain == nd.cf.Domain }
+	if nd.isRelay() {
+		return isMember
+	}
+	chosen := nd.linker.chosenRelays()
+	return func(pr *link.Peer) bool {
+		isChosen := slices.ContainsFunc(chosen, func(rc *member.Record) bool { return rc.VM == pr.Record.VM })
+		return isMember(pr) && !pr.Outgoing && !isChosen && futureRelay(chosen, pr.Record.VM) == nd.cf.VM
+	}
+}
+
 // addMember records the report of a member and adds it to this relay's sums.
 func (qc *quotaController) addMember(re ledger.Report) {
 	for _, us := range qc.ledger.Add(re, time.Now()) {
@@ -207,7 +265,7 @@
 // are forwarded within the local failure domain.
 func (qc *quotaController) handle(ru receivedUsage) {
 	nd := qc.nd
-	if !nd.isRelay() || ru.us.Process == nd.Board.Self.Get().Process() {
+	if !qc.counts || ru.us.Process == nd.Board.Self.Get().Process() {
 		return
 	}
 	re := link.UsageFromWire(ru.us)
@@ -227,20 +285,23 @@
 // members.
 func (qc *quotaController) decide(urgent bool) {
 	nd, now := qc.nd, time.Now()
-	if !nd.isRelay() {
+	if !qc.counts {
 		return
 	}
+	countsFor := qc.countsFor()
 	process := nd.Board.Self.Get().Process()
-	re := ledger.Report{Source: link.SumSource(process), Outlets: qc.covered(now)}
+	re := ledger.Report{Source: link.SumSource(process), Outlets: qc.covered(countsFor, now)}
 	for tenant, sum := range qc.sums {
 		if last := qc.reported[tenant]; sum != last {
 			re.Usage = append(re.Usage, admit.Usage{Tenant: tenant, Counts: sum, LastReported: last})
 			qc.reported[tenant] = sum
 		}
 	}
+	// Before there are relays, each daemon that counts keeps its members within their own part of a
+	// limit, and what they used of it does not concern the others.
 	us := link.UsageToWire(re, process, nd.cf.Domain, nd.nextStamp())
 	nd.eachPeer(func(pr *link.Peer) {
-		if pr.Relay {
+		if pr.Relay && nd.isRelay() {
 			pr.SendUsage(us, urgent)
 		}
 	})
@@ -248,7 +309,7 @@
 	qc.ledger.Add(ledger.Report{Source: re.Source, Outlets: re.Outlets}, now)
 	outlets := qc.population(now)
 	covered := min(1, float64(qc.ledger.Outlets(now))/float64(outlets))
-	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < learnTime, Shares: qc.ledger.Shares(qc.limit, covered, now)}
+	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < qc.learnTime(now), Shares: qc.ledger.Shares(qc.limit, covered, now)}
 	nd.Board.Directive.Set(di)
 	nd.Board.TenantUse.Set(&board.TenantUse{Outlets: outlets, Reporting: qc.ledger.Outlets(now), Uses: qc.ledger.Uses(qc.limit, di.Shares, now)})
 	if len(di.Shares) == 0 && !qc.sentShares && now.Sub(qc.sentAt) < directiveInterval-ledger.ReportInterval/2 {
@@ -257,17 +318,33 @@
 	qc.sentAt, qc.sentShares = now, len(di.Shares) > 0
 	pb := link.DirectiveToWire(di)
 	nd.eachPeer(func(pr *link.Peer) {
-		if !pr.Relay && pr.Record.Domain == nd.cf.Domain {
+		if countsFor(pr) {
 			pr.UpdateNext(func(pk *wirepb.Packet) { pk.Directive = pb })
 		}
 	})
 }
 
-// covered returns how many outlets report to this relay, its own included.
-func (qc *quotaController) covered(now time.Time) int {
+// learnTime returns how long this daemon collects reports before its members rely on it.
+func (qc *quotaController) learnTime(now time.Time) time.Duration {
+	young, old := 0, 0
+	qc.nd.eachPeer(func(pr *link.Peer) {
+		if now.Sub(pr.RunningSince) <= startPeriod {
+			young++
+		} else {
+			old++
+		}
+	})
+	if now.Sub(qc.nd.started) <= startPeriod && young > old {
+		return startLearnTime
+	}
+	return learnTime
+}
+
+// covered returns how many outlets report to this daemon, its own included.
+func (qc *quotaController) covered(countsFor func(*link.Peer) bool, now time.Time) int {
 	n := 1
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if !pr.Relay && !pr.Outgoing && pr.Record.Domain == qc.nd.cf.Domain && now.Sub(pr.LastHeard()) <= coveredAfter {
+		if countsFor(pr) && !pr.Outgoing && now.Sub(pr.LastHeard()) <= coveredAfter {
 			n++
 		}
 	})
@@ -308,9 +385,28 @@
 	return max(1, sum)
 }
 
+// countOutlets publishes how many outlets the mesh has, once that is settled. A process that starts
+// knows none of the others at first, and would take the whole of each limit for its own.
+func (qc *quotaController) countOutlets() {
+	nd, now := qc.nd, time.Now()
+	n := qc.population(now)
+	if float64(n) > outletsGrowth*float64(qc.outlets) || !nd.linker.membersKnown() {
+		qc.outlets, qc.outletsSince = n, now
+		return
+	}
+	if cur := nd.Board.Outlets.Get(); now.Sub(qc.outletsSince) >= outletsSettleTime && (cur == nil || *cur != n) {
+		nd.Board.Outlets.Set(&n)
+	}
+}
+
 // handleDirective follows the directive of this daemon's relay.
 func (nd *Node) handleDirective(from *link.Peer, pb *wirepb.Directive, now time.Time) {
-	if from.Outgoing && from.Record.Domain == nd.cf.Domain && !nd.isRelay() {
-		nd.Board.Directive.Set(link.DirectiveFromWire(pb, now))
+	if !from.Outgoing || from.Record.Domain != nd.cf.Domain || nd.quota.counting() {
+		return
+	}
+	if !from.Relay && futureRelay(nd.linker.chosenRelays(), nd.cf.VM) != from.Record.VM {
+		return
 	}
+	nd.quota.directiveFrom.Store(from)
+	nd.Board.Directive.Set(link.DirectiveFromWire(pb, now))
 }
--- a/internal/mesh/ctrl/quota_scale_test.go
+++ b/internal/mesh/ctrl/quota_scale_test.go
@@ -16,6 +16,7 @@
 	main := []test{
 		{"flood", TestQuotaFlood}, {"small tenant", TestQuotaSmallTenant}, {"moving tenant", TestQuotaMovingTenant},
 		{"partition", TestQuotaPartition}, {"all killed", TestQuotaAllKilled},
+		{"restart bound", TestQuotaRestartBound}, {"restart below limits", TestQuotaRestartBelowLimits},
 	}
 	others := []test{
 		{"changed limit", TestQuotaChangedLimit}, {"isolated outlets", TestQuotaIsolatedOutlets}, {"relays killed", TestQuotaRelaysKilled},
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -131,8 +131,9 @@
 		src = dm.adapter.Source(se.Domains)
 	}
 	quota := admit.New(func() *admit.Directive { return dm.Node.Board.Directive.Get() })
+	quota.Outlets, quota.Tolerance = dm.outlets, se.QuotaTolerance
 	dm.Node = ctrl.New(ctrl.Config{
-		Quota:  ctrl.Quota{Usage: quota.Usage, Due: quota.Due, Spare: se.QuotaSpare},
+		Quota:  ctrl.Quota{Usage: quota.Usage, Due: quota.Due, Tolerance: se.QuotaTolerance},
 		Source: src,
 		VM:     se.VM, Domain: se.Domain, Control: se.Control, Inlet: se.Inlet, Seeds: se.Seeds, Token: se.Token, Capacity: uint32(se.LinkRate / 1e6),
 		Store: dm.guard.Store(), OnNewEpoch: dm.guard.ResetBreaker, Counts: dm.counts, FirstStart: se.FirstStart, Log: dm.log, Dial: dm.controlBytes.Dialer(dialer.Dial), Drain: dm.Drain,
@@ -153,6 +154,14 @@
 	return dm
 }
 
+// outlets returns the number of outlets of the mesh, 0 as long as it is unknown.
+func (dm *Daemon) outlets() int {
+	if n := dm.Node.Board.Outlets.Get(); n != nil {
+		return *n
+	}
+	return 0
+}
+
 func (dm *Daemon) openStore() store.Store {
 	if dm.adapter.Store != nil {
 		return dm.adapter.Store(dm.se.Platform)
--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -18,6 +18,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/strict"
 	"github.com/flamingomast/flamingomast/internal/path/retry"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
 )
 
 // EnvPrefix is the prefix of the environment variables: the setting failure-domain is read from
@@ -64,8 +65,8 @@
 	FirstStart bool
 	// RetryBound limits the retries of all daemons together, per service.
 	RetryBound retry.Bound
-	// QuotaSpare is how many requests beyond its burst a tenant may send after a pause.
-	QuotaSpare float64
+	// QuotaTolerance is by how much all daemons together may exceed the limit of a tenant.
+	QuotaTolerance admit.Tolerance
 }
 
 // String returns the settings without secrets.
@@ -90,7 +91,8 @@
 	logSample                                 string
 	drainTimeout                              string
 	memoryMB, linkMbps                        string
-	retryRatio, retrySpare, quotaSpare        string
+	retryRatio, retrySpare                    string
+	quotaSpare, quotaOverage, quotaWindow     string
 	firstStart                                string
 }
 
@@ -119,7 +121,9 @@
 	fs.StringVar(&rw.linkMbps, "link-mbps", "0", "rate of the VM's network link in Mbit/s, used to pace large responses; 0 for no pacing")
 	fs.StringVar(&rw.retryRatio, "retry-ratio", "", "retries allowed per request of a service, over all daemons; 0.2 unless set, 0 for none")
 	fs.StringVar(&rw.retrySpare, "retry-spare", "", "additional retries of a service that all daemons together may send within a few seconds; 50 unless set")
-	fs.StringVar(&rw.quotaSpare, "quota-spare", "", "requests beyond its burst that all daemons together may admit of a tenant after a pause; 0 unless set")
+	fs.StringVar(&rw.quotaSpare, "quota-spare", "", "requests beyond its limit that all daemons together may admit of a tenant in each window; 0 unless set")
+	fs.StringVar(&rw.quotaOverage, "quota-overage", "", "share of its limit that all daemons together may admit of a tenant in addition in each window; 0 unless set")
+	fs.StringVar(&rw.quotaWindow, "quota-window", "", "length of the windows over which the admitted requests of a tenant are counted; 0 unless set")
 	fs.StringVar(&rw.firstStart, "first-start", "false", "true while the whole mesh starts for the first time, so that nothing has to be read from the platform; false at every later start")
 	fs.String("config", "", "YAML file with any of these settings")
 }
@@ -323,7 +327,7 @@
 	}
 	se.RetryBound.Ratio = rd.number("retry-ratio", rw.retryRatio, retry.Default.Ratio, 1)
 	se.RetryBound.Spare = rd.number("retry-spare", rw.retrySpare, retry.Default.Spare, maxRetrySpare)
-	se.QuotaSpare = rd.number("quota-spare", rw.quotaSpare, 0, maxQuotaSpare)
+	se.QuotaTolerance = rd.tolerance(rw)
 	se.DrainTimeout, err = time.ParseDuration(rw.drainTimeout)
 	if err != nil || se.DrainTimeout < 0 {
 		rd.addProblem("drain-timeout", fmt.Sprintf("drain-timeout is %q", rw.drainTimeout), "set it to a duration such as 30s")
@@ -337,6 +341,28 @@
 // maxQuotaSpare is the highest accepted quota-spare.
 const maxQuotaSpare = 1_000_000
 
+// maxQuotaOverage and maxQuotaWindow are the highest accepted quota-overage and quota-window.
+const (
+	maxQuotaOverage = 1
+	maxQuotaWindow  = time.Minute
+)
+
+// tolerance reads by how much limits of tenants may be exceeded.
+func (rd *Reader) tolerance(rw *rawSettings) (to admit.Tolerance) {
+	to.Spare = rd.number("quota-spare", rw.quotaSpare, 0, maxQuotaSpare)
+	to.Overage = rd.number("quota-overage", rw.quotaOverage, 0, maxQuotaOverage)
+	if rw.quotaWindow == "" {
+		return to
+	}
+	window, err := time.ParseDuration(rw.quotaWindow)
+	if err != nil || window < 0 || window > maxQuotaWindow {
+		rd.addProblem("quota-window", fmt.Sprintf("quota-window is %q", rw.quotaWindow), fmt.Sprintf("set it to a duration up to %s, such as 5s", maxQuotaWindow))
+		return to
+	}
+	to.Window = window
+	return to
+}
+
 // number parses a number from 0 to limit, or returns def if value is empty.
 func (rd *Reader) number(setting, value string, def, limit float64) float64 {
 	if value == "" {
--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -46,8 +47,8 @@
 	RetryAfter time.Duration
 }
 
-// isValid reports whether the directive is to be followed at now.
-func (di *Directive) isValid(now time.Time) bool {
+// IsValid reports whether the directive, which may be nil, is to be followed at now.
+func (di *Directive) IsValid(now time.Time) bool {
 	return di != nil && now.Sub(di.ReceivedAt) <= DirectiveTTL
 }
 
@@ -75,13 +76,19 @@
 	Due chan struct{}
 	// Directive returns the newest directive, nil if there was none. It is set before use.
 	Directive func() *Directive
-
-	tenants atomic.Pointer[map[string]*tenant]
+	// Outlets returns the number of outlets of the mesh, 0 as long as it is unknown. It is used
+	// before the first directive, and set before use.
+	Outlets func() int
+	// Tolerance is by how much limits may be exceeded. It is set before use.
+	Tolerance Tolerance
+
+	startedAt time.Time
+	tenants   atomic.Pointer[map[string]*tenant]
 }
 
 // New returns a gate without tenants.
 func New(directive func() *Directive) *Gate {
-	return &Gate{Due: make(chan struct{}, 1), Directive: directive}
+	return &Gate{Due: make(chan struct{}, 1), Directive: directive, Outlets: func() int { return 0 }, startedAt: time.Now()}
 }
 
 // tenant is the state of a tenant. The limit changes only by Update, which makes a new tenant that
@@ -101,6 +108,9 @@
 	// shared limits what this outlet admits of the whole limit, alone what it admits without a
 	// directive.
 	shared, alone bucket
+	// start has what the outlet may admit in addition until the first directive that is not of a
+	// learning relay.
+	start startCredit
 }
 
 const creditUnit = 1 << 32
@@ -150,7 +160,7 @@
 	tn := (*tenants)[name]
 	tn.offered.Add(1)
 	di := ga.Directive()
-	de := tn.decide(name, di, now)
+	de := ga.decide(tn, name, di, now)
 	if !de.Admitted {
 		return de
 	}
@@ -177,7 +187,7 @@
 // directive, or -1 without one that is valid.
 func (ga *Gate) Share(name string, now time.Time) (share float64, age time.Duration) {
 	di := ga.Directive()
-	if !di.isValid(now) {
+	if !di.IsValid(now) {
 		return 1 / float64(di.outlets()), -1
 	}
 	if sh, ok := di.Shares[name]; ok {
@@ -193,15 +203,11 @@
 	return max(1, di.Outlets)
 }
 
-func (tn *tenant) decide(name string, di *Directive, now time.Time) Decision {
-	if !di.isValid(now) || di.Learning {
-		part := tn.Limit.part(di.outlets())
-		tn.alone.shorten(part, now)
-		de := tn.alone.take(part, now)
-		// By then a directive may have come.
-		de.RetryAfter = min(de.RetryAfter, DirectiveTTL)
-		return de
+func (ga *Gate) decide(tn *tenant, name string, di *Directive, now time.Time) Decision {
+	if !di.IsValid(now) || di.Learning {
+		return ga.decideAlone(tn, di, now)
 	}
+	tn.start.close()
 	sh, limited := di.Shares[name]
 	tn.alone.prepare(tn.Limit.part(di.outlets()), limited, now)
 	if limited {
@@ -213,6 +219,37 @@
 	return tn.shared.take(tn.Limit, now)
 }
 
+// decideAlone decides on a request without a directive, or with one of a relay that learns: the outlet
+// admits its own part of the limit.
+func (ga *Gate) decideAlone(tn *tenant, di *Directive, now time.Time) Decision {
+	outlets := di.outlets()
+	if di == nil {
+		if n := ga.Outlets(); n > 0 {
+			outlets = n
+		}
+	}
+	part := tn.Limit.part(outlets)
+	if age := now.Sub(ga.startedAt); outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
+		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + part.Rate*age.Seconds()
+		whole := math.Floor(credit)
+		// The fractions of all outlets add up, since each draws its own phase.
+		level := credit - whole + rand.Float64()
+		if level >= 1 {
+			whole, level = whole+1, level-1
+		}
+		tn.start.left.Add(int64(whole))
+		tn.alone.setLevel(part, level, now)
+	}
+	tn.alone.shorten(part, now)
+	de := tn.alone.take(part, now)
+	if !de.Admitted && tn.start.take() {
+		return Decision{Admitted: true}
+	}
+	// By then a directive may have come.
+	de.RetryAfter = min(de.RetryAfter, DirectiveTTL)
+	return de
+}
+
 // due returns after how many admitted requests a report is sent at once.
 func (tn *tenant) due(outlets int) int64 {
 	return max(minDue, int64((tn.Rate+tn.Burst)/float64(outlets)/dueDivisor))
@@ -272,6 +309,11 @@
 	bu.fullAt.Store(mono.Nanos(now) + int64(li.refill()))
 }
 
+// setLevel sets how many requests are available, less than the capacity.
+func (bu *bucket) setLevel(li Limit, level float64, now time.Time) {
+	bu.fullAt.Store(mono.Nanos(now) + int64(float64(li.refill())-level*float64(li.interval())))
+}
+
 // convert changes the limit of the bucket. What was taken from it stays taken.
 func (bu *bucket) convert(from, to Limit, now time.Time) {
 	at := mono.Nanos(now)
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -118,6 +119,52 @@
 	})
 }
 
+// TestStartCredit guards against outlets that start together, and know how many they are, admitting
+// more than the tolerance allows, or refusing most requests of a tenant below its limit.
+func TestStartCredit(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		outlets int
+		limit   Limit
+		// offered is the multiple of its rate that the tenant sends.
+		offered float64
+		low     float64
+	}{
+		{"small tenant below its limit", 68, Limit{Rate: 5, Burst: 5}, 0.6, 0},
+		{"small tenant above its limit", 68, Limit{Rate: 5, Burst: 5}, 8, 0},
+		{"large tenant below its limit", 68, Limit{Rate: 300, Burst: 300}, 0.6, 0.8},
+		{"large tenant above its limit", 300, Limit{Rate: 300, Burst: 300}, 8, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var gates []*Gate
+				for range tc.outlets {
+					ga, _ := newTestGate(tc.limit)
+					ga.Outlets = func() int { return tc.outlets }
+					ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
+					gates = append(gates, ga)
+				}
+				offered, admitted := 0, 0
+				rnd := rand.New(rand.NewPCG(1, 2))
+				for due, ms := 0.0, 0; ms < 1000; ms++ {
+					for due += tc.limit.Rate * tc.offered / 1000; due >= 1; due-- {
+						offered++
+						if gates[rnd.IntN(len(gates))].Admit(tenantName, time.Now()).Admitted {
+							admitted++
+						}
+					}
+					time.Sleep(time.Millisecond)
+				}
+				bound := tc.limit.Rate + 0.1*(5*tc.limit.Rate+tc.limit.Burst) + 20
+				t.Logf("%d of %d requests admitted", admitted, offered)
+				if float64(admitted) > bound || float64(admitted) < tc.low*float64(offered) {
+					t.Errorf("%d of %d requests admitted, want %.0f at most and %.2f at least", admitted, offered, bound, tc.low)
+				}
+			})
+		})
+	}
+}
+
 // TestChangedLimit guards against a raised limit that is not used because of what was taken under
 // the lower one, and against a lowered one that is refilled.
 func TestChangedLimit(t *testing.T) {
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -23,6 +23,9 @@
 	// minRetryAfter and maxRetryAfter bound when refused callers are asked to retry.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 10 * time.Second
+	// spareDivisor gives the part of the spare, as one in so many, by which the burst of a tenant is
+	// exceeded. The remainder is for what outlets admit before reports arrive.
+	spareDivisor = 2
 	// forgetAfter is how long a tenant without requests is remembered.
 	forgetAfter = 30 * time.Second
 	// Use is urgent, that is, not left to the next regular report, if it exceeds urgentFactor times
@@ -35,8 +38,8 @@
 // Ledger holds what is known of the tenants' use and of the relays that report it. The zero value
 // is empty. It is not safe for concurrent use.
 type Ledger struct {
-	// Spare is how many requests beyond its burst a tenant may send after a pause.
-	Spare float64
+	// Tolerance is by how much limits may be exceeded. A part of its Spare is added to each burst.
+	Tolerance admit.Tolerance
 	// Since is the time from which the reports are complete. What was used before is unknown.
 	Since time.Time
 
@@ -167,7 +170,7 @@
 			continue
 		}
 		rate := li.Rate * covered
-		ac.settle(rate, (li.Burst+le.Spare)*covered, now)
+		ac.settle(rate, (li.Burst+le.Tolerance.Spare/spareDivisor)*covered, now)
 		allowed := max(0, rate+ac.level/settleTime.Seconds())
 		ac.expected = min(demand, allowed)
 		if demand <= allowed {
