path/inlet: attribute a crash to the instance that ran the request

Where a listening socket outlives its server, a request that is sent after a crash waits in the backlog and is run by the next instance. It was recorded with the instance it had been sent to. When the next instance crashed under it, the report carried the ID of the crash that was known already, so all daemons dropped it as a duplicate, and the request crashed one or more servers beyond the limit.

Found with log lines of servers, inlets and senders in a failing run of TestRequestEndsServers/streams_its_body/its_socket_outlives_it (1 of 4 with the race detector): a request waited 2.0 s, crashed start 2 of a server at 16.498 s, and backend-server-ended named the lifetime of start 1 for it. The first three crashes counted as two, and up to six servers were sent the request before the next restart showed a crash.

The crash detector now remembers the last instance that crashed while its address accepted connections, and when. A request of that instance that began later is taken for one of the current instance; if its connection broke before the next instance was known, it stays as evidence against that one. An announcement by the same instance discards the memory.

--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// attribute replaces the target of a request that broke off by cur, the current one, if its own
+// target crashed before the request began: it waited in the backlog of a socket that outlived the
+// crashed instance, and a later one ran it. It returns the request's target.
+func (cd *crashDetector) attribute(rr *runningRequest, cur *Target) *Target {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	if cur != nil && cur.Addr != "" && cd.beganAfterCrash(&rr.target, rr.startedAt) {
+		rr.target = *cur
+	}
+	tg := rr.target
+	return &tg
+}
+
+// beganAfterCrash reports whether a request that began at startedAt cannot have run on the given
+// instance, because that one had crashed. cd.mu must be held.
+func (cd *crashDetector) beganAfterCrash(tg *Target, startedAt time.Time) bool {
+	return !cd.lastCrashAt.IsZero() && cd.lastCrash.sameInstance(tg) && startedAt.After(cd.lastCrashAt)
+}
+
+// noteCrash records the last instance that crashed while its socket accepted connections, and when
+// the last of its requests broke off. cd.mu must be held.
+func (cd *crashDetector) noteCrash(tg *Target, at time.Time) {
+	if tg.Lifetime == "" {
+		// The next instance cannot be told from this one.
+		return
+	}
+	if !cd.lastCrash.sameInstance(tg) || at.After(cd.lastCrashAt) {
+		cd.lastCrash, cd.lastCrashAt = *tg, at
+	}
+}
+
 // takeBrokenTogether returns and removes the requests that a server was running when it crashed. It
 // returns none if the server did not crash or if that is not known yet. Counted are requests that
 // ran concurrently and broke off within maxCrashSpan; if the server still runs another request from
@@ -98,27 +129,38 @@
 		}
 	}
 	concurrent := func(br brokenRequest) bool { return recent(br) && !br.startedAt.After(oldestAt) }
+	var lastAt time.Time
 	for _, br := range cd.broken {
 		if concurrent(br) {
-			ids = append(ids, br.id)
+			ids, lastAt = append(ids, br.id), br.brokenAt
 		}
 	}
 	if len(ids) < minBrokenTogether {
 		return nil
 	}
+	cd.noteCrash(tg, lastAt)
 	cd.broken = slices.DeleteFunc(cd.broken, concurrent)
 	return ids
 }
 
 // takeEarlierInstances removes the broken requests of all instances of the server but the current
-// one, and returns those that broke off within brokenTTL, by instance. It does nothing if the current
-// server reports no lifetime.
+// one, and returns those that broke off within brokenTTL, by instance. Requests that began after
+// their instance had crashed are kept as requests of the current one. It does nothing if the
+// current server reports no lifetime.
 func (cd *crashDetector) takeEarlierInstances(tg *Target, now time.Time) map[Target][]requestID {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	var broken map[Target][]requestID
+	if tg.Lifetime == "" {
+		return nil
+	}
+	for i := range cd.broken {
+		if br := &cd.broken[i]; cd.beganAfterCrash(&br.target, br.startedAt) {
+			br.target = *tg
+		}
+	}
 	cd.broken = slices.DeleteFunc(cd.broken, func(br brokenRequest) bool {
-		if tg.Lifetime == "" || br.target.sameInstance(tg) {
+		if br.target.sameInstance(tg) {
 			return false
 		}
 		if now.Sub(br.brokenAt) < brokenTTL && br.target.Lifetime != "" {
@@ -126,16 +168,20 @@
 				broken = map[Target][]requestID{}
 			}
 			broken[br.target] = append(broken[br.target], br.id)
+			cd.noteCrash(&br.target, br.brokenAt)
 		}
 		return true
 	})
 	return broken
 }
 
-// confirmAlive removes the broken requests that the server has survived.
-func (cd *crashDetector) confirmAlive(now time.Time) {
+// confirmAlive removes the broken requests that the server has survived. tg is the current target.
+func (cd *crashDetector) confirmAlive(tg *Target, now time.Time) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
+	if tg != nil && cd.lastCrash.sameInstance(tg) && now.Sub(cd.lastCrashAt) > crashSettleTime {
+		cd.lastCrashAt = time.Time{}
+	}
 	cd.broken = slices.DeleteFunc(cd.broken, func(br brokenRequest) bool { return now.Sub(br.brokenAt) > crashSettleTime })
 }
 
@@ -155,7 +201,7 @@
 }
 
 // ServerAnnounced records that the current instance of the backend server announced itself again.
-func (in *Inlet) ServerAnnounced() { in.crashes.confirmAlive(time.Now()) }
+func (in *Inlet) ServerAnnounced() { in.crashes.confirmAlive(in.target.Load(), time.Now()) }
 
 // ServerLeaving records that the backend server is draining or was withdrawn.
 func (in *Inlet) ServerLeaving() {
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -48,6 +48,10 @@
 	broken  []brokenRequest
 	// leaving is the last instance that announced its withdrawal.
 	leaving Target
+	// lastCrash is the last instance that crashed while its address accepted connections, and
+	// lastCrashAt is when; zero if there is none or if the instance proved to be alive.
+	lastCrash   Target
+	lastCrashAt time.Time
 }
 
 // abandonedRequest is a request that its outlet gave up on.
@@ -131,7 +135,7 @@
 // the requests that the server was running. A server that merely closed a connection still accepts
 // new ones; a server that is draining did not crash.
 func (in *Inlet) recordCrash(r *http.Request, pr *ident.PrefixReader, rr *runningRequest, rf *result.Refusal) {
-	tg := &rr.target
+	tg := in.crashes.attribute(rr, in.target.Load())
 	gaveUp := rf.Reason == result.ReasonCallerGone || rf.Reason == result.ReasonDeadlinePassed
 	switch {
 	case rf.Outcome == result.MayHaveRun && gaveUp:
