path/inlet: an answer from the backlog is no evidence against a crash

A request is sent on a new connection just before the inlet sees that others broke off. If the socket outlives the server, it waits in the backlog and is answered by the next instance, possibly before that instance has announced itself. The answer discarded the evidence of the crash, since the request had begun before the others broke off.

An answer now counts only on a connection that the server is known to have held when the others broke off: one on which it had answered an earlier request, or one on which the header of this answer had arrived by then.

TestAnswerFromBacklog was seen to fail before (0 crashes reported, want 1). TestAnswerOnKeptConnection passes before and after; it guards the other side. The row "a concurrent request keeps running" of TestCrashEvidence now says that the server holds the connection of that request; it checks as much as before.

--- a/internal/path/inlet/backlog_test.go
+++ b/internal/path/inlet/backlog_test.go
@@ -15,6 +15,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 )
 
 // pastSettleTime exceeds the time in which the inlet waits for further connections of a crashed
@@ -119,6 +120,60 @@
 	return n
 }
 
+// TestAnswerFromBacklog guards against the evidence of a crash being discarded because of an answer
+// by the next instance: a request that waited in the backlog of a socket which outlives the server
+// began before the crash was seen, and is answered before the next instance has announced itself.
+func TestAnswerFromBacklog(t *testing.T) {
+	bs := newBacklogServer(t)
+	poisonStatus := bs.send("/deadly", 1)
+	cn, _, _ := bs.accept()
+	waiting := bs.send("/well", 2)
+	cn.Close()
+	if got := <-poisonStatus; got != http.StatusBadGateway {
+		t.Fatalf("the request under which the server crashed got %d, want 502", got)
+	}
+	time.Sleep(pastSettleTime)
+	// The next instance answers what waited, then announces itself.
+	next, _, req := bs.accept()
+	faulty.RespondOK(next, 1, req)
+	if got := <-waiting; got != http.StatusOK {
+		t.Fatalf("the request that waited got %d, want 200", got)
+	}
+	bs.announce("i-2")
+	if got := len(bs.crashes()); got != 1 {
+		t.Errorf("%d crashes reported, want 1", got)
+	}
+}
+
+// TestAnswerOnKeptConnection guards against requests being blamed for a crash although their server
+// answered, on a connection that it had from before, after they had broken off.
+func TestAnswerOnKeptConnection(t *testing.T) {
+	bs := newBacklogServer(t)
+	first := bs.send("/well", 1)
+	kept, br, req := bs.accept()
+	faulty.RespondOK(kept, 1, req)
+	if got := <-first; got != http.StatusOK {
+		t.Fatalf("the first request got %d, want 200", got)
+	}
+	running := bs.send("/well", 1)
+	req = bs.read(br)
+	broken := bs.send("/broken", 2)
+	cn, _, _ := bs.accept()
+	cn.Close()
+	if got := <-broken; got != http.StatusBadGateway {
+		t.Fatalf("the request whose connection broke got %d, want 502", got)
+	}
+	time.Sleep(pastSettleTime)
+	faulty.RespondOK(kept, 2, req)
+	if got := <-running; got != http.StatusOK {
+		t.Fatalf("the running request got %d, want 200", got)
+	}
+	bs.announce("i-2")
+	if got := bs.crashes(); len(got) != 0 {
+		t.Errorf("crashes reported: %v, want none", got)
+	}
+}
+
 // TestCrashFromBacklog guards against the second of two crashes being taken for the first one: a
 // request that waited in the backlog of a socket which outlives the server is run by the next
 // instance, and was sent to the previous one.
--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -25,6 +25,10 @@
 type runningRequest struct {
 	target    Target
 	startedAt time.Time
+	// heldAt is when the server was first known to hold the request's connection; zero while the
+	// connection may wait in the backlog of its socket, which may outlive the server. Only the
+	// request's own goroutine uses it.
+	heldAt time.Time
 }
 
 // brokenRequest is a request whose connection broke although the server accepts others.
@@ -54,7 +58,8 @@
 }
 
 // finish records that a request was answered or failed; it may be called twice. A server that
-// answers a request which it was already running when others broke off has not crashed.
+// answers on a connection which it already held when other requests broke off has not crashed. An
+// answer on any other connection may be from the next instance.
 func (cd *crashDetector) finish(rr *runningRequest, answered bool) {
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
@@ -64,7 +69,7 @@
 	}
 	now := time.Now()
 	cd.broken = slices.DeleteFunc(cd.broken, func(br brokenRequest) bool {
-		return br.target.sameInstance(&rr.target) && !rr.startedAt.After(br.brokenAt) && now.Sub(br.brokenAt) > crashSettleTime
+		return br.target.sameInstance(&rr.target) && !rr.heldAt.IsZero() && !rr.heldAt.After(br.brokenAt) && now.Sub(br.brokenAt) > crashSettleTime
 	})
 }
 
--- a/internal/path/inlet/broken_test.go
+++ b/internal/path/inlet/broken_test.go
@@ -47,6 +47,7 @@
 		}, 4},
 		{"a concurrent request keeps running", func(in *Inlet) {
 			a, b, c := begin(in), begin(in), begin(in)
+			c.heldAt = c.startedAt
 			interrupt(in, a, 1)
 			interrupt(in, b, 2)
 			time.Sleep(time.Second)
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -303,6 +303,10 @@
 		return
 	}
 	defer at.Response.Body.Close()
+	rr.heldAt = time.Now()
+	if at.Reused() {
+		rr.heldAt = rr.startedAt
+	}
 	if rf := in.checkForeign(r, at.Response); rf != nil {
 		at.Discard()
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -170,6 +170,12 @@
 	return result.MayHaveRun, result.ReasonConnectionBroken
 }
 
+// Reused reports whether the next hop had answered an earlier request on the attempt's connection.
+func (at *Attempt) Reused() bool {
+	_, writtenBefore := at.connection()
+	return writtenBefore > 0
+}
+
 // Discard closes the connection of an attempt whose response is not used, so that the rest of it
 // cannot be taken for another response.
 func (at *Attempt) Discard() {
