internal/node/soak: reload a daemon only once it handles signals

On a busy one the drain takes up to its limit of 6 s, and the process that was started at about 10.3 s gets SIGHUP before it has set up its signal handling, which ends it. vm-3 has the only server of the called service, so no VM serves requests afterwards, and seven waits of 20 s run out: 167 s in place of 19.

Ruled out by reading: a daemon that is reloaded while it drains (its handler stays until the process ends), and a port taken by another process (the addresses belong to the process, below the ports of outgoing connections).

The step now waits until the process has printed its first line. Its check (no process exits by itself) is unchanged.

--- a/internal/node/soak/fleet.go
+++ b/internal/node/soak/fleet.go
@@ -344,7 +344,8 @@
 		if err := fl.writeSettings(v); err != nil {
 			return err
 		}
-		fl.daemonOf(v).signal(syscall.SIGHUP)
+		pr := fl.daemonOf(v)
+		fl.wg.Go(func() { pr.reload(ctx) })
 	case PauseDaemon:
 		fl.pause(fl.daemonOf(v), st.Duration, fl.stops.beginFault())
 	case PausePlatform:
--- a/internal/node/soak/proc.go
+++ b/internal/node/soak/proc.go
@@ -14,8 +14,9 @@
 
 // proc is a process that a launcher started.
 type proc struct {
-	cmd  *exec.Cmd
-	done chan struct{}
+	cmd *exec.Cmd
+	// printed is closed once the process has printed a line, done once it has exited.
+	printed, done chan struct{}
 }
 
 // launcher starts processes of one executable and logs their output to files in a directory.
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pr := &proc{cmd: exec.CommandContext(la.ctx, la.binary, args...), done: make(chan struct{})}
+	pr := &proc{cmd: exec.CommandContext(la.ctx, la.binary, args...), printed: make(chan struct{}), done: make(chan struct{})}
 	pr.cmd.Stderr = log
 	out, err := pr.cmd.StdoutPipe()
 	if err != nil {
@@ -51,7 +52,10 @@
 		defer close(pr.done)
 		defer log.Close()
 		sc := bufio.NewScanner(io.TeeReader(out, log))
-		for sc.Scan() {
+		for first := true; sc.Scan(); first = false {
+			if first {
+				close(pr.printed)
+			}
 			if onLine != nil {
 				onLine(sc.Text())
 			}
@@ -66,6 +70,17 @@
 // signal sends a signal. It has no effect on a process that has exited.
 func (pr *proc) signal(sig syscall.Signal) { _ = pr.cmd.Process.Signal(sig) }
 
+// reload makes the process reload its settings. It waits until the process has printed a line: before
+// a process has set up its signal handling, SIGHUP ends it.
+func (pr *proc) reload(ctx context.Context) {
+	select {
+	case <-pr.printed:
+		pr.signal(syscall.SIGHUP)
+	case <-pr.done:
+	case <-ctx.Done():
+	}
+}
+
 // terminate sends a signal and waits until the process has exited.
 func (pr *proc) terminate(sig syscall.Signal) {
 	pr.signal(sig)
