internal/node/daemon: a long drain timeout in TestServerCallsWhileStopping

Callers are given 2 s to leave, and the test lets its server call 0.4 s after that: a goroutine that is 0.4 s late finds the outlet closed.

The test now has a drain timeout and a deadline of one minute, so that the limit is out of reach, and calls 0.1 s after the inlet's drain instead of 0.4 s after the record. It does not wait for the minute.

--- a/internal/node/daemon/keepalive_test.go
+++ b/internal/node/daemon/keepalive_test.go
@@ -24,6 +24,8 @@
 	serviceTime   = 350 * time.Millisecond
 	// idlePause exceeds the deadline.
 	idlePause = 700 * time.Millisecond
+	// drainTimeout lets a stopping daemon end what runs.
+	drainTimeout = 6 * time.Second
 )
 
 // singleServer is a daemon with a backend server.
@@ -40,7 +42,7 @@
 	}
 }
 
-func newSingleServer(t *testing.T, deadline time.Duration, handler http.HandlerFunc) *singleServer {
+func newSingleServer(t *testing.T, deadline, drainTimeout time.Duration, handler http.HandlerFunc) *singleServer {
 	t.Helper()
 	hs := httptest.NewServer(handler)
 	t.Cleanup(hs.Close)
@@ -48,7 +50,7 @@
 	ms := mesh(8)
 	ms.Routes = []decl.Route{{Name: "r", Match: decl.Match{Host: "booking"}, To: []decl.Target{{Service: "booking", Weight: 1}}, Deadline: decl.Duration(deadline), Repeat: decl.RepeatNever}}
 	apply(t, kv, 0, ms)
-	se := setup.Settings{VM: "vm-0", Domain: "d", Outlet: freeAddr(t), Inlet: freeAddr(t), Control: freeAddr(t), Admin: freeAddr(t), DrainTimeout: 6 * time.Second}
+	se := setup.Settings{VM: "vm-0", Domain: "d", Outlet: freeAddr(t), Inlet: freeAddr(t), Control: freeAddr(t), Admin: freeAddr(t), DrainTimeout: drainTimeout}
 	dm := New(se, Options{Store: &kv})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
@@ -87,7 +89,7 @@
 			}
 			t.Run(name, func(t *testing.T) {
 				t.Parallel()
-				ss := newSingleServer(t, routeDeadline, slowHandler)
+				ss := newSingleServer(t, routeDeadline, drainTimeout, slowHandler)
 				tr := &http.Transport{MaxConnsPerHost: 1, Protocols: tc.ps}
 				defer tr.CloseIdleConnections()
 				send := func(when string) {
@@ -137,14 +139,20 @@
 		}
 		return res.StatusCode, res.Body.Close()
 	}
-	ss = newSingleServer(t, 5*time.Second, func(w http.ResponseWriter, r *http.Request) {
+	// The outlet waits for the server for half of the drain timeout at most. Both times are so long
+	// that a busy machine does not reach them; the test does not wait for them.
+	const longTime = time.Minute
+	ss = newSingleServer(t, longTime, longTime, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/calls" {
 			return
 		}
 		close(began)
 		<-ss.dm.draining
-		// By now callers have left, and the inlet accepts no requests.
-		<-time.After(inletGrace + 100*time.Millisecond)
+		for !ss.dm.Inlet.Gate.Draining() {
+			<-time.After(time.Millisecond)
+		}
+		// The inlet accepts no requests. An outlet that does not wait closes now.
+		<-time.After(100 * time.Millisecond)
 		// No server of the service remains, so the call is refused, not interrupted.
 		if status, err := get("/called"); err != nil || status != http.StatusServiceUnavailable {
 			w.WriteHeader(http.StatusInternalServerError)
@@ -169,7 +177,7 @@
 // it, which started earlier, closes the connection.
 func TestDrainAsNextBegins(t *testing.T) {
 	t.Parallel()
-	ss := newSingleServer(t, 5*time.Second, slowHandler)
+	ss := newSingleServer(t, 5*time.Second, drainTimeout, slowHandler)
 	sv := ss.dm.servers()
 	sv.front.MayRunEarly = func(r *http.Request) bool {
 		if r.URL.Path == "/last" {
