--- a/internal/path/inlet/broken_test.go
+++ b/internal/path/inlet/broken_test.go
@@ -91,6 +91,16 @@
 			in.ServerAnnounced()
 			in.SetTarget(target(second))
 		}, 0},
+		{"two break together while the server stays up, then one and a new instance", func(in *Inlet) {
+			a, b := begin(in), begin(in)
+			interrupt(in, a, 1)
+			interrupt(in, b, 2)
+			time.Sleep(time.Second)
+			in.ServerAnnounced()
+			interrupt(in, begin(in), 3)
+			time.Sleep(time.Second)
+			in.SetTarget(target(second))
+		}, 3},
 		{"one request, then a drain", func(in *Inlet) {
 			interrupt(in, begin(in), 1)
 			time.Sleep(time.Second)
