--- a/cmd/flamingomast/measure_test.go
+++ b/cmd/flamingomast/measure_test.go
@@ -21,6 +21,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/sample"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/stat/usage"
 )
 
@@ -299,7 +300,7 @@
 func bareHandler(to string) http.Handler {
 	fw := proxy.New(proxy.Options{})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		out := proxy.Outgoing(r.Context(), r, to)
+		out := proxy.Outgoing(r.Context(), r, to, result.TimeoutHeader)
 		out.Body = proxy.Body(nil)
 		at := fw.Do(out)
 		if at.Response == nil {
