path/outlet: ask a server with a rate limit before a request is refused

An outlet that was refused for a server's limit leaves the server alone for up to 5 s. If the limit is lifted meanwhile, it does not learn that, and refuses requests for want of slots at the other servers.

A refusal for want of slots is not replaced by the one of that server, which would tell the caller to return seconds later.

Weighed: shorter holds, which cost messages also without overload; a notice in members' records, which changes the wire format.

--- /dev/null
+++ b/internal/path/outlet/limited_some_test.go
@@ -0,0 +1,100 @@
+package outlet_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/result"
+)
+
+// refusals counts the refusals that callers saw by reason, and the longest Retry-After.
+type refusals struct {
+	mu       sync.Mutex
+	byReason map[string]int
+	longest  time.Duration
+}
+
+// front returns a handler that calls h and counts its refusals.
+func (rf *refusals) front(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		reason := w.Header().Get(result.ReasonHeader)
+		if reason == "" {
+			return
+		}
+		rf.mu.Lock()
+		defer rf.mu.Unlock()
+		rf.byReason[reason]++
+		rf.longest = max(rf.longest, result.ParseRetryAfter(w.Header().Get("Retry-After")))
+	})
+}
+
+// TestFullBesideLimitedServers guards against callers being told to return when a server with a
+// limit may take them, seconds later, although slots of the other servers become free at once.
+func TestFullBesideLimitedServers(t *testing.T) {
+	const servers, limited = 6, 3
+	capacity := float64((servers-limited)*slots) / workTime.Seconds()
+	for _, outlets := range outletCounts {
+		t.Run(fmt.Sprint(outlets, " outlets"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lr, list := newRankedRig(t, outlets, servers, "")
+				defer lr.close()
+				rf := &refusals{byReason: map[string]int{}}
+				for _, ls := range list[:limited] {
+					ls.set("2", false)
+				}
+				lr.load(capacity/2, 3*time.Second, constantPath(slackPath))
+				lr.front = rf.front(lr)
+				ta := lr.load(1.3*capacity, 10*time.Second, constantPath(slackPath))
+				t.Logf("%d of %d refused: %v; longest Retry-After %v", ta.total()-ta.good, ta.total(), rf.byReason, rf.longest)
+				if n := rf.byReason[string(result.ReasonServerLimit)]; n > 0 {
+					t.Errorf("%d requests refused for a limit, although other servers have none", n)
+				}
+				if rf.longest > time.Second {
+					t.Errorf("callers told to return after %v", rf.longest)
+				}
+			})
+		})
+	}
+}
+
+// TestLimitLiftedUnderLoad guards against requests being refused for long after most servers have
+// lifted their limits, because outlets leave these servers alone while the others are full.
+func TestLimitLiftedUnderLoad(t *testing.T) {
+	const servers, limited, seconds = 9, 6, 4
+	rate := 0.6 * servers * slots / workTime.Seconds()
+	for _, outlets := range outletCounts {
+		t.Run(fmt.Sprint(outlets, " outlets"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lr, list := newRankedRig(t, outlets, servers, "")
+				defer lr.close()
+				for _, ls := range list[:limited] {
+					ls.set("5", false)
+				}
+				before := lr.inletRequests()
+				limitedTally := lr.load(rate, 6*time.Second, constantPath(slackPath))
+				t.Logf("limited: %d of %d refused, %.2f messages a request", limitedTally.total()-limitedTally.good, limitedTally.total(),
+					float64(lr.inletRequests()-before)/float64(limitedTally.total()))
+				for _, ls := range list {
+					ls.set("", false)
+				}
+				later, refusedLater := 0, 0
+				for i := range seconds {
+					ta := lr.load(rate, time.Second, constantPath(slackPath))
+					t.Logf("second %d after the limits were lifted: %d of %d refused", i, ta.total()-ta.good, ta.total())
+					// The rates are raised step by step over 1.5 s.
+					if i >= 2 {
+						later, refusedLater = later+ta.total(), refusedLater+ta.total()-ta.good
+					}
+				}
+				if refusedLater > later/100 {
+					t.Errorf("%d of %d refused 2 s after the limits were lifted", refusedLater, later)
+				}
+			})
+		})
+	}
+}
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -101,11 +101,7 @@
 func (rq *request) send() (accepted bool) {
 	var last *result.Refusal
 	for {
-		ep := rq.gp.Pick(time.Now(), rq.criteria(), &rq.tried, rand.IntN)
-		if ep == nil && rq.gp != rq.base && rq.base.Len() > 0 {
-			rq.gp = rq.base
-			continue
-		}
+		ep := rq.pick()
 		if ep == nil {
 			if last == nil {
 				last = rq.overServerLimit(time.Now())
@@ -143,6 +139,22 @@
 	}
 }
 
+// pick returns the server of the next attempt, or nil if there is none.
+func (rq *request) pick() *pick.Endpoint {
+	now := time.Now()
+	if rq.rejections < rq.rejectionLimit() {
+		ep := rq.gp.Pick(now, rq.criteria(), &rq.tried, rand.IntN)
+		if ep == nil && rq.gp != rq.base && rq.base.Len() > 0 {
+			rq.gp = rq.base
+			ep = rq.gp.Pick(now, rq.criteria(), &rq.tried, rand.IntN)
+		}
+		if ep != nil {
+			return ep
+		}
+	}
+	return rq.gp.PickHeld(now, rq.rank(), rq.ou.askInterval(), &rq.tried, rand.IntN)
+}
+
 // criteria returns the properties of the request by which a server is picked.
 func (rq *request) criteria() pick.Criteria {
 	return pick.Criteria{
@@ -161,11 +173,15 @@
 }
 
 // combineRefusals returns the refusal that describes two attempts together: if one attempt may have
-// run, the request may have run, whatever the outcome of the others.
+// run, the request may have run, whatever the outcome of the others. If a server without a free slot
+// refused it and another one for its limit, the slot is free again first.
 func combineRefusals(last, rf *result.Refusal) *result.Refusal {
 	if last != nil && last.Outcome == result.MayHaveRun && rf.Outcome == result.NotRun {
 		return last
 	}
+	if last != nil && last.Reason.NoCapacity() && rf.Reason == result.ReasonServerLimit {
+		return last
+	}
 	return rf
 }
 
@@ -207,7 +223,7 @@
 		return false
 	}
 	if rf.Reason.NoCapacity() || rf.Reason == result.ReasonShed {
-		if rq.rejections++; rq.rejections >= rq.rejectionLimit() {
+		if rq.rejections++; rq.rejections >= rq.rejectionLimit() && (rf.Reason == result.ReasonShed || !rq.gp.OverLimit(time.Now(), rq.rank())) {
 			return false
 		}
 	}
--- a/internal/path/pick/hold.go
+++ b/internal/path/pick/hold.go
@@ -15,6 +15,8 @@
 	until, spacing atomic.Int64
 	// promised is the time from which turns have not been promised to callers.
 	promised atomic.Int64
+	// askedAt is when the server was last asked in spite of the hold, or refused a request for its limit.
+	askedAt atomic.Int64
 }
 
 // HoldBack keeps requests of a rank, and of the ranks below it, from the server for a time, after
@@ -25,6 +27,7 @@
 	at := mono.Nanos(now)
 	for i := rank; i < result.Ranks; i++ {
 		ho := &ep.live.holds[i]
+		ho.askedAt.Store(at)
 		// Of two concurrent refusals either may win.
 		if old := ho.until.Load(); old <= at && ho.until.CompareAndSwap(old, at+int64(wait)) {
 			ho.spacing.Store(int64(max(wait, spacing)))
@@ -32,10 +35,34 @@
 	}
 }
 
+// PickHeld returns a server that is only held back from requests of a rank and was last asked longer
+// ago than interval, nil if there is none. It is for a request that would otherwise be refused: an
+// outlet that leaves a server alone does not learn that its limit has been lifted or raised.
+func (gp *Group) PickHeld(now time.Time, rank int, interval time.Duration, tried *Tried, rnd Random) *Endpoint {
+	if len(gp.all) == 0 {
+		return nil
+	}
+	start, at := rnd(len(gp.all)), mono.Nanos(now)
+	for i := range gp.all {
+		ep := gp.all[(start+i)%len(gp.all)]
+		if !ep.awaitsTurn(now, rank) || tried.has(ep) {
+			continue
+		}
+		ho := &ep.live.holds[rank]
+		if old := ho.askedAt.Load(); at-old >= int64(interval) && ho.askedAt.CompareAndSwap(old, at) {
+			return ep
+		}
+	}
+	return nil
+}
+
 // ReleaseHold ends HoldBack.
 func (ep *Endpoint) ReleaseHold() {
 	for i := range ep.live.holds {
-		ep.live.holds[i].until.Store(0)
+		// Most servers are never held back, and a load is cheaper than a store.
+		if until := &ep.live.holds[i].until; until.Load() != 0 {
+			until.Store(0)
+		}
 	}
 }
 
--- a/internal/path/pick/hold_test.go
+++ b/internal/path/pick/hold_test.go
@@ -65,3 +65,33 @@
 		t.Errorf("the last turn is in %v s, want %v", last, maxPromise)
 	}
 }
+
+// TestPickHeld guards against a server being asked by each request in spite of a hold, and against
+// servers being asked that are not only held back.
+func TestPickHeld(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	now := time.Now()
+	first := func(int) int { return 0 }
+	a, b, c := NewEndpoint(Endpoint{VM: "a"}), NewEndpoint(Endpoint{VM: "b"}), NewEndpoint(Endpoint{VM: "c"})
+	gp := &Group{all: []*Endpoint{a, b, c}}
+	if got := gp.PickHeld(now, 1, interval, &Tried{}, first); got != nil {
+		t.Errorf("%s is asked without a hold", got.VM)
+	}
+	b.HoldBack(1, now, 5*time.Second, 0)
+	c.HoldBack(1, now, 5*time.Second, 0)
+	c.Exclude()
+	for _, tc := range []struct {
+		after time.Duration
+		rank  int
+		want  *Endpoint
+	}{{0, 1, nil}, {interval - 1, 1, nil}, {interval, 0, nil}, {interval, 1, b}, {interval, 1, nil}, {interval, 2, b}, {2 * interval, 1, b}, {5 * time.Second, 1, nil}} {
+		if got := gp.PickHeld(now.Add(tc.after), tc.rank, interval, &Tried{}, first); got != tc.want {
+			t.Errorf("rank %d after %v: got %v, want %v", tc.rank, tc.after, got, tc.want)
+		}
+	}
+	var tried Tried
+	tried.Add(b)
+	if got := gp.PickHeld(now.Add(time.Second), 1, interval, &tried, first); got != nil {
+		t.Errorf("%s is asked twice by one request", got.VM)
+	}
+}
