path/rate: assign new turns once a limit is lifted

Refused senders get turns one after the other, at most 5 s ahead. After the limit is lifted its rate is raised for 1.5 s, and a sender refused in that time got the turn after the last one of the limit, up to 5 s away, when nothing is limited any more. The turns begin anew with the lift.

TestTurnsAfterLift failed before with a wait of 5 s.

--- a/internal/path/rate/rate.go
+++ b/internal/path/rate/rate.go
@@ -107,7 +107,8 @@
 		return
 	}
 	li.refill(now)
-	li.named, li.liftedAt = false, now
+	// Turns that were assigned under the limit are seconds away.
+	li.named, li.liftedAt, li.turn = false, now, now
 }
 
 // Limit returns the limit in force in requests per second.
--- a/internal/path/rate/rate_test.go
+++ b/internal/path/rate/rate_test.go
@@ -304,3 +304,24 @@
 	}
 	li.mu.Unlock()
 }
+
+// TestTurnsAfterLift guards against senders that are refused while a lifted limit is raised being told
+// turns that follow those of the limit, seconds later.
+func TestTurnsAfterLift(t *testing.T) {
+	li := &Limiter{}
+	li.Name(3.4, at(0))
+	for range 100 {
+		li.Reserve(1, at(1))
+	}
+	li.Lift(at(1.1), at(1.2))
+	for {
+		_, wait, ok := li.Reserve(1, at(1.2))
+		if ok {
+			continue
+		}
+		if wait > rampTime {
+			t.Errorf("a sender is told to return after %v, when nothing is limited any more", wait)
+		}
+		break
+	}
+}
