path/outlet: refusals for a server's limit do not use up attempts

A request has six attempts. Servers that are over their limit have free slots, so an outlet that has not heard of the limits, or whose holds end together, prefers them; with six or more of them a request was refused although another server had free slots. The less an outlet sends, the more often: its holds end between two requests. Up to eight such refusals do not count now. They take no slot and about a millisecond each.

--- a/internal/path/outlet/limited_some_test.go
+++ b/internal/path/outlet/limited_some_test.go
@@ -33,6 +33,36 @@
 	})
 }
 
+// TestMostServersLimited guards against requests using up their attempts at servers that are over
+// their limit, while another server has free slots.
+func TestMostServersLimited(t *testing.T) {
+	const servers, rate = 9, 60
+	for _, outlets := range outletCounts {
+		for _, limited := range []int{6, 8} {
+			t.Run(fmt.Sprint(outlets, " outlets/", limited, " limited"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					lr, list := newRankedRig(t, outlets, servers, "")
+					defer lr.close()
+					rf := &refusals{byReason: map[string]int{}}
+					lr.front = rf.front(lr)
+					for _, ls := range list[:limited] {
+						ls.set("1", false)
+					}
+					before := lr.inletRequests()
+					ta := lr.load(rate, 10*time.Second, constantPath(slackPath))
+					t.Logf("%d of %d refused: %v; %.2f messages a request", ta.total()-ta.good, ta.total(), rf.byReason, float64(lr.inletRequests()-before)/float64(ta.total()))
+					if n := rf.byReason[string(result.ReasonServerLimit)]; n > 0 {
+						t.Errorf("%d of %d refused for limits, although a server has none", n, ta.total())
+					}
+					if refused := ta.total() - ta.good; refused > ta.total()/200 {
+						t.Errorf("%d of %d refused, although a server has free slots: %v", refused, ta.total(), rf.byReason)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestFullBesideLimitedServers guards against callers being told to return when a server with a
 // limit may take them, seconds later, although slots of the other servers become free at once.
 func TestFullBesideLimitedServers(t *testing.T) {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -65,8 +65,9 @@
 	// spent is the time that the answered attempt took at the inlet.
 	spent result.SlotTimes
 	// attempts counts all attempts, rejections those rejected for lack of capacity or shed,
-	// delivered those that may have reached a backend server.
-	attempts, rejections, delivered int
+	// delivered those that may have reached a backend server, overLimit those refused for a server's
+	// rate limit, up to maxOverLimit.
+	attempts, rejections, delivered, overLimit int
 	// serverCrashes counts the backend servers that crashed while they ran the request.
 	serverCrashes int
 	// lastRefusal is the refusal of the last attempt, nil if it was answered.
@@ -195,6 +196,11 @@
 	manyServers = 15
 )
 
+// maxOverLimit is the number of attempts refused for a server's rate limit that do not count towards
+// retry.MaxAttempts. They take a millisecond and tell nothing about the other servers, while an outlet
+// that has not heard of the limits yet prefers the servers with one, since these have free slots.
+const maxOverLimit = 8
+
 // rejectionLimit returns the number of rejections after which the request is refused.
 func (rq *request) rejectionLimit() int {
 	if rq.gp.Len() >= manyServers {
@@ -205,7 +211,10 @@
 
 // shouldRetry reports whether the request is sent again after the refusal rf.
 func (rq *request) shouldRetry(rf *result.Refusal) bool {
-	if rq.ctx.Err() != nil || rq.attempts >= retry.MaxAttempts || !rq.body.replayable() {
+	if rf.Reason == result.ReasonServerLimit && rq.overLimit < maxOverLimit {
+		rq.overLimit++
+	}
+	if rq.ctx.Err() != nil || rq.attempts-rq.overLimit >= retry.MaxAttempts || !rq.body.replayable() {
 		return false
 	}
 	if rq.serverCrashes >= poison.RefuseThreshold {
