path/resend: callers without the time to return are not expected to

An outlet learns from refused callers that were advised to return whether those of a route do; if fewer than a quarter do, their requests rank as calls: before all priorities, past the throttle, without a bound on their wait. Callers honor a Retry-After of up to a third of the time that they have left. With a service over its servers' limits, turns are seconds away, so callers stay away, and the routes of callers were taken for those of calls after six refusals. A refused caller counts now only if it has the time for the Retry-After that it gets.

Calls whose refusals name a wait beyond a third of their time are counted neither way; until six others are refused they are recognized as before, by arriving while their server runs something.

--- a/internal/path/outlet/limited_some_test.go
+++ b/internal/path/outlet/limited_some_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
@@ -128,3 +133,56 @@
 		})
 	}
 }
+
+// TestCallersThatCannotReturn guards against callers that are told to return too late for them being
+// taken for ones that never return, whose requests go ahead of all others.
+func TestCallersThatCannotReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const servers, limit, deadline = 6, 10, time.Second
+		lr, _ := newRankedRig(t, 3, servers, fmt.Sprint(limit))
+		defer lr.close()
+		var mu sync.Mutex
+		final, all := 0, 0
+		for _, in := range lr.inlets {
+			next := in.Handler
+			in.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				all++
+				if strings.HasSuffix(r.Header.Get(result.UrgencyHeader), result.FinalSuffix) {
+					final++
+				}
+				mu.Unlock()
+				next.ServeHTTP(w, r)
+			})
+		}
+		var wg conc.WaitGroup
+		n := 0
+		for end := time.Now().Add(15 * time.Second); time.Now().Before(end); {
+			time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / (3 * servers * limit)))
+			n++
+			path, ou := fmt.Sprint(slackPath, "/", n), lr.outlets[n%len(lr.outlets)]
+			wg.Go(func() {
+				// An outlet recognizes only callers that return to it.
+				start := time.Now()
+				for range 2 {
+					req := httptest.NewRequest(http.MethodGet, path, nil)
+					req.Host = "booking"
+					remaining := deadline - time.Since(start)
+					req.Header.Set(result.TimeoutHeader, fmt.Sprint(remaining.Milliseconds()))
+					rec := httptest.NewRecorder()
+					ou.ServeHTTP(rec, req)
+					wait := result.ParseRetryAfter(rec.Header().Get("Retry-After"))
+					if rec.Code == http.StatusOK || wait > (deadline-time.Since(start))/3 {
+						return
+					}
+					time.Sleep(wait)
+				}
+			})
+		}
+		wg.Wait()
+		t.Logf("%d of %d messages for callers that are taken not to return", final, all)
+		if final > 0 {
+			t.Errorf("%d of %d messages for callers that are taken not to return", final, all)
+		}
+	})
+}
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -266,8 +266,9 @@
 		rq.ou.quota.Return(rq.tenant.Name)
 	}
 	rq.setRetryAfter(rf)
-	retryAdvised := rf.Outcome == result.NotRun && rf.Reason != result.ReasonPoison
-	rq.ou.callerTries.Failed(rq.callerTry, time.Now(), retryAdvised, &rq.rs.callerRetries)
+	now, wait := time.Now(), result.ParseRetryAfter(result.FormatRetryAfter(rf.RetryAfter, rq.ou.names.FractionalRetryAfter))
+	retryAdvised := rf.Outcome == result.NotRun && rf.Reason != result.ReasonPoison && rq.callerTry.MayReturn(now, wait)
+	rq.ou.callerTries.Failed(rq.callerTry, now, retryAdvised, &rq.rs.callerRetries)
 	// The refusal is written even if the caller seems to have disconnected. The context of a
 	// request is also cancelled when a read from the caller fails, and net/http sends an empty 200
 	// for a handler that returns without a response.
--- a/internal/path/resend/resend.go
+++ b/internal/path/resend/resend.go
@@ -64,6 +64,16 @@
 	return tr.key == other.key && tr.deadline.Sub(other.deadline).Abs() <= deadlineTolerance
 }
 
+// waitDivisor is the share of the time that a caller has left, as one in so many, up to which it honors
+// a Retry-After.
+const waitDivisor = 3
+
+// MayReturn reports whether a caller that is told at now to retry after wait has the time to do so. One
+// that has not and stays away does not show that callers of its route never retry.
+func (tr *Try) MayReturn(now time.Time, wait time.Duration) bool {
+	return tr.deadline.IsZero() || wait <= tr.deadline.Sub(now)/waitDivisor
+}
+
 // Failed records that a try failed at now. retryAdvised is set if the caller was told to retry.
 func (tk *Tracker) Failed(tr *Try, now time.Time, retryAdvised bool, rs *RetryStats) {
 	if tr.deadline.IsZero() {
--- a/internal/path/resend/resend_test.go
+++ b/internal/path/resend/resend_test.go
@@ -121,3 +121,23 @@
 		tk.Arrived(r, time.Now(), time.Second, &rs)
 	}
 }
+
+// TestMayReturn guards against callers that have no time for the wait that they are told being expected
+// to return after it.
+func TestMayReturn(t *testing.T) {
+	var tk Tracker
+	var rs RetryStats
+	began := time.Now()
+	tr, _ := tk.Arrived(httptest.NewRequest("GET", "/", nil), began, 900*ms, &rs)
+	for _, tc := range []struct {
+		after, wait time.Duration
+		want        bool
+	}{{0, 0, true}, {0, 300 * ms, true}, {0, 301 * ms, false}, {600 * ms, 100 * ms, true}, {600 * ms, 101 * ms, false}, {900 * ms, ms, false}} {
+		if got := tr.MayReturn(began.Add(tc.after), tc.wait); got != tc.want {
+			t.Errorf("told after %v to return in %v: %v, want %v", tc.after, tc.wait, got, tc.want)
+		}
+	}
+	if tr, _ = tk.Arrived(httptest.NewRequest("GET", "/", nil), began, 0, &rs); !tr.MayReturn(began, time.Hour) {
+		t.Error("a caller without a deadline may return at any time")
+	}
+}
