path/resend: one caller that returns shows that a route is not of calls

As long as fewer than six refusals are known, an outlet takes the requests of a route for calls of its own server if their deadline does not exceed the route's and they arrive while that server runs something. At a server that is always busy that holds for all callers: their requests rank before all priorities and wait without a bound. Since callers without time to return are not counted, it lasted longer. Calls are never retried, so the first caller that returns ends the assumption.

--- a/internal/path/resend/resend_test.go
+++ b/internal/path/resend/resend_test.go
@@ -141,3 +141,25 @@
 		t.Error("a caller without a deadline may return at any time")
 	}
 }
+
+// TestReturnedCallers guards against callers being taken for backend servers although some of them have
+// returned, because too few refusals are known.
+func TestReturnedCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tk Tracker
+		var rs RetryStats
+		first := httptest.NewRequest("GET", "/1", nil)
+		tr, _ := tk.Arrived(first, time.Now(), time.Second, &rs)
+		tk.Failed(tr, time.Now(), true, &rs)
+		if !rs.CountArrival(time.Now(), true, true) {
+			t.Error("a request that is made while the VM's own server is busy is not taken for a call")
+		}
+		time.Sleep(200 * ms)
+		if _, again := tk.Arrived(first, time.Now(), 800*ms, &rs); !again {
+			t.Error("a retry was not detected")
+		}
+		if rs.CountArrival(time.Now(), true, true) {
+			t.Error("a request is taken for a call although a caller of its route has returned")
+		}
+	})
+}
--- a/internal/path/resend/route.go
+++ b/internal/path/resend/route.go
@@ -87,8 +87,8 @@
 // serverBusy if the VM's own backend server is running requests.
 //
 // As long as too few refusals are known, a request is taken for a call of the VM's own backend
-// server if its caller has no time left to retry, and if hardly any request of the route arrived
-// while that server ran nothing.
+// server if its caller has no time left to retry, if hardly any request of the route arrived while
+// that server ran nothing, which says little if it is always busy, and if no caller has returned.
 func (rs *RetryStats) CountArrival(now time.Time, shortTimeout, serverBusy bool) bool {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -102,5 +102,6 @@
 	if rs.older.advised >= minAdvised {
 		return rs.older.retried*finalDivisor < rs.older.advised
 	}
-	return shortTimeout && rs.idleArrivals*idleDivisor < rs.arrivals
+	returned := rs.current.retried + rs.previous.retried + rs.older.retried
+	return shortTimeout && returned == 0 && rs.idleArrivals*idleDivisor < rs.arrivals
 }
