cmd/flamingomast: measure callers with longer deadlines than their routes

SHORTER is by how many milliseconds the deadlines of the routes of ordering are shorter than those of their callers. Outlets take callers whose deadline does not exceed the route's for calls at first.

--- a/cmd/flamingomast/limits_measure_test.go
+++ b/cmd/flamingomast/limits_measure_test.go
@@ -22,7 +22,7 @@
 // TestMeasureServerLimits measures how many requests are refused, and where, while some of the
 // servers of a loaded service name a rate limit:
 //
-//	LOADS=0.7,0.85,1 LIMITED=2,4,6 DEADLINE=1s go test -tags measure -timeout 20m -run TestMeasureServerLimits -v ./cmd/flamingomast
+//	LOADS=0.7,0.85,1 LIMITED=2,4,6 DEADLINE=1s SHORTER=100 go test -tags measure -timeout 20m -run TestMeasureServerLimits -v ./cmd/flamingomast
 func TestMeasureServerLimits(t *testing.T) {
 	list := func(name, value string) []string {
 		if text := os.Getenv(name); text != "" {
@@ -130,7 +130,7 @@
 	si.launch(v)
 	si.down.Store(nil)
 	phase("6 daemon restarted", 4*time.Second)
-	si.write("m.yaml", fmt.Sprintf(siteRules, 1001))
+	si.writeRules(2)
 	si.apply("1")
 	phase("7 new version", 4*time.Second)
 	si.setPhase("end")
--- a/cmd/flamingomast/site_measure_test.go
+++ b/cmd/flamingomast/site_measure_test.go
@@ -43,15 +43,15 @@
 	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, ads))
 }
 
-// siteRules declares the services, routes and priorities of the measured site. The deadline of one
-// route depends on n, so that versions differ.
+// siteRules declares the services, routes and priorities of the measured site, with the deadlines of
+// lookups, of orders and of a route that is not used, by which versions differ.
 const siteRules = `
 regions: [{name: r}]
 failure-domains: [{name: a, region: r}, {name: b, region: r}, {name: c, region: r}]
 services: [{name: ordering, announced: true}, {name: records, announced: true}]
 routes:
-- {name: menu-lookup, match: {host: site, path-prefix: /menu}, to: [{service: ordering, weight: 1}], objective: 500ms, deadline: 1500ms, priority: 1, repeat: always}
-- {name: supplier-order, match: {host: site, path-prefix: /order}, to: [{service: ordering, weight: 1}], objective: 600ms, deadline: 2s, priority: 0, repeat: never}
+- {name: menu-lookup, match: {host: site, path-prefix: /menu}, to: [{service: ordering, weight: 1}], objective: 500ms, deadline: %dms, priority: 1, repeat: always}
+- {name: supplier-order, match: {host: site, path-prefix: /order}, to: [{service: ordering, weight: 1}], objective: 600ms, deadline: %dms, priority: 0, repeat: never}
 - {name: ration-sheet, match: {host: site, path-prefix: /sheet}, to: [{service: records, weight: 1}], objective: 500ms, deadline: 1500ms, priority: 2, repeat: always}
 - {name: allergy-list, match: {host: site, path-prefix: /allergy}, to: [{service: records, weight: 1}], objective: 400ms, deadline: 1500ms, priority: 0, repeat: always}
 - {name: stock-count, match: {host: site, path-prefix: /stock}, to: [{service: records, weight: 1}], objective: 200ms, deadline: 600ms, priority: 1, repeat: always}
@@ -231,7 +231,7 @@
 		me.seeds += "," + v.control
 	}
 	me.seeds = me.seeds[1:]
-	me.write("m.yaml", fmt.Sprintf(siteRules, 1000))
+	si.writeRules(1)
 	var wg conc.WaitGroup
 	for _, v := range me.vms {
 		wg.Go(func() { si.launch(v) })
@@ -277,6 +277,13 @@
 	return si
 }
 
+// writeRules writes the declarations of a version. SHORTER is by how many milliseconds the deadlines of
+// the routes of ordering are shorter than those of their callers.
+func (si *site) writeRules(version int) {
+	shorter, _ := strconv.Atoi(os.Getenv("SHORTER"))
+	si.write("m.yaml", fmt.Sprintf(siteRules, int(siteClasses[0].deadline.Milliseconds())-shorter, int(siteClasses[1].deadline.Milliseconds())-shorter, 1000+version))
+}
+
 func (si *site) launch(v *vm) {
 	v.daemon = start(si.t, "daemon", "--adapter", fractions, "--vm", v.name, "--failure-domain", v.domain, "--outlet", v.outlet, "--inlet", v.inlet,
 		"--control", v.control, "--admin", v.admin, "--platform", si.platform, "--seeds", si.seeds, "--mesh-token", "proof", "--access-log-sample", "0")
