--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -65,8 +65,9 @@
 	// spent is the time that the answered attempt took at the inlet.
 	spent result.SlotTimes
 	// attempts counts all attempts, rejections those rejected for lack of capacity or shed,
-	// delivered those that may have reached a backend server.
-	attempts, rejections, delivered int
+	// delivered those that may have reached a backend server, overLimit those refused for a server's
+	// rate limit, up to maxOverLimit.
+	attempts, rejections, delivered, overLimit int
 	// serverCrashes counts the backend servers that crashed while they ran the request.
 	serverCrashes int
 	// lastRefusal is the refusal of the last attempt, nil if it was answered.
@@ -101,11 +102,7 @@
 func (rq *request) send() (accepted bool) {
 	var last *result.Refusal
 	for {
-		ep := rq.gp.Pick(time.Now(), rq.criteria(), &rq.tried, rand.IntN)
-		if ep == nil && rq.gp != rq.base && rq.base.Len() > 0 {
-			rq.gp = rq.base
-			continue
-		}
+		ep := rq.pick()
 		if ep == nil {
 			if last == nil {
 				last = rq.overServerLimit(time.Now())
@@ -143,6 +140,22 @@
 	}
 }
 
+// pick returns the server of the next attempt, or nil if there is none.
+func (rq *request) pick() *pick.Endpoint {
+	now := time.Now()
+	if rq.rejections < rq.rejectionLimit() {
+		ep := rq.gp.Pick(now, rq.criteria(), &rq.tried, rand.IntN)
+		if ep == nil && rq.gp != rq.base && rq.base.Len() > 0 {
+			rq.gp = rq.base
+			ep = rq.gp.Pick(now, rq.criteria(), &rq.tried, rand.IntN)
+		}
+		if ep != nil {
+			return ep
+		}
+	}
+	return rq.gp.PickHeld(now, rq.rank(), rq.ou.askInterval(), &rq.tried, rand.IntN)
+}
+
 // criteria returns the properties of the request by which a server is picked.
 func (rq *request) criteria() pick.Criteria {
 	return pick.Criteria{
@@ -161,11 +174,15 @@
 }
 
 // combineRefusals returns the refusal that describes two attempts together: if one attempt may have
-// run, the request may have run, whatever the outcome of the others.
+// run, the request may have run, whatever the outcome of the others. If a server without a free slot
+// refused it and another one for its limit, the slot is free again first.
 func combineRefusals(last, rf *result.Refusal) *result.Refusal {
 	if last != nil && last.Outcome == result.MayHaveRun && rf.Outcome == result.NotRun {
 		return last
 	}
+	if last != nil && last.Reason.NoCapacity() && rf.Reason == result.ReasonServerLimit {
+		return last
+	}
 	return rf
 }
 
@@ -179,6 +196,11 @@
 	manyServers = 15
 )
 
+// maxOverLimit is the number of attempts refused for a server's rate limit that do not count towards
+// retry.MaxAttempts. They take a millisecond and tell nothing about the other servers, while an outlet
+// that has not heard of the limits yet prefers the servers with one, since these have free slots.
+const maxOverLimit = 8
+
 // rejectionLimit returns the number of rejections after which the request is refused.
 func (rq *request) rejectionLimit() int {
 	if rq.gp.Len() >= manyServers {
@@ -189,7 +211,10 @@
 
 // shouldRetry reports whether the request is sent again after the refusal rf.
 func (rq *request) shouldRetry(rf *result.Refusal) bool {
-	if rq.ctx.Err() != nil || rq.attempts >= retry.MaxAttempts || !rq.body.replayable() {
+	if rf.Reason == result.ReasonServerLimit && rq.overLimit < maxOverLimit {
+		rq.overLimit++
+	}
+	if rq.ctx.Err() != nil || rq.attempts-rq.overLimit >= retry.MaxAttempts || !rq.body.replayable() {
 		return false
 	}
 	if rq.serverCrashes >= poison.RefuseThreshold {
@@ -207,7 +232,7 @@
 		return false
 	}
 	if rf.Reason.NoCapacity() || rf.Reason == result.ReasonShed {
-		if rq.rejections++; rq.rejections >= rq.rejectionLimit() {
+		if rq.rejections++; rq.rejections >= rq.rejectionLimit() && (rf.Reason == result.ReasonShed || !rq.gp.OverLimit(time.Now(), rq.rank())) {
 			return false
 		}
 	}
@@ -241,8 +266,9 @@
 		rq.ou.quota.Return(rq.tenant.Name)
 	}
 	rq.setRetryAfter(rf)
-	retryAdvised := rf.Outcome == result.NotRun && rf.Reason != result.ReasonPoison
-	rq.ou.callerTries.Failed(rq.callerTry, time.Now(), retryAdvised, &rq.rs.callerRetries)
+	now, wait := time.Now(), result.ParseRetryAfter(result.FormatRetryAfter(rf.RetryAfter, rq.ou.names.FractionalRetryAfter))
+	retryAdvised := rf.Outcome == result.NotRun && rf.Reason != result.ReasonPoison && rq.callerTry.MayReturn(now, wait)
+	rq.ou.callerTries.Failed(rq.callerTry, now, retryAdvised, &rq.rs.callerRetries)
 	// The refusal is written even if the caller seems to have disconnected. The context of a
 	// request is also cancelled when a read from the caller fails, and net/http sends an empty 200
 	// for a handler that returns without a response.
--- a/internal/path/resend/resend_test.go
+++ b/internal/path/resend/resend_test.go
@@ -121,3 +121,45 @@
 		tk.Arrived(r, time.Now(), time.Second, &rs)
 	}
 }
+
+// TestMayReturn guards against callers that have no time for the wait that they are told being expected
+// to return after it.
+func TestMayReturn(t *testing.T) {
+	var tk Tracker
+	var rs RetryStats
+	began := time.Now()
+	tr, _ := tk.Arrived(httptest.NewRequest("GET", "/", nil), began, 900*ms, &rs)
+	for _, tc := range []struct {
+		after, wait time.Duration
+		want        bool
+	}{{0, 0, true}, {0, 300 * ms, true}, {0, 301 * ms, false}, {600 * ms, 100 * ms, true}, {600 * ms, 101 * ms, false}, {900 * ms, ms, false}} {
+		if got := tr.MayReturn(began.Add(tc.after), tc.wait); got != tc.want {
+			t.Errorf("told after %v to return in %v: %v, want %v", tc.after, tc.wait, got, tc.want)
+		}
+	}
+	if tr, _ = tk.Arrived(httptest.NewRequest("GET", "/", nil), began, 0, &rs); !tr.MayReturn(began, time.Hour) {
+		t.Error("a caller without a deadline may return at any time")
+	}
+}
+
+// TestReturnedCallers guards against callers being taken for backend servers although some of them have
+// returned, because too few refusals are known.
+func TestReturnedCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tk Tracker
+		var rs RetryStats
+		first := httptest.NewRequest("GET", "/1", nil)
+		tr, _ := tk.Arrived(first, time.Now(), time.Second, &rs)
+		tk.Failed(tr, time.Now(), true, &rs)
+		if !rs.CountArrival(time.Now(), true, true) {
+			t.Error("a request that is made while the VM's own server is busy is not taken for a call")
+		}
+		time.Sleep(200 * ms)
+		if _, again := tk.Arrived(first, time.Now(), 800*ms, &rs); !again {
+			t.Error("a retry was not detected")
+		}
+		if rs.CountArrival(time.Now(), true, true) {
+			t.Error("a request is taken for a call although a caller of its route has returned")
+		}
+	})
+}
