internal/quota: a tenant's admitted share goes to its urgent requests first

Cause: outlets admitted a share of all requests of a tenant above its limit, in order of arrival. A third of what was admitted belonged to callers that had come back too late for their objective.

Change: Gate.Admit takes the rank of a request: the priority of its tenant or route, 0 to 3, and 3 for a retry that can no longer be answered within its objective. Reports have the offered requests by rank beside the sums, directives the shares by rank beside the mean. The ledger gives each rank 0.3 of the mean share and the rest to the most urgent ones. A refused request of a daemon without ranks counts with the mean share, in the ledger as at its outlet, so the sum stays what it was. A refusal has no Retry-After if its caller could not be answered in time by then. Tries refused for a limit are remembered, so that their retries are recognized; they do not count for whether the callers of a route retry.

Existing tests are unchanged but for the rank in calls of Admit; the fleet can have outlets without ranks.

--- a/internal/mesh/ctrl/fleet_test.go
+++ b/internal/mesh/ctrl/fleet_test.go
@@ -45,6 +45,8 @@
 	counts func(vm string) Counts
 	// onGate is called with the gate of each process that starts; nil if tenants send no requests.
 	onGate func(vm string, ga *admit.Gate)
+	// unranked has the VMs whose outlets neither report ranks nor follow shares by rank.
+	unranked map[string]bool
 }
 
 // size is the size of a fleet.
@@ -165,6 +167,9 @@
 		}
 		ga.Tolerance = admit.Tolerance{Window: quotaWindow, Overage: quotaOverage, Spare: quotaSlack}
 		quota = Quota{Usage: ga.Usage, Due: ga.Due, Tolerance: ga.Tolerance}
+		if fl.unranked[vm.Name] {
+			quota.Usage, ga.Directive = withoutRanks(ga)
+		}
 		fl.onGate(vm.Name, ga)
 	}
 	tn.Node = New(Config{
--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -74,7 +74,7 @@
 	urgent <-chan time.Time
 	// sums has the requests of this relay's members, reported those of its last report. They only
 	// grow while the process runs, also if it is a relay again later.
-	sums, reported map[string]admit.Counts
+	sums, reported map[string]admit.RankedCounts
 	// goneSince is when a VM that counts as gone was first seen to be.
 	goneSince map[string]time.Time
 	// sentAt is when directives were last sent, and sentShares whether that one had shares.
@@ -93,7 +93,7 @@
 
 func newQuotaController(nd *Node) *quotaController {
 	qc := &quotaController{
-		nd: nd, received: make(chan receivedUsage, maxReceivedUsage), sums: map[string]admit.Counts{}, reported: map[string]admit.Counts{},
+		nd: nd, received: make(chan receivedUsage, maxReceivedUsage), sums: map[string]admit.RankedCounts{}, reported: map[string]admit.RankedCounts{},
 	}
 	qc.reset()
 	return qc
@@ -249,7 +249,7 @@
 func (qc *quotaController) addMember(re ledger.Report) {
 	for _, us := range qc.ledger.Add(re, time.Now()) {
 		sum := qc.sums[us.Tenant]
-		qc.sums[us.Tenant] = admit.Counts{Offered: sum.Offered + us.Counts.Offered, Admitted: sum.Admitted + us.Counts.Admitted}
+		qc.sums[us.Tenant] = sum.Add(us)
 	}
 }
 
@@ -293,7 +293,7 @@
 	re := ledger.Report{Source: link.SumSource(process), Outlets: qc.covered(countsFor, now)}
 	for tenant, sum := range qc.sums {
 		if last := qc.reported[tenant]; sum != last {
-			re.Usage = append(re.Usage, admit.Usage{Tenant: tenant, Counts: sum, LastReported: last})
+			re.Usage = append(re.Usage, admit.Usage{Tenant: tenant, Counts: sum.Counts, LastReported: last.Counts, Ranks: sum.Ranks, LastRanks: last.Ranks})
 			qc.reported[tenant] = sum
 		}
 	}
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -84,7 +84,7 @@
 				if rf.since.IsZero() {
 					rf.since = now
 				}
-				ok := rf.gates[vm].Admit(te.name, now).Admitted
+				ok := rf.gates[vm].Admit(te.name, 0, now).Admitted
 				if ok {
 					te.admittedAt = append(te.admittedAt, now)
 				}
--- a/internal/mesh/ctrl/quota_test.go
+++ b/internal/mesh/ctrl/quota_test.go
@@ -39,6 +39,8 @@
 	// admittedAt has the times of the admitted requests, offered counts all of them.
 	admittedAt []time.Time
 	offered    int
+	// rank is that of the requests.
+	rank int
 }
 
 const quotaTenant = "tenant"
@@ -120,7 +122,7 @@
 }
 
 func (qf *quotaFleet) admit(tn *testNode, now time.Time) bool {
-	if !qf.gates[tn.vm.Name].Admit(quotaTenant, now).Admitted {
+	if !qf.gates[tn.vm.Name].Admit(quotaTenant, qf.rank, now).Admitted {
 		return false
 	}
 	qf.admittedAt = append(qf.admittedAt, now)
--- a/internal/mesh/link/usage.go
+++ b/internal/mesh/link/usage.go
@@ -39,6 +39,7 @@
 		nt := newer.Tenants[i]
 		merged.Tenants[i] = &wirepb.TenantUsage{
 			Tenant: nt.Tenant, Offered: nt.Offered, Admitted: nt.Admitted, ReportedOffered: tu.ReportedOffered, ReportedAdmitted: tu.ReportedAdmitted,
+			OfferedByRank: nt.OfferedByRank, ReportedOfferedByRank: tu.ReportedOfferedByRank,
 		}
 	}
 	return merged
@@ -59,6 +60,7 @@
 		pb.Tenants = append(pb.Tenants, &wirepb.TenantUsage{
 			Tenant: us.Tenant, Offered: us.Counts.Offered, Admitted: us.Counts.Admitted,
 			ReportedOffered: us.LastReported.Offered, ReportedAdmitted: us.LastReported.Admitted,
+			OfferedByRank: us.Ranks[:], ReportedOfferedByRank: us.LastRanks[:],
 		})
 	}
 	return pb
@@ -81,20 +83,55 @@
 		re.Usage = append(re.Usage, admit.Usage{
 			Tenant: tu.Tenant, Counts: admit.Counts{Offered: tu.Offered, Admitted: tu.Admitted},
 			LastReported: admit.Counts{Offered: tu.ReportedOffered, Admitted: tu.ReportedAdmitted},
+			Ranks:        rankCounts(tu.OfferedByRank), LastRanks: rankCounts(tu.ReportedOfferedByRank),
 		})
 	}
 	return re
 }
 
+// rankCounts converts counts by rank. Ranks that this release does not know count as the last one.
+func rankCounts(list []int64) (rc admit.RankCounts) {
+	for i, n := range list {
+		rc[min(i, admit.Ranks-1)] += n
+	}
+	return rc
+}
+
 // shareUnit is the unit of a share on the wire.
 const shareUnit = 1e6
 
+func shareToWire(share float64) uint32   { return uint32(min(max(share, 0), 1) * shareUnit) }
+func shareFromWire(share uint32) float64 { return float64(min(share, shareUnit)) / shareUnit }
+
+func rankSharesToWire(rs *admit.RankShares) (list []uint32) {
+	if rs == nil {
+		return nil
+	}
+	for _, share := range rs {
+		list = append(list, shareToWire(share))
+	}
+	return list
+}
+
+// rankSharesFromWire returns nil unless there is a share for each rank.
+func rankSharesFromWire(list []uint32) *admit.RankShares {
+	if len(list) < admit.Ranks {
+		return nil
+	}
+	var rs admit.RankShares
+	for i := range rs {
+		rs[i] = shareFromWire(list[i])
+	}
+	return &rs
+}
+
 // DirectiveToWire converts a directive to its message.
 func DirectiveToWire(di *admit.Directive) *wirepb.Directive {
 	pb := &wirepb.Directive{Outlets: uint32(di.Outlets), Learning: di.Learning}
 	for name, sh := range di.Shares {
 		pb.Shares = append(pb.Shares, &wirepb.TenantShare{
-			Tenant: name, Admit: uint32(min(max(sh.Admit, 0), 1) * shareUnit), RetryAfterMs: uint32(sh.RetryAfter.Milliseconds()),
+			Tenant: name, Admit: shareToWire(sh.Admit), RetryAfterMs: uint32(sh.RetryAfter.Milliseconds()),
+			AdmitByRank: rankSharesToWire(sh.ByRank), RetrySpreadMs: uint32(sh.RetrySpread.Milliseconds()),
 		})
 	}
 	return pb
@@ -105,7 +142,8 @@
 	di := &admit.Directive{ReceivedAt: at, Outlets: int(pb.Outlets), Learning: pb.Learning, Shares: make(map[string]admit.Share, len(pb.Shares))}
 	for _, ts := range pb.Shares {
 		di.Shares[ts.Tenant] = admit.Share{
-			Admit: float64(min(ts.Admit, shareUnit)) / shareUnit, RetryAfter: durationFromMs(uint64(ts.RetryAfterMs)),
+			Admit: shareFromWire(ts.Admit), RetryAfter: durationFromMs(uint64(ts.RetryAfterMs)),
+			ByRank: rankSharesFromWire(ts.AdmitByRank), RetrySpread: durationFromMs(uint64(ts.RetrySpreadMs)),
 		}
 	}
 	return di
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -236,14 +236,8 @@
 		return
 	}
 	tenant, rf := ou.authenticate(r, rt.tb.Snap, route)
-	if rf == nil {
-		rf = ou.checkLimit(tenant, start)
-	}
 	if rf != nil {
-		if tenant != nil {
-			rt.tenantStats[tenant.Name].Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
-		}
-		ou.logTenantRefusal(r, rt.tb.Snap, route, tenant, rf)
+		ou.logTenantRefusal(r, rt.tb.Snap, route, nil, 0, rf)
 		ou.refuse(w, r, rf)
 		return
 	}
@@ -256,6 +250,15 @@
 	}
 	callerTry, callerRetry := ou.callerTries.Arrived(r, start, timeout, &rs.callerRetries)
 	elapsed, final := start.Sub(callerTry.FirstAt), false
+	if rank, rf := ou.checkLimit(tenant, route, timeLeft(route, rs, elapsed, timeout), callerRetry, start); rf != nil {
+		// Callers honor a Retry-After only up to some part of their time, so a retry that does not
+		// come says nothing about them.
+		ou.callerTries.Failed(callerTry, start, false, nil)
+		rt.tenantStats[tenant.Name].Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		ou.logTenantRefusal(r, rt.tb.Snap, route, tenant, rank, rf)
+		ou.refuse(w, r, rf)
+		return
+	}
 	priority, parentRetry := route.Priority, 0.0
 	if wk := ou.work(); rs.callerRetries.CountArrival(start, shorter && !callerRetry, wk.Running > 0) {
 		final, priority, parentRetry = true, wk.Priority, wk.Repeats
--- a/internal/path/outlet/tenant.go
+++ b/internal/path/outlet/tenant.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/path/apikey"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/quota/admit"
 	"github.com/flamingomast/flamingomast/internal/stat/hist"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
@@ -43,19 +45,42 @@
 	return tn, nil
 }
 
-// checkLimit refuses a request beyond the limit of its tenant, which may be nil. Calls of backend
+// checkLimit refuses a request beyond the limit of its tenant, which may be nil, and returns the rank
+// of the request. left is the time within which it can still be sent to a server. Calls of backend
 // servers have no tenant: the request that they are made for was counted.
-func (ou *Outlet) checkLimit(tn *snap.Tenant, now time.Time) *result.Refusal {
+func (ou *Outlet) checkLimit(tn *snap.Tenant, route *snap.Route, left time.Duration, isRetry bool, now time.Time) (rank int, rf *result.Refusal) {
 	if tn == nil {
-		return nil
+		return 0, nil
 	}
-	de := ou.quota.Admit(tn.Name, now)
+	priority := route.Priority
+	if tn.HasPriority {
+		priority = tn.Priority
+	}
+	rank = admit.Rank(priority, isRetry && left < 0)
+	de := ou.quota.Admit(tn.Name, rank, now)
 	if de.Admitted {
-		return nil
+		return rank, nil
+	}
+	retry := de.Delay(left, rand.Float64())
+	if !ou.names.FractionalRetryAfter && (retry+time.Second-1).Truncate(time.Second) > left {
+		// It is rounded up to whole seconds.
+		retry = 0
+	}
+	return rank, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonOverLimit, RetryAfter: retry, Detail: "the tenant sends more requests than its limit"}
+}
+
+// timeLeft returns the time within which a request must be sent to a server to be answered within its
+// objective and the timeout of its caller, negative if it is too late. timeout is 0 if the caller named
+// none.
+func timeLeft(route *snap.Route, rs *routeStats, elapsed, timeout time.Duration) time.Duration {
+	left := time.Duration(math.MaxInt64)
+	if route.Objective > 0 {
+		left = route.Objective - elapsed
+	}
+	if timeout > 0 {
+		left = min(left, timeout)
 	}
-	// The jitter keeps callers that were refused together from returning together.
-	retry := de.RetryAfter + rand.N(max(1, de.RetryAfter/2))
-	return &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonOverLimit, RetryAfter: retry, Detail: "the tenant sends more requests than its limit"}
+	return left - time.Duration(rs.held.Load())
 }
 
 // The metrics by tenant.
@@ -92,16 +117,19 @@
 	return series
 }
 
-// logTenantRefusal logs a request that was refused for its key or its tenant's limit.
-func (ou *Outlet) logTenantRefusal(r *http.Request, sn *snap.Snapshot, route *snap.Route, tn *snap.Tenant, rf *result.Refusal) {
+// logTenantRefusal logs a request that was refused for its key or, unless tn is nil, its tenant's
+// limit.
+func (ou *Outlet) logTenantRefusal(r *http.Request, sn *snap.Snapshot, route *snap.Route, tn *snap.Tenant, rank int, rf *result.Refusal) {
 	attrs := []slog.Attr{
 		slog.String(logs.ID, ou.requestID(r)), slog.String("route", route.Name), slog.Uint64(logs.Version, sn.Version),
 		slog.String("method", r.Method), slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
 	}
 	if tn != nil {
-		share, age := ou.quota.Share(tn.Name, time.Now())
+		now := time.Now()
+		share, age := ou.quota.Share(tn.Name, now)
 		attrs = append(attrs, slog.String(logs.Tenant, tn.Name), slog.Float64(logs.TenantRate, tn.Rate), slog.Float64(logs.TenantBurst, tn.Burst),
-			slog.Float64(logs.TenantShare, share), slog.Duration(logs.DirectiveAge, age), slog.Duration(logs.RetryAfter, rf.RetryAfter))
+			slog.Float64(logs.TenantShare, share), slog.Duration(logs.DirectiveAge, age), slog.Duration(logs.RetryAfter, rf.RetryAfter),
+			slog.Int(logs.TenantRank, rank), slog.Float64(logs.RankShare, ou.quota.RankShare(tn.Name, rank, now)))
 	}
 	ou.log.LogAttrs(context.Background(), slog.LevelWarn, logs.TenantRefused, attrs...)
 }
--- a/internal/path/resend/resend.go
+++ b/internal/path/resend/resend.go
@@ -36,6 +36,8 @@
 	key      uint64
 	// failedAt is when the try failed.
 	failedAt time.Time
+	// uncounted is set if a retry says nothing about the callers of the route.
+	uncounted bool
 }
 
 // Arrived returns the try of a request that arrived at now and whose caller waits for timeout, 0 if
@@ -53,7 +55,9 @@
 			continue
 		}
 		tr.FirstAt = old.FirstAt
-		rs.countRetried(old.failedAt)
+		if !old.uncounted {
+			rs.countRetried(old.failedAt)
+		}
 		return tr, true
 	}
 	return tr, false
@@ -74,15 +78,16 @@
 	return tr.deadline.IsZero() || wait <= tr.deadline.Sub(now)/waitDivisor
 }
 
-// Failed records that a try failed at now. retryAdvised is set if the caller was told to retry.
+// Failed records that a try failed at now. retryAdvised is set if the caller was told to retry. rs is
+// nil if whether it does says nothing about the callers of the route.
 func (tk *Tracker) Failed(tr *Try, now time.Time, retryAdvised bool, rs *RetryStats) {
 	if tr.deadline.IsZero() {
 		return
 	}
 	next := *tr
-	next.failedAt = now
+	next.failedAt, next.uncounted = now, rs == nil
 	tk.entry(tr.key, now).Store(&next)
-	if retryAdvised {
+	if retryAdvised && rs != nil {
 		rs.countAdvised(now)
 	}
 }
--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -41,10 +41,12 @@
 }
 
 // Share is the part of a tenant's requests, 0 to 1, that outlets admit, and when the caller of a
-// refused request should retry.
+// refused request should retry: at a time from RetryAfter on, within RetrySpread.
 type Share struct {
-	Admit      float64
-	RetryAfter time.Duration
+	Admit float64
+	// ByRank has the parts by rank, nil if the relay is of the previous release.
+	ByRank                  *RankShares
+	RetryAfter, RetrySpread time.Duration
 }
 
 // IsValid reports whether the directive, which may be nil, is to be followed at now.
@@ -68,6 +70,8 @@
 	Tenant       string
 	Counts       Counts
 	LastReported Counts
+	// Ranks and LastRanks are the offered requests by rank.
+	Ranks, LastRanks RankCounts
 }
 
 // Gate admits the requests of tenants at one outlet. Its methods are safe for concurrent use.
@@ -99,12 +103,15 @@
 }
 
 type counters struct {
-	offered, admitted atomic.Int64
+	// offered is by rank.
+	offered  [Ranks]atomic.Int64
+	admitted atomic.Int64
 	// reportedOffered and reportedAdmitted are the counts of the last report.
-	reportedOffered, reportedAdmitted atomic.Int64
-	// credit accumulates the admitted share in units of 1/creditUnit: each time it passes a whole
-	// number, one request is admitted.
-	credit atomic.Uint64
+	reportedOffered  [Ranks]atomic.Int64
+	reportedAdmitted atomic.Int64
+	// credit accumulates the admitted share of each rank in units of 1/creditUnit: each time it
+	// passes a whole number, one request is admitted.
+	credit [Ranks]atomic.Uint64
 	// shared limits what this outlet admits of the whole limit, alone what it admits without a
 	// directive.
 	shared, alone bucket
@@ -136,7 +143,9 @@
 			// The predecessor of this process may have used up the burst, and so may the other
 			// outlets, which start with it after a failure of all.
 			tn.counters = &counters{}
-			tn.credit.Store(rand.Uint64N(creditUnit))
+			for i := range tn.credit {
+				tn.credit[i].Store(rand.Uint64N(creditUnit))
+			}
 			tn.shared.setEmpty(li, now)
 			tn.alone.setEmpty(li.part(assumedOutlets), now.Add(-rand.N(li.part(assumedOutlets).interval())))
 		}
@@ -145,22 +154,24 @@
 	ga.tenants.Store(&next)
 }
 
-// Decision is the answer to a request. RetryAfter is set if the request is not admitted.
+// Decision is the answer to a request. RetryAfter and RetrySpread are those of Share, set if the
+// request is not admitted.
 type Decision struct {
-	Admitted   bool
-	RetryAfter time.Duration
+	Admitted                bool
+	RetryAfter, RetrySpread time.Duration
 }
 
-// Admit decides on a request of a tenant. A tenant without a limit is always admitted.
-func (ga *Gate) Admit(name string, now time.Time) Decision {
+// Admit decides on a request of a tenant that has a rank, 0 to Ranks-1. A tenant without a limit is
+// always admitted.
+func (ga *Gate) Admit(name string, rank int, now time.Time) Decision {
 	tenants := ga.tenants.Load()
 	if tenants == nil || (*tenants)[name] == nil {
 		return Decision{Admitted: true}
 	}
 	tn := (*tenants)[name]
-	tn.offered.Add(1)
+	tn.offered[rank].Add(1)
 	di := ga.Directive()
-	de := ga.decide(tn, name, di, now)
+	de := ga.decide(tn, name, rank, di, now)
 	if !de.Admitted {
 		return de
 	}
@@ -203,7 +214,7 @@
 	return max(1, di.Outlets)
 }
 
-func (ga *Gate) decide(tn *tenant, name string, di *Directive, now time.Time) Decision {
+func (ga *Gate) decide(tn *tenant, name string, rank int, di *Directive, now time.Time) Decision {
 	if !di.IsValid(now) || di.Learning {
 		return ga.decideAlone(tn, di, now)
 	}
@@ -211,9 +222,9 @@
 	sh, limited := di.Shares[name]
 	tn.alone.prepare(tn.Limit.part(di.outlets()), limited, now)
 	if limited {
-		step := uint64(min(1, max(0, sh.Admit)) * creditUnit)
-		if sum := tn.credit.Add(step); sum/creditUnit == (sum-step)/creditUnit {
-			return Decision{RetryAfter: sh.RetryAfter}
+		step := uint64(min(1, max(0, sh.ForRank(rank))) * creditUnit)
+		if sum := tn.credit[rank].Add(step); sum/creditUnit == (sum-step)/creditUnit {
+			return Decision{RetryAfter: sh.RetryAfter, RetrySpread: sh.RetrySpread}
 		}
 	}
 	return tn.shared.take(tn.Limit, now)
@@ -263,15 +274,15 @@
 	}
 	var list []Usage
 	for name, tn := range *tenants {
-		us := Usage{
-			Tenant:       name,
-			Counts:       Counts{Offered: tn.offered.Load(), Admitted: tn.admitted.Load()},
-			LastReported: Counts{Offered: tn.reportedOffered.Load(), Admitted: tn.reportedAdmitted.Load()},
-		}
+		us := Usage{Tenant: name, Ranks: loadAll(&tn.offered), LastRanks: loadAll(&tn.reportedOffered)}
+		us.Counts = Counts{Offered: us.Ranks.Total(), Admitted: tn.admitted.Load()}
+		us.LastReported = Counts{Offered: us.LastRanks.Total(), Admitted: tn.reportedAdmitted.Load()}
 		if us.Counts == us.LastReported {
 			continue
 		}
-		tn.reportedOffered.Store(us.Counts.Offered)
+		for i, n := range us.Ranks {
+			tn.reportedOffered[i].Store(n)
+		}
 		tn.reportedAdmitted.Store(us.Counts.Admitted)
 		list = append(list, us)
 	}
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -22,7 +22,7 @@
 // offer offers n requests, evenly spread over a time, and returns how many were admitted.
 func offer(ga *Gate, n int, span time.Duration) (admitted int) {
 	for range n {
-		if ga.Admit(tenantName, time.Now()).Admitted {
+		if ga.Admit(tenantName, 0, time.Now()).Admitted {
 			admitted++
 		}
 		time.Sleep(span / time.Duration(n))
@@ -108,7 +108,7 @@
 			ga, _ := newTestGate(li)
 			began := time.Now()
 			for at := began; at.Before(began.Add(span)); at = at.Add(100 * time.Millisecond) {
-				if ga.Admit(tenantName, at).Admitted {
+				if ga.Admit(tenantName, 0, at).Admitted {
 					admitted++
 				}
 			}
@@ -149,7 +149,7 @@
 				for due, ms := 0.0, 0; ms < 1000; ms++ {
 					for due += tc.limit.Rate * tc.offered / 1000; due >= 1; due-- {
 						offered++
-						if gates[rnd.IntN(len(gates))].Admit(tenantName, time.Now()).Admitted {
+						if gates[rnd.IntN(len(gates))].Admit(tenantName, 0, time.Now()).Admitted {
 							admitted++
 						}
 					}
@@ -178,7 +178,7 @@
 			t.Errorf("%d of 500 requests admitted below the raised limit", got)
 		}
 		for range 2000 {
-			ga.Admit(tenantName, time.Now())
+			ga.Admit(tenantName, 0, time.Now())
 		}
 		ga.Update(map[string]Limit{tenantName: low}, time.Now())
 		if got := offer(ga, 100, 100*time.Millisecond); got > 1 {
@@ -219,7 +219,7 @@
 			for _, next := range []*Directive{nil, {Outlets: 1, ReceivedAt: time.Now()}, {Outlets: 1 << 30, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.5}}}} {
 				di.Store(next)
 				for range 100 {
-					if de := ga.Admit(tenantName, time.Now()); !de.Admitted && (de.RetryAfter < 0 || de.RetryAfter > 2*maxRefill) {
+					if de := ga.Admit(tenantName, 0, time.Now()); !de.Admitted && (de.RetryAfter < 0 || de.RetryAfter > 2*maxRefill) {
 						t.Errorf("%+v: %+v", li, de)
 					}
 				}
@@ -245,12 +245,12 @@
 			}
 		}
 		for range 39 {
-			ga.Admit(tenantName, time.Now())
+			ga.Admit(tenantName, 0, time.Now())
 		}
 		if isDue() {
 			t.Error("39 of 1600 requests at one of ten outlets are due")
 		}
-		ga.Admit(tenantName, time.Now())
+		ga.Admit(tenantName, 0, time.Now())
 		if !isDue() {
 			t.Error("40 of 1600 requests at one of ten outlets are not due")
 		}
@@ -267,7 +267,7 @@
 	for range 8 {
 		wg.Go(func() {
 			for range 250 {
-				if ga.Admit(tenantName, now).Admitted {
+				if ga.Admit(tenantName, 0, now).Admitted {
 					admitted.Add(1)
 				}
 			}
@@ -286,7 +286,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			ga.Admit(tenantName, time.Now())
+			ga.Admit(tenantName, 0, time.Now())
 		}
 	})
 }
--- a/internal/quota/ledger/ledger.go
+++ b/internal/quota/ledger/ledger.go
@@ -56,6 +56,8 @@
 	// demand is the rate of offered requests per second at demandAt, an exponential average.
 	demand   float64
 	demandAt time.Time
+	// ranks is the part of demand whose rank is known, by rank.
+	ranks [admit.Ranks]float64
 	// pending is what was admitted since the last call of Shares, expected the rate at which that
 	// call expected requests to be admitted.
 	pending  int64
@@ -66,7 +68,7 @@
 type source struct {
 	at      time.Time
 	outlets int
-	counts  map[string]admit.Counts
+	counts  map[string]admit.RankedCounts
 }
 
 // Report holds the counts of one daemon process, or the sums of a relay.
@@ -88,7 +90,7 @@
 	sr := le.sources[re.Source]
 	lapsed := sr != nil && sr.outlets > 0 && now.Sub(sr.at) > SourceTTL
 	if sr == nil || lapsed {
-		sr = &source{counts: map[string]admit.Counts{}}
+		sr = &source{counts: map[string]admit.RankedCounts{}}
 		le.sources[re.Source] = sr
 	}
 	sr.at, sr.outlets = now, re.Outlets
@@ -98,16 +100,16 @@
 		// A member may have reported to another relay since its last report here. A relay reports to
 		// all others, so what is missing was lost.
 		if !known || re.Outlets == 0 && us.LastReported.Offered > last.Offered {
-			last = us.LastReported
+			last = admit.RankedCounts{Counts: us.LastReported, Ranks: us.LastRanks}
 		}
-		delta := us.Counts.Sub(last)
+		delta, ranks := us.Counts.Sub(last.Counts), rankDelta(us.Ranks, last.Ranks)
 		if delta.Offered < 0 || delta == (admit.Counts{}) {
 			// A message that was overtaken by a later one.
 			continue
 		}
-		sr.counts[us.Tenant] = us.Counts
-		le.account(us.Tenant, now).add(delta, now)
-		deltas = append(deltas, admit.Usage{Tenant: us.Tenant, Counts: delta})
+		sr.counts[us.Tenant] = admit.RankedCounts{Counts: us.Counts, Ranks: us.Ranks}
+		le.account(us.Tenant, now).add(delta, ranks, now)
+		deltas = append(deltas, admit.Usage{Tenant: us.Tenant, Counts: delta, Ranks: ranks})
 	}
 	return deltas
 }
@@ -122,8 +124,9 @@
 	return ac
 }
 
-func (ac *account) add(delta admit.Counts, now time.Time) {
+func (ac *account) add(delta admit.Counts, ranks admit.RankCounts, now time.Time) {
 	ac.pending += delta.Admitted
+	ac.addRanks(ranks, now)
 	ac.demand = ac.demandRate(now) + float64(max(0, delta.Offered))/demandWindow.Seconds()
 	ac.demandAt = now
 }
@@ -178,7 +181,9 @@
 		}
 		backlog := max(0, -ac.level) + (demand-rate)*settleTime.Seconds()
 		retry := time.Duration(backlog / max(rate, 1e-3) * float64(time.Second))
-		shares[name] = admit.Share{Admit: allowed / demand, RetryAfter: min(max(retry, minRetryAfter), maxRetryAfter)}
+		shares[name] = admit.Share{
+			Admit: allowed / demand, ByRank: rankShares(allowed/demand, maxRankShare(allowed, rate, demand), ac.rankRates(now)), RetryAfter: min(max(retry, minRetryAfter), maxRetryAfter),
+		}
 	}
 	return shares
 }
@@ -188,8 +193,9 @@
 	Tenant string
 	Limit  admit.Limit
 	// Demand is the number of requests per second that come, Admit the part of them that outlets
-	// admit.
+	// admit. ByRank is the part by rank, nil if all are admitted.
 	Demand, Admit float64
+	ByRank        *admit.RankShares
 }
 
 // Uses returns the tenants that sent requests lately, the one with the most first. shares is the
@@ -199,7 +205,7 @@
 	for name, ac := range le.accounts {
 		us := Use{Tenant: name, Limit: limit(name), Demand: ac.demandRate(now), Admit: 1}
 		if sh, ok := shares[name]; ok {
-			us.Admit = sh.Admit
+			us.Admit, us.ByRank = sh.Admit, sh.ByRank
 		}
 		list = append(list, us)
 	}
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -64,6 +64,10 @@
 	TenantShare  = "admit"
 	DirectiveAge = "directive-age"
 	RetryAfter   = "retry-after"
+	// TenantRank is the rank of a request among those of its tenant, 0 being the most urgent, and
+	// RankShare the part of the tenant's requests of that rank that the outlet admits.
+	TenantRank = "rank"
+	RankShare  = "rank-admit"
 	// ServerRate is the rate limit of a backend server in requests per second, negative if there is
 	// none, and PreviousRate is the one before.
 	ServerRate   = "rate"
