internal/node/admin: status shows what is admitted of a tenant by rank

Without it an operator saw one share for a tenant above its limit, which no class of it gets any more. The JSON form has admit-by-rank, the table a last column BY RANK; both are empty for tenants of which all is admitted and with relays of the previous release.

--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -255,10 +255,14 @@
 	}
 	if tu := nd.Board.TenantUse.Get(); tu != nil {
 		for _, us := range tu.Uses[:min(maxListedTenants, len(tu.Uses))] {
-			res.Tenants = append(res.Tenants, &wirepb.TenantStatus{
+			ts := &wirepb.TenantStatus{
 				Tenant: us.Tenant, Rate: us.Limit.Rate, Burst: us.Limit.Burst, Demand: us.Demand, Admit: us.Admit,
 				Reporting: uint32(tu.Reporting), Outlets: uint32(tu.Outlets),
-			})
+			}
+			if us.ByRank != nil {
+				ts.AdmitByRank = us.ByRank[:]
+			}
+			res.Tenants = append(res.Tenants, ts)
 		}
 	}
 	nd.mu.Lock()
--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -42,6 +42,9 @@
 	Burst  float64 `json:"burst"`
 	Demand float64 `json:"demand"`
 	Admit  float64 `json:"admit"`
+	// AdmitByRank is the part of the requests of each rank, the most urgent first; empty if all are
+	// admitted.
+	AdmitByRank []float64 `json:"admit-by-rank,omitempty"`
 	// Reporting is how many of the Outlets these numbers cover.
 	Reporting int `json:"reporting"`
 	Outlets   int `json:"outlets"`
@@ -113,7 +116,7 @@
 	}
 	for _, ts := range res.Tenants {
 		st.Tenants = append(st.Tenants, TenantStatus{
-			Name: ts.Tenant, Rate: ts.Rate, Burst: ts.Burst, Demand: ts.Demand, Admit: ts.Admit, Reporting: int(ts.Reporting), Outlets: int(ts.Outlets),
+			Name: ts.Tenant, Rate: ts.Rate, Burst: ts.Burst, Demand: ts.Demand, Admit: ts.Admit, AdmitByRank: ts.AdmitByRank, Reporting: int(ts.Reporting), Outlets: int(ts.Outlets),
 		})
 	}
 	slices.SortFunc(st.Domains, func(a, b DomainStatus) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/node/cmds/fleet.go
+++ b/internal/node/cmds/fleet.go
@@ -198,9 +198,15 @@
 	if len(tenants) == 0 {
 		return
 	}
-	fmt.Fprintf(ap.out, "\n%-20s %10s %10s %10s %8s  %s\n", "TENANT", "RATE/S", "BURST", "SENT/S", "ADMITTED", "OUTLETS")
+	fmt.Fprintf(ap.out, "\n%-20s %10s %10s %10s %8s  %-14s  %s\n", "TENANT", "RATE/S", "BURST", "SENT/S", "ADMITTED", "OUTLETS", "BY RANK")
 	for _, ts := range tenants {
-		fmt.Fprintf(ap.out, "%-20s %10.6g %10.6g %10.1f %7.0f%%  %d of %d\n", ts.Name, ts.Rate, ts.Burst, ts.Demand, 100*ts.Admit, ts.Reporting, ts.Outlets)
+		var byRank []string
+		for _, share := range ts.AdmitByRank {
+			byRank = append(byRank, fmt.Sprintf("%.0f%%", 100*share))
+		}
+		outlets := fmt.Sprintf("%d of %d", ts.Reporting, ts.Outlets)
+		line := fmt.Sprintf("%-20s %10.6g %10.6g %10.1f %7.0f%%  %-14s  %s", ts.Name, ts.Rate, ts.Burst, ts.Demand, 100*ts.Admit, outlets, strings.Join(byRank, " "))
+		fmt.Fprintln(ap.out, strings.TrimRight(line, " "))
 	}
 }
 
