--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -103,21 +103,17 @@
 }
 
 type counters struct {
-	// offered is by rank.
-	offered  [Ranks]atomic.Int64
 	admitted atomic.Int64
-	// reportedOffered and reportedAdmitted are the counts of the last report.
-	reportedOffered  [Ranks]atomic.Int64
-	reportedAdmitted atomic.Int64
-	// credit accumulates the admitted share of each rank in units of 1/creditUnit: each time it
-	// passes a whole number, one request is admitted.
-	credit [Ranks]atomic.Uint64
 	// shared limits what this outlet admits of the whole limit, alone what it admits without a
 	// directive.
 	shared, alone bucket
 	// start has what the outlet may admit in addition until the first directive that is not of a
 	// learning relay.
 	start startCredit
+	ranks [Ranks]rankCounters
+	// reportedOffered and reportedAdmitted are the counts of the last report.
+	reportedAdmitted atomic.Int64
+	reportedOffered  [Ranks]atomic.Int64
 }
 
 const creditUnit = 1 << 32
@@ -143,8 +139,8 @@
 			// The predecessor of this process may have used up the burst, and so may the other
 			// outlets, which start with it after a failure of all.
 			tn.counters = &counters{}
-			for i := range tn.credit {
-				tn.credit[i].Store(rand.Uint64N(creditUnit))
+			for i := range tn.ranks {
+				tn.ranks[i].credit.Store(rand.Uint64N(creditUnit))
 			}
 			tn.shared.setEmpty(li, now)
 			tn.alone.setEmpty(li.part(assumedOutlets), now.Add(-rand.N(li.part(assumedOutlets).interval())))
@@ -169,7 +165,7 @@
 		return Decision{Admitted: true}
 	}
 	tn := (*tenants)[name]
-	tn.offered[rank].Add(1)
+	tn.ranks[rank].offered.Add(1)
 	di := ga.Directive()
 	de := ga.decide(tn, name, rank, di, now)
 	if !de.Admitted {
@@ -223,7 +219,7 @@
 	tn.alone.prepare(tn.Limit.part(di.outlets()), limited, now)
 	if limited {
 		step := uint64(min(1, max(0, sh.ForRank(rank))) * creditUnit)
-		if sum := tn.credit[rank].Add(step); sum/creditUnit == (sum-step)/creditUnit {
+		if sum := tn.ranks[rank].credit.Add(step); sum/creditUnit == (sum-step)/creditUnit {
 			return Decision{RetryAfter: sh.RetryAfter, RetrySpread: sh.RetrySpread}
 		}
 	}
@@ -274,7 +270,7 @@
 	}
 	var list []Usage
 	for name, tn := range *tenants {
-		us := Usage{Tenant: name, Ranks: loadAll(&tn.offered), LastRanks: loadAll(&tn.reportedOffered)}
+		us := Usage{Tenant: name, Ranks: tn.offered(), LastRanks: tn.lastReported()}
 		us.Counts = Counts{Offered: us.Ranks.Total(), Admitted: tn.admitted.Load()}
 		us.LastReported = Counts{Offered: us.LastRanks.Total(), Admitted: tn.reportedAdmitted.Load()}
 		if us.Counts == us.LastReported {
--- a/internal/quota/admit/ranks.go
+++ b/internal/quota/admit/ranks.go
@@ -100,9 +100,26 @@
 	return delay
 }
 
-func loadAll(counts *[Ranks]atomic.Int64) (rc RankCounts) {
-	for i := range counts {
-		rc[i] = counts[i].Load()
+// rankCounters counts the requests of a rank.
+type rankCounters struct {
+	offered atomic.Int64
+	// credit accumulates the admitted share in units of 1/creditUnit: each time it passes a whole
+	// number, one request is admitted.
+	credit atomic.Uint64
+}
+
+// offered returns the requests that came, by rank.
+func (co *counters) offered() (rc RankCounts) {
+	for i := range co.ranks {
+		rc[i] = co.ranks[i].offered.Load()
+	}
+	return rc
+}
+
+// lastReported returns the requests by rank of the last report.
+func (co *counters) lastReported() (rc RankCounts) {
+	for i := range co.reportedOffered {
+		rc[i] = co.reportedOffered[i].Load()
 	}
 	return rc
 }
