quota/admit: the start credit saves up no more than the burst

An outlet whose first request of a tenant comes some seconds after its start, while it has no directive, was given what the rate yields since the start in addition to its credit, without regard to the burst: up to three seconds of the rate at once. A bucket holds the burst at most.

Ruled out: the credit itself, which is an eighth of the tolerance, and the part's bucket, which is set to less than one request.

TestStartCreditBurst (rate 100, burst 10, one outlet, a flood from 2.9 s on) failed before: 798 requests admitted in 5 s, want at most 520, where the bound is 581. It passes now. Nothing changes where the burst is at least what the rate yields until the first request, as in TestQuotaRestartBound.

--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -230,7 +230,8 @@
 	}
 	part := tn.Limit.part(outlets)
 	if age := now.Sub(ga.startedAt); outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
-		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + part.Rate*age.Seconds()
+		// As in a bucket, no more than the burst is saved up.
+		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + min(part.Rate*age.Seconds(), part.Burst)
 		whole := math.Floor(credit)
 		// The fractions of all outlets add up, since each draws its own phase.
 		level := credit - whole + rand.Float64()
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// TestStartCreditBurst guards against a flood that comes some seconds after the start, while there is no
+// directive, being admitted what the rate gave since the start in addition to the burst.
+func TestStartCreditBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		li := Limit{Rate: 100, Burst: 10}
+		ga, _ := newTestGate(li)
+		ga.Outlets = func() int { return 1 }
+		ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
+		time.Sleep(2900 * time.Millisecond)
+		admitted := offer(ga, 4000, 5*time.Second)
+		if want := int(5*li.Rate + li.Burst + ga.Tolerance.StartCredit(li) + 2); admitted > want {
+			t.Errorf("%d requests admitted in 5 s, want at most %d", admitted, want)
+		}
+	})
+}
+
 // TestChangedLimit guards against a raised limit that is not used because of what was taken under
 // the lower one, and against a lowered one that is refilled.
 func TestChangedLimit(t *testing.T) {
