quota/admit: the start credit ends three seconds after the start

docs/design/tenant-limits.md says that an outlet has its credit in its first 3 s, but only the grant was bound to that time. An outlet without a directive could use what was left of it at any time later, also of a limit that had been lowered meanwhile.

--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -108,8 +108,8 @@
 	// shared limits what this outlet admits of the whole limit, alone what it admits without a
 	// directive.
 	shared, alone bucket
-	// start has what the outlet may admit in addition until the first directive that is not of a
-	// learning relay.
+	// start has what the outlet may admit in addition during startPeriod, until the first directive
+	// that is not of a learning relay.
 	start startCredit
 }
 
@@ -229,7 +229,8 @@
 		}
 	}
 	part := tn.Limit.part(outlets)
-	if age := now.Sub(ga.startedAt); outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
+	age := now.Sub(ga.startedAt)
+	if outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
 		// As in a bucket, no more than the burst is saved up.
 		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + min(part.Rate*age.Seconds(), part.Burst)
 		whole := math.Floor(credit)
@@ -243,7 +244,7 @@
 	}
 	tn.alone.shorten(part, now)
 	de := tn.alone.take(part, now)
-	if !de.Admitted && tn.start.take() {
+	if !de.Admitted && age <= startPeriod && tn.start.take() {
 		return Decision{Admitted: true}
 	}
 	// By then a directive may have come.
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -181,6 +181,25 @@
 	})
 }
 
+// TestStartCreditEnds guards against a credit that is used long after the start, when the limit that
+// it was computed from may have been lowered.
+func TestStartCreditEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, _ := newTestGate(Limit{Rate: 1000, Burst: 1000})
+		ga.Outlets = func() int { return 1 }
+		ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
+		ga.Admit(tenantName, time.Now())
+		time.Sleep(startPeriod)
+		low := Limit{Rate: 10, Burst: 10}
+		ga.Update(map[string]Limit{tenantName: low}, time.Now())
+		time.Sleep(7500 * time.Millisecond)
+		admitted := offer(ga, 1000, 5*time.Second)
+		if want := int(5*low.Rate + low.Burst + 1); admitted > want {
+			t.Errorf("%d requests admitted in 5 s, want at most %d", admitted, want)
+		}
+	})
+}
+
 // TestChangedLimit guards against a raised limit that is not used because of what was taken under
 // the lower one, and against a lowered one that is refilled.
 func TestChangedLimit(t *testing.T) {
--- a/internal/quota/admit/start.go
+++ b/internal/quota/admit/start.go
@@ -17,7 +17,8 @@
 // a window.
 const startDivisor = 8
 
-// startPeriod is the age up to which a process is taken to have started together with others.
+// startPeriod is the age up to which a process is taken to have started together with others. Its
+// credit ends then: the limit that it was computed from may be lowered later.
 const startPeriod = 3 * time.Second
 
 // StartCredit returns how many requests beyond its rate all outlets together may admit of a tenant
