mesh/ctrl: no usage reports to a link that has ended

A daemon without a relay reports to the daemon whose directive it follows, for as long as the directive is valid (1.5 s). It did so even if the link had ended. Reported counts are not sent again, and a relay that hears the process for the first time counts only what was not reported before. So what was admitted in up to 1.5 s after the loss of a daemon that counts before it is a relay was never counted.

Ruled out: relays, whose links are looked up among the open ones.

TestReportAfterLinkLoss failed before ("reports to vm-f after the link has ended") and passes now.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -215,7 +215,13 @@
 		}
 	})
 	if rl == nil && qc.nd.Board.Directive.Get().IsValid(time.Now()) {
-		return qc.directiveFrom.Load()
+		from := qc.directiveFrom.Load()
+		// Counts given to a link that has ended would be marked as reported, and be lost.
+		qc.nd.eachPeer(func(pr *link.Peer) {
+			if pr == from {
+				rl = pr
+			}
+		})
 	}
 	return rl
 }
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/sample"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
 	"github.com/flamingomast/flamingomast/internal/quota/admit"
 )
 
@@ -223,3 +226,34 @@
 		}
 	})
 }
+
+// newFollower returns a node that has opened a link to a future relay, the only one, and a function that
+// opens another one.
+func newFollower(t *testing.T) (nd *Node, future *link.Peer, open func(vm string, isRelay bool) *link.Peer) {
+	nd = New(Config{VM: "vm-x", Domain: "d0", Control: "x:1"})
+	t.Cleanup(nd.cancel)
+	open = func(vm string, isRelay bool) *link.Peer {
+		pr := link.New(link.Stream{Abort: func() {}}, nd.offer)
+		pr.Outgoing, pr.Addr = true, vm+":1"
+		rc := &member.Record{VM: vm, Domain: "d0", Incarnation: 1}
+		nd.handlePacket(pr, &wirepb.Packet{Hello: &wirepb.Hello{Protocol: Protocol, Relay: isRelay, Record: rc.ToWire()}, Welcome: &wirepb.Welcome{}})
+		return pr
+	}
+	future = open("vm-f", false)
+	nd.linker.chosen.Store(&[]*member.Record{future.Record})
+	return nd, future, open
+}
+
+// TestReportAfterLinkLoss guards against counts that are given to a link that has ended: they would be
+// marked as reported, and the next relay would not count them.
+func TestReportAfterLinkLoss(t *testing.T) {
+	nd, future, _ := newFollower(t)
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 5}})
+	if got := nd.quota.linkedRelay(); got != future {
+		t.Errorf("reports to %v, want the future relay", got)
+	}
+	nd.removePeer(future, nil)
+	if got := nd.quota.linkedRelay(); got != nil {
+		t.Errorf("reports to %s after the link has ended", got.Record.VM)
+	}
+}
