mesh/ctrl: a daemon linked to a relay follows no future relay

A member that is linked to a relay reports to it. If another daemon was chosen as the member's relay and was not one yet, the member followed the directives of both, in the order in which they came. The future relay knows nothing of what the member is sent, and names no tenant as above its limit. This can occur where some daemons of a failure domain are restarted beside its relays, and for one or two hundred milliseconds while relays are promoted one after the other.

Ruled out: directives of two relays, which exchange their sums; reports, which go to the relay already.

TestDirectiveOfFutureRelay failed before (the future relay's directive replaced that of the relay) and passes now.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -206,23 +206,29 @@
 }
 
 // linkedRelay returns the peer of the failure domain that this daemon has opened a link to and that
-// counts its requests, or nil if there is none. Of several relays it is always the same one: counts
-// reported to two would be added up.
+// counts its requests, or nil if there is none.
 func (qc *quotaController) linkedRelay() (rl *link.Peer) {
+	if rl = qc.nd.ownRelay(); rl != nil || !qc.nd.Board.Directive.Get().IsValid(time.Now()) {
+		return rl
+	}
+	from := qc.directiveFrom.Load()
+	// Counts given to a link that has ended would be marked as reported, and be lost.
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if pr.Outgoing && pr.Relay && pr.Record.Domain == qc.nd.cf.Domain && (rl == nil || pr.Record.VM < rl.Record.VM) {
+		if pr == from {
+			rl = pr
+		}
+	})
+	return rl
+}
+
+// ownRelay returns the relay of the failure domain that this daemon has opened a link to, or nil if
+// there is none. Of several it is always the same one: counts reported to two would be added up.
+func (nd *Node) ownRelay() (rl *link.Peer) {
+	nd.eachPeer(func(pr *link.Peer) {
+		if pr.Outgoing && pr.Relay && pr.Record.Domain == nd.cf.Domain && (rl == nil || pr.Record.VM < rl.Record.VM) {
 			rl = pr
 		}
 	})
-	if rl == nil && qc.nd.Board.Directive.Get().IsValid(time.Now()) {
-		from := qc.directiveFrom.Load()
-		// Counts given to a link that has ended would be marked as reported, and be lost.
-		qc.nd.eachPeer(func(pr *link.Peer) {
-			if pr == from {
-				rl = pr
-			}
-		})
-	}
 	return rl
 }
 
@@ -410,7 +416,8 @@
 	if !from.Outgoing || from.Record.Domain != nd.cf.Domain || nd.quota.counting() {
 		return
 	}
-	if !from.Relay && futureRelay(nd.linker.chosenRelays(), nd.cf.VM) != from.Record.VM {
+	// A future relay knows nothing of requests that are reported to a relay, and would let them pass.
+	if !from.Relay && (nd.ownRelay() != nil || futureRelay(nd.linker.chosenRelays(), nd.cf.VM) != from.Record.VM) {
 		return
 	}
 	nd.quota.directiveFrom.Store(from)
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -244,6 +244,22 @@
 	return nd, future, open
 }
 
+// TestDirectiveOfFutureRelay guards against following a daemon that counts before it is a relay while
+// the requests are reported to a relay: the former knows nothing of them, and lets all pass.
+func TestDirectiveOfFutureRelay(t *testing.T) {
+	nd, future, open := newFollower(t)
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 5}})
+	if di := nd.Board.Directive.Get(); di == nil || di.Outlets != 5 {
+		t.Errorf("without a relay: %+v, want the directive of the future relay", di)
+	}
+	rl := open("vm-r", true)
+	nd.handlePacket(rl, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 7}})
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 6}})
+	if di := nd.Board.Directive.Get(); di.Outlets != 7 {
+		t.Errorf("linked to a relay: %+v, want its directive", di)
+	}
+}
+
 // TestReportAfterLinkLoss guards against counts that are given to a link that has ended: they would be
 // marked as reported, and the next relay would not count them.
 func TestReportAfterLinkLoss(t *testing.T) {
