mesh/ctrl: a process that starts counts the declared VMs as outlets

Daemons that start without reaching each other, but reach the store, took the few members they knew, one per failure domain, for all outlets. The version in force names the VMs, so the number is known before any link is up.

Ruled out: a number that settles too early (all daemons had settled on 3, the number of failure domains); the credit alone, which is an eighth of the tolerance.

In the first 30 s of a process, the time after which a VM that is gone no longer counts, declared VMs without a record count as outlets.

Processes that are isolated for longer than 30 s exceed the bound as before.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -363,11 +363,13 @@
 	return n
 }
 
-// population returns how many outlets the mesh has, including those that may only be unreachable. A
+// population returns how many outlets the mesh has, including those that may only be unreachable: in
+// the first goneRetention of this process, all declared VMs that are not known to have left. A
 // declared failure domain without known members is assumed to have as many as the local one.
 func (qc *quotaController) population(now time.Time) int {
 	count := map[string]int{}
-	for rc := range qc.nd.Board.Members.Get().All {
+	members := qc.nd.Board.Members.Get()
+	for rc := range members.All {
 		if rc.State == member.StateLeft {
 			continue
 		}
@@ -385,6 +387,14 @@
 		}
 		count[rc.Domain]++
 	}
+	if sn := qc.nd.Board.Held.Get(); sn != nil && now.Sub(qc.nd.started) <= goneRetention {
+		// This process cannot know yet whether the declared VMs that it has not heard of are gone.
+		for name, vm := range sn.VMs {
+			if members.Get(name) == nil {
+				count[vm.Domain]++
+			}
+		}
+	}
 	sum := 0
 	for _, n := range count {
 		sum += n
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -13,6 +13,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/quota/admit"
 )
 
@@ -227,6 +228,28 @@
 	})
 }
 
+// TestQuotaIsolatedStarts guards against daemons that start without reaching each other, but reach the
+// store, taking the few that they know for all outlets.
+func TestQuotaIsolatedStarts(t *testing.T) {
+	for _, sz := range quotaSizes {
+		if sz.vms >= largeFleet {
+			continue
+		}
+		t.Run(fmt.Sprint(sz.vms), func(t *testing.T) {
+			withRestartFleet(t, sz, func(rf *restartFleet) {
+				rf.kill(rf.allVMs()...)
+				time.Sleep(quotaWindow)
+				rf.nw.SetPartition(func(a, b *memnet.Host) bool { return a != b && a.Domain != "" && b.Domain != "" })
+				rf.startAll()
+				rf.send(4*time.Second, 8, time.Time{})
+				rf.nw.SetPartition(nil)
+				rf.send(quotaWindow, 8, time.Time{})
+				t.Logf("most in %s: %.2f of the bound", quotaWindow, rf.checkTenants())
+			})
+		})
+	}
+}
+
 // newFollower returns a node that has opened a link to a future relay, the only one, and a function that
 // opens another one.
 func newFollower(t *testing.T) (nd *Node, future *link.Peer, open func(vm string, isRelay bool) *link.Peer) {
--- a/internal/mesh/ctrl/quota_scale_test.go
+++ b/internal/mesh/ctrl/quota_scale_test.go
@@ -19,7 +19,7 @@
 		{"restart bound", TestQuotaRestartBound}, {"restart below limits", TestQuotaRestartBelowLimits},
 	}
 	others := []test{
-		{"changed limit", TestQuotaChangedLimit}, {"isolated outlets", TestQuotaIsolatedOutlets}, {"relays killed", TestQuotaRelaysKilled},
+		{"changed limit", TestQuotaChangedLimit}, {"isolated outlets", TestQuotaIsolatedOutlets}, {"isolated starts", TestQuotaIsolatedStarts}, {"relays killed", TestQuotaRelaysKilled},
 		{"many versions", TestQuotaManyVersions}, {"store away", TestQuotaStoreAway},
 	}
 	sizes := quotaSizes
