quota/admit: log lines of refusals name the share that the outlet uses

The line tenant-refused showed 1 for `admit` while a relay learns, which docs/OPERATIONS.md explains as an outlet that received more than the whole limit, and 1 of 1,000 without a directive, also where the number of outlets was known from the members. Both are the states of the first second after a restart, in which an operator looks for the reason of refusals.

The number of outlets is now computed in one place for the decision and for the line. Decisions are the same.

TestShare failed before (0.001 in place of 0.25, 1 in place of 0.125) and passes now.

--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -183,17 +183,32 @@
 	}
 }
 
-// Share returns the part of a tenant's requests that the newest directive admits, and the age of the
-// directive, or -1 without one that is valid.
+// Share returns the part of a tenant's requests that the newest directive admits, or the outlet's own
+// part of the limit if that is what it admits, and the age of the directive, or -1 without one that
+// is valid.
 func (ga *Gate) Share(name string, now time.Time) (share float64, age time.Duration) {
 	di := ga.Directive()
 	if !di.IsValid(now) {
-		return 1 / float64(di.outlets()), -1
+		return 1 / float64(ga.outlets(di)), -1
+	}
+	age = now.Sub(di.ReceivedAt)
+	if di.Learning {
+		return 1 / float64(ga.outlets(di)), age
 	}
 	if sh, ok := di.Shares[name]; ok {
-		return sh.Admit, now.Sub(di.ReceivedAt)
+		return sh.Admit, age
 	}
-	return 1, now.Sub(di.ReceivedAt)
+	return 1, age
+}
+
+// outlets returns how many outlets share a limit by the newest directive, which may be nil.
+func (ga *Gate) outlets(di *Directive) int {
+	if di == nil {
+		if n := ga.Outlets(); n > 0 {
+			return n
+		}
+	}
+	return di.outlets()
 }
 
 func (di *Directive) outlets() int {
@@ -222,12 +237,7 @@
 // decideAlone decides on a request without a directive, or with one of a relay that learns: the outlet
 // admits its own part of the limit.
 func (ga *Gate) decideAlone(tn *tenant, di *Directive, now time.Time) Decision {
-	outlets := di.outlets()
-	if di == nil {
-		if n := ga.Outlets(); n > 0 {
-			outlets = n
-		}
-	}
+	outlets := ga.outlets(di)
 	part := tn.Limit.part(outlets)
 	age := now.Sub(ga.startedAt)
 	if outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -200,6 +200,28 @@
 	})
 }
 
+// TestShare guards against log lines of refusals that name another share than the outlet uses.
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, di := newTestGate(Limit{Rate: 100, Burst: 100})
+		check := func(when string, wantShare float64, wantAge time.Duration) {
+			t.Helper()
+			if share, age := ga.Share(tenantName, time.Now()); share != wantShare || age != wantAge {
+				t.Errorf("%s: share %v and age %s, want %v and %s", when, share, age, wantShare, wantAge)
+			}
+		}
+		check("before the number of outlets is known", 1.0/assumedOutlets, -1)
+		ga.Outlets = func() int { return 4 }
+		check("without a directive", 1.0/4, -1)
+		di.Store(&Directive{Outlets: 8, ReceivedAt: time.Now(), Learning: true})
+		check("with a relay that learns", 1.0/8, 0)
+		di.Store(&Directive{Outlets: 8, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.5}}})
+		check("with a directive", 0.5, 0)
+		time.Sleep(DirectiveTTL + 1)
+		check("with an old directive", 1.0/8, -1)
+	})
+}
+
 // TestChangedLimit guards against a raised limit that is not used because of what was taken under
 // the lower one, and against a lowered one that is refilled.
 func TestChangedLimit(t *testing.T) {
