mesh/ctrl: the time a relay learns does not change while it passes

Whether 300 ms or a second of learning suffice was decided anew each time, by the ages of the processes at that time. Where daemons begin to count 2 to 2.7 s after they have started together, they said after 300 ms that they had learned, and when they were 3 s old that they learned again, until a second was over: their members fell back to their own parts of all limits.

The ages are now those at which the daemon began to count.

TestLearnTime failed before (learns again 400 ms after it began to count) and passes now.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -321,7 +321,7 @@
 	qc.ledger.Add(ledger.Report{Source: re.Source, Outlets: re.Outlets}, now)
 	outlets := qc.population(now)
 	covered := min(1, float64(qc.ledger.Outlets(now))/float64(outlets))
-	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < qc.learnTime(now), Shares: qc.ledger.Shares(qc.limit, covered, now)}
+	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < qc.learnTime(), Shares: qc.ledger.Shares(qc.limit, covered, now)}
 	nd.Board.Directive.Set(di)
 	nd.Board.TenantUse.Set(&board.TenantUse{Outlets: outlets, Reporting: qc.ledger.Outlets(now), Uses: qc.ledger.Uses(qc.limit, di.Shares, now)})
 	if len(di.Shares) == 0 && !qc.sentShares && now.Sub(qc.sentAt) < directiveInterval-ledger.ReportInterval/2 {
@@ -336,17 +336,19 @@
 	})
 }
 
-// learnTime returns how long this daemon collects reports before its members rely on it.
-func (qc *quotaController) learnTime(now time.Time) time.Duration {
+// learnTime returns how long this daemon collects reports before its members rely on it. Ages are
+// those at which it began to count, so that the time does not change while it passes.
+func (qc *quotaController) learnTime() time.Duration {
+	since := qc.ledger.Since
 	young, old := 0, 0
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if now.Sub(pr.RunningSince) <= startPeriod {
+		if since.Sub(pr.RunningSince) <= startPeriod {
 			young++
 		} else {
 			old++
 		}
 	})
-	if now.Sub(qc.nd.started) <= startPeriod && young > old {
+	if since.Sub(qc.nd.started) <= startPeriod && young > old {
 		return startLearnTime
 	}
 	return learnTime
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -296,3 +296,23 @@
 		t.Errorf("reports to %s after the link has ended", got.Record.VM)
 	}
 }
+
+// TestLearnTime guards against members that are told again that their relay learns once it has said that
+// it does not: daemons that have started together are older than startPeriod soon after.
+func TestLearnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nd, future, _ := newFollower(t)
+		future.RunningSince = time.Now()
+		time.Sleep(startPeriod - startLearnTime - 50*time.Millisecond)
+		nd.quota.reset()
+		for _, tc := range []struct {
+			after time.Duration
+			want  bool
+		}{{0, true}, {startLearnTime, false}, {startLearnTime + 100*time.Millisecond, false}} {
+			time.Sleep(time.Until(nd.quota.ledger.Since.Add(tc.after)))
+			if got := time.Since(nd.quota.ledger.Since) < nd.quota.learnTime(); got != tc.want {
+				t.Errorf("learns %s after it began to count: %v, want %v", tc.after, got, tc.want)
+			}
+		}
+	})
+}
