mesh/ctrl: a relay does not cover daemons that count for themselves

A daemon that has been chosen as a relay for 200 ms counts its own requests and no longer reports them, but is a relay only 0.8 s later. Until then a relay it was linked to still counted its outlet as covered, and handed out its part of all limits, without hearing what it admitted. The part was used twice. If two thirds of nine daemons are killed in a flood, six outlets are in this state for 0.8 s.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -243,6 +243,11 @@
 	return ""
 }
 
+// isAmong reports whether a VM is one of those that records describe.
+func isAmong(list []*member.Record, vm string) bool {
+	return slices.ContainsFunc(list, func(rc *member.Record) bool { return rc.VM == vm })
+}
+
 // countsFor returns a function that reports whether this daemon counts for a peer.
 func (qc *quotaController) countsFor() func(pr *link.Peer) bool {
 	nd := qc.nd
@@ -252,8 +257,7 @@
 	}
 	chosen := nd.linker.chosenRelays()
 	return func(pr *link.Peer) bool {
-		isChosen := slices.ContainsFunc(chosen, func(rc *member.Record) bool { return rc.VM == pr.Record.VM })
-		return isMember(pr) && !pr.Outgoing && !isChosen && futureRelay(chosen, pr.Record.VM) == nd.cf.VM
+		return isMember(pr) && !pr.Outgoing && !isAmong(chosen, pr.Record.VM) && futureRelay(chosen, pr.Record.VM) == nd.cf.VM
 	}
 }
 
@@ -357,8 +361,10 @@
 // covered returns how many outlets report to this daemon, its own included.
 func (qc *quotaController) covered(countsFor func(*link.Peer) bool, now time.Time) int {
 	n := 1
+	// Those that become relays count their own requests already, and do not report them.
+	chosen := qc.nd.linker.chosenRelays()
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if countsFor(pr) && !pr.Outgoing && now.Sub(pr.LastHeard()) <= coveredAfter {
+		if countsFor(pr) && !isAmong(chosen, pr.Record.VM) && !pr.Outgoing && now.Sub(pr.LastHeard()) <= coveredAfter {
 			n++
 		}
 	})
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -207,6 +207,8 @@
 		{name: "flood and no power for 2 s", down: 2 * time.Second, before: 8, after: 8, vms: (*restartFleet).allVMs},
 		{name: "flood and killed again", down: 100 * time.Millisecond, before: 8, after: 8, vms: (*restartFleet).allVMs, again: true},
 		{name: "flood and all relays", down: 100 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.relays() }},
+		{name: "flood and half of them", down: 600 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.allVMs()[:len(rf.ms.VMs)/2] }},
+		{name: "flood and two thirds of them", down: 600 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.allVMs()[:len(rf.ms.VMs)*2/3] }},
 		{name: "at the limits", down: 600 * time.Millisecond, before: 1, after: 1, vms: (*restartFleet).allVMs},
 	}, func(t *testing.T, rf *restartFleet, _ float64) { rf.checkTenants() })
 }
