--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -206,17 +206,29 @@
 }
 
 // linkedRelay returns the peer of the failure domain that this daemon has opened a link to and that
-// counts its requests, or nil if there is none. Of several relays it is always the same one: counts
-// reported to two would be added up.
+// counts its requests, or nil if there is none.
 func (qc *quotaController) linkedRelay() (rl *link.Peer) {
+	if rl = qc.nd.ownRelay(); rl != nil || !qc.nd.Board.Directive.Get().IsValid(time.Now()) {
+		return rl
+	}
+	from := qc.directiveFrom.Load()
+	// Counts given to a link that has ended would be marked as reported, and be lost.
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if pr.Outgoing && pr.Relay && pr.Record.Domain == qc.nd.cf.Domain && (rl == nil || pr.Record.VM < rl.Record.VM) {
+		if pr == from {
+			rl = pr
+		}
+	})
+	return rl
+}
+
+// ownRelay returns the relay of the failure domain that this daemon has opened a link to, or nil if
+// there is none. Of several it is always the same one: counts reported to two would be added up.
+func (nd *Node) ownRelay() (rl *link.Peer) {
+	nd.eachPeer(func(pr *link.Peer) {
+		if pr.Outgoing && pr.Relay && pr.Record.Domain == nd.cf.Domain && (rl == nil || pr.Record.VM < rl.Record.VM) {
 			rl = pr
 		}
 	})
-	if rl == nil && qc.nd.Board.Directive.Get().IsValid(time.Now()) {
-		return qc.directiveFrom.Load()
-	}
 	return rl
 }
 
@@ -231,6 +243,11 @@
 	return ""
 }
 
+// isAmong reports whether a VM is one of those that records describe.
+func isAmong(list []*member.Record, vm string) bool {
+	return slices.ContainsFunc(list, func(rc *member.Record) bool { return rc.VM == vm })
+}
+
 // countsFor returns a function that reports whether this daemon counts for a peer.
 func (qc *quotaController) countsFor() func(pr *link.Peer) bool {
 	nd := qc.nd
@@ -240,8 +257,7 @@
 	}
 	chosen := nd.linker.chosenRelays()
 	return func(pr *link.Peer) bool {
-		isChosen := slices.ContainsFunc(chosen, func(rc *member.Record) bool { return rc.VM == pr.Record.VM })
-		return isMember(pr) && !pr.Outgoing && !isChosen && futureRelay(chosen, pr.Record.VM) == nd.cf.VM
+		return isMember(pr) && !pr.Outgoing && !isAmong(chosen, pr.Record.VM) && futureRelay(chosen, pr.Record.VM) == nd.cf.VM
 	}
 }
 
@@ -309,7 +325,7 @@
 	qc.ledger.Add(ledger.Report{Source: re.Source, Outlets: re.Outlets}, now)
 	outlets := qc.population(now)
 	covered := min(1, float64(qc.ledger.Outlets(now))/float64(outlets))
-	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < qc.learnTime(now), Shares: qc.ledger.Shares(qc.limit, covered, now)}
+	di := &admit.Directive{ReceivedAt: now, Outlets: outlets, Learning: now.Sub(qc.ledger.Since) < qc.learnTime(), Shares: qc.ledger.Shares(qc.limit, covered, now)}
 	nd.Board.Directive.Set(di)
 	nd.Board.TenantUse.Set(&board.TenantUse{Outlets: outlets, Reporting: qc.ledger.Outlets(now), Uses: qc.ledger.Uses(qc.limit, di.Shares, now)})
 	if len(di.Shares) == 0 && !qc.sentShares && now.Sub(qc.sentAt) < directiveInterval-ledger.ReportInterval/2 {
@@ -324,17 +340,19 @@
 	})
 }
 
-// learnTime returns how long this daemon collects reports before its members rely on it.
-func (qc *quotaController) learnTime(now time.Time) time.Duration {
+// learnTime returns how long this daemon collects reports before its members rely on it. Ages are
+// those at which it began to count, so that the time does not change while it passes.
+func (qc *quotaController) learnTime() time.Duration {
+	since := qc.ledger.Since
 	young, old := 0, 0
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if now.Sub(pr.RunningSince) <= startPeriod {
+		if since.Sub(pr.RunningSince) <= startPeriod {
 			young++
 		} else {
 			old++
 		}
 	})
-	if now.Sub(qc.nd.started) <= startPeriod && young > old {
+	if since.Sub(qc.nd.started) <= startPeriod && young > old {
 		return startLearnTime
 	}
 	return learnTime
@@ -343,19 +361,23 @@
 // covered returns how many outlets report to this daemon, its own included.
 func (qc *quotaController) covered(countsFor func(*link.Peer) bool, now time.Time) int {
 	n := 1
+	// Those that become relays count their own requests already, and do not report them.
+	chosen := qc.nd.linker.chosenRelays()
 	qc.nd.eachPeer(func(pr *link.Peer) {
-		if countsFor(pr) && !pr.Outgoing && now.Sub(pr.LastHeard()) <= coveredAfter {
+		if countsFor(pr) && !isAmong(chosen, pr.Record.VM) && !pr.Outgoing && now.Sub(pr.LastHeard()) <= coveredAfter {
 			n++
 		}
 	})
 	return n
 }
 
-// population returns how many outlets the mesh has, including those that may only be unreachable. A
+// population returns how many outlets the mesh has, including those that may only be unreachable: in
+// the first goneRetention of this process, all declared VMs that are not known to have left. A
 // declared failure domain without known members is assumed to have as many as the local one.
 func (qc *quotaController) population(now time.Time) int {
 	count := map[string]int{}
-	for rc := range qc.nd.Board.Members.Get().All {
+	members := qc.nd.Board.Members.Get()
+	for rc := range members.All {
 		if rc.State == member.StateLeft {
 			continue
 		}
@@ -373,6 +395,14 @@
 		}
 		count[rc.Domain]++
 	}
+	if sn := qc.nd.Board.Held.Get(); sn != nil && now.Sub(qc.nd.started) <= goneRetention {
+		// This process cannot know yet whether the declared VMs that it has not heard of are gone.
+		for name, vm := range sn.VMs {
+			if members.Get(name) == nil {
+				count[vm.Domain]++
+			}
+		}
+	}
 	sum := 0
 	for _, n := range count {
 		sum += n
@@ -404,7 +434,8 @@
 	if !from.Outgoing || from.Record.Domain != nd.cf.Domain || nd.quota.counting() {
 		return
 	}
-	if !from.Relay && futureRelay(nd.linker.chosenRelays(), nd.cf.VM) != from.Record.VM {
+	// A future relay knows nothing of requests that are reported to a relay, and would let them pass.
+	if !from.Relay && (nd.ownRelay() != nil || futureRelay(nd.linker.chosenRelays(), nd.cf.VM) != from.Record.VM) {
 		return
 	}
 	nd.quota.directiveFrom.Store(from)
--- a/internal/mesh/ctrl/quota_restart_test.go
+++ b/internal/mesh/ctrl/quota_restart_test.go
@@ -10,6 +10,10 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/decl"
 	"github.com/flamingomast/flamingomast/internal/conf/sample"
+	"github.com/flamingomast/flamingomast/internal/mesh/link"
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 	"github.com/flamingomast/flamingomast/internal/quota/admit"
 )
 
@@ -203,6 +207,8 @@
 		{name: "flood and no power for 2 s", down: 2 * time.Second, before: 8, after: 8, vms: (*restartFleet).allVMs},
 		{name: "flood and killed again", down: 100 * time.Millisecond, before: 8, after: 8, vms: (*restartFleet).allVMs, again: true},
 		{name: "flood and all relays", down: 100 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.relays() }},
+		{name: "flood and half of them", down: 600 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.allVMs()[:len(rf.ms.VMs)/2] }},
+		{name: "flood and two thirds of them", down: 600 * time.Millisecond, before: 8, after: 8, vms: func(rf *restartFleet) []string { return rf.allVMs()[:len(rf.ms.VMs)*2/3] }},
 		{name: "at the limits", down: 600 * time.Millisecond, before: 1, after: 1, vms: (*restartFleet).allVMs},
 	}, func(t *testing.T, rf *restartFleet, _ float64) { rf.checkTenants() })
 }
@@ -223,3 +229,92 @@
 		}
 	})
 }
+
+// TestQuotaIsolatedStarts guards against daemons that start without reaching each other, but reach the
+// store, taking the few that they know for all outlets.
+func TestQuotaIsolatedStarts(t *testing.T) {
+	for _, sz := range quotaSizes {
+		if sz.vms >= largeFleet {
+			continue
+		}
+		t.Run(fmt.Sprint(sz.vms), func(t *testing.T) {
+			withRestartFleet(t, sz, func(rf *restartFleet) {
+				rf.kill(rf.allVMs()...)
+				time.Sleep(quotaWindow)
+				rf.nw.SetPartition(func(a, b *memnet.Host) bool { return a != b && a.Domain != "" && b.Domain != "" })
+				rf.startAll()
+				rf.send(4*time.Second, 8, time.Time{})
+				rf.nw.SetPartition(nil)
+				rf.send(quotaWindow, 8, time.Time{})
+				t.Logf("most in %s: %.2f of the bound", quotaWindow, rf.checkTenants())
+			})
+		})
+	}
+}
+
+// newFollower returns a node that has opened a link to a future relay, the only one, and a function that
+// opens another one.
+func newFollower(t *testing.T) (nd *Node, future *link.Peer, open func(vm string, isRelay bool) *link.Peer) {
+	nd = New(Config{VM: "vm-x", Domain: "d0", Control: "x:1"})
+	t.Cleanup(nd.cancel)
+	open = func(vm string, isRelay bool) *link.Peer {
+		pr := link.New(link.Stream{Abort: func() {}}, nd.offer)
+		pr.Outgoing, pr.Addr = true, vm+":1"
+		rc := &member.Record{VM: vm, Domain: "d0", Incarnation: 1}
+		nd.handlePacket(pr, &wirepb.Packet{Hello: &wirepb.Hello{Protocol: Protocol, Relay: isRelay, Record: rc.ToWire()}, Welcome: &wirepb.Welcome{}})
+		return pr
+	}
+	future = open("vm-f", false)
+	nd.linker.chosen.Store(&[]*member.Record{future.Record})
+	return nd, future, open
+}
+
+// TestDirectiveOfFutureRelay guards against following a daemon that counts before it is a relay while
+// the requests are reported to a relay: the former knows nothing of them, and lets all pass.
+func TestDirectiveOfFutureRelay(t *testing.T) {
+	nd, future, open := newFollower(t)
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 5}})
+	if di := nd.Board.Directive.Get(); di == nil || di.Outlets != 5 {
+		t.Errorf("without a relay: %+v, want the directive of the future relay", di)
+	}
+	rl := open("vm-r", true)
+	nd.handlePacket(rl, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 7}})
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 6}})
+	if di := nd.Board.Directive.Get(); di.Outlets != 7 {
+		t.Errorf("linked to a relay: %+v, want its directive", di)
+	}
+}
+
+// TestReportAfterLinkLoss guards against counts that are given to a link that has ended: they would be
+// marked as reported, and the next relay would not count them.
+func TestReportAfterLinkLoss(t *testing.T) {
+	nd, future, _ := newFollower(t)
+	nd.handlePacket(future, &wirepb.Packet{Directive: &wirepb.Directive{Outlets: 5}})
+	if got := nd.quota.linkedRelay(); got != future {
+		t.Errorf("reports to %v, want the future relay", got)
+	}
+	nd.removePeer(future, nil)
+	if got := nd.quota.linkedRelay(); got != nil {
+		t.Errorf("reports to %s after the link has ended", got.Record.VM)
+	}
+}
+
+// TestLearnTime guards against members that are told again that their relay learns once it has said that
+// it does not: daemons that have started together are older than startPeriod soon after.
+func TestLearnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nd, future, _ := newFollower(t)
+		future.RunningSince = time.Now()
+		time.Sleep(startPeriod - startLearnTime - 50*time.Millisecond)
+		nd.quota.reset()
+		for _, tc := range []struct {
+			after time.Duration
+			want  bool
+		}{{0, true}, {startLearnTime, false}, {startLearnTime + 100*time.Millisecond, false}} {
+			time.Sleep(time.Until(nd.quota.ledger.Since.Add(tc.after)))
+			if got := time.Since(nd.quota.ledger.Since) < nd.quota.learnTime(); got != tc.want {
+				t.Errorf("learns %s after it began to count: %v, want %v", tc.after, got, tc.want)
+			}
+		}
+	})
+}
--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -107,8 +107,8 @@
 	// shared limits what this outlet admits of the whole limit, alone what it admits without a
 	// directive.
 	shared, alone bucket
-	// start has what the outlet may admit in addition until the first directive that is not of a
-	// learning relay.
+	// start has what the outlet may admit in addition during startPeriod, until the first directive
+	// that is not of a learning relay.
 	start startCredit
 	ranks [Ranks]rankCounters
 	// reportedOffered and reportedAdmitted are the counts of the last report.
@@ -190,17 +190,32 @@
 	}
 }
 
-// Share returns the part of a tenant's requests that the newest directive admits, and the age of the
-// directive, or -1 without one that is valid.
+// Share returns the part of a tenant's requests that the newest directive admits, or the outlet's own
+// part of the limit if that is what it admits, and the age of the directive, or -1 without one that
+// is valid.
 func (ga *Gate) Share(name string, now time.Time) (share float64, age time.Duration) {
 	di := ga.Directive()
 	if !di.IsValid(now) {
-		return 1 / float64(di.outlets()), -1
+		return 1 / float64(ga.outlets(di)), -1
+	}
+	age = now.Sub(di.ReceivedAt)
+	if di.Learning {
+		return 1 / float64(ga.outlets(di)), age
 	}
 	if sh, ok := di.Shares[name]; ok {
-		return sh.Admit, now.Sub(di.ReceivedAt)
+		return sh.Admit, age
 	}
-	return 1, now.Sub(di.ReceivedAt)
+	return 1, age
+}
+
+// outlets returns how many outlets share a limit by the newest directive, which may be nil.
+func (ga *Gate) outlets(di *Directive) int {
+	if di == nil {
+		if n := ga.Outlets(); n > 0 {
+			return n
+		}
+	}
+	return di.outlets()
 }
 
 func (di *Directive) outlets() int {
@@ -229,15 +244,12 @@
 // decideAlone decides on a request without a directive, or with one of a relay that learns: the outlet
 // admits its own part of the limit.
 func (ga *Gate) decideAlone(tn *tenant, di *Directive, now time.Time) Decision {
-	outlets := di.outlets()
-	if di == nil {
-		if n := ga.Outlets(); n > 0 {
-			outlets = n
-		}
-	}
+	outlets := ga.outlets(di)
 	part := tn.Limit.part(outlets)
-	if age := now.Sub(ga.startedAt); outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
-		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + part.Rate*age.Seconds()
+	age := now.Sub(ga.startedAt)
+	if outlets < assumedOutlets && age <= startPeriod && tn.start.open() {
+		// As in a bucket, no more than the burst is saved up.
+		credit := ga.Tolerance.StartCredit(tn.Limit)/float64(outlets) + min(part.Rate*age.Seconds(), part.Burst)
 		whole := math.Floor(credit)
 		// The fractions of all outlets add up, since each draws its own phase.
 		level := credit - whole + rand.Float64()
@@ -249,7 +261,7 @@
 	}
 	tn.alone.shorten(part, now)
 	de := tn.alone.take(part, now)
-	if !de.Admitted && tn.start.take() {
+	if !de.Admitted && age <= startPeriod && tn.start.take() {
 		return Decision{Admitted: true}
 	}
 	// By then a directive may have come.
--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -165,6 +165,63 @@
 	}
 }
 
+// TestStartCreditBurst guards against a flood that comes some seconds after the start, while there is no
+// directive, being admitted what the rate gave since the start in addition to the burst.
+func TestStartCreditBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		li := Limit{Rate: 100, Burst: 10}
+		ga, _ := newTestGate(li)
+		ga.Outlets = func() int { return 1 }
+		ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
+		time.Sleep(2900 * time.Millisecond)
+		admitted := offer(ga, 4000, 5*time.Second)
+		if want := int(5*li.Rate + li.Burst + ga.Tolerance.StartCredit(li) + 2); admitted > want {
+			t.Errorf("%d requests admitted in 5 s, want at most %d", admitted, want)
+		}
+	})
+}
+
+// TestStartCreditEnds guards against a credit that is used long after the start, when the limit that
+// it was computed from may have been lowered.
+func TestStartCreditEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, _ := newTestGate(Limit{Rate: 1000, Burst: 1000})
+		ga.Outlets = func() int { return 1 }
+		ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
+		ga.Admit(tenantName, time.Now())
+		time.Sleep(startPeriod)
+		low := Limit{Rate: 10, Burst: 10}
+		ga.Update(map[string]Limit{tenantName: low}, time.Now())
+		time.Sleep(7500 * time.Millisecond)
+		admitted := offer(ga, 1000, 5*time.Second)
+		if want := int(5*low.Rate + low.Burst + 1); admitted > want {
+			t.Errorf("%d requests admitted in 5 s, want at most %d", admitted, want)
+		}
+	})
+}
+
+// TestShare guards against log lines of refusals that name another share than the outlet uses.
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ga, di := newTestGate(Limit{Rate: 100, Burst: 100})
+		check := func(when string, wantShare float64, wantAge time.Duration) {
+			t.Helper()
+			if share, age := ga.Share(tenantName, time.Now()); share != wantShare || age != wantAge {
+				t.Errorf("%s: share %v and age %s, want %v and %s", when, share, age, wantShare, wantAge)
+			}
+		}
+		check("before the number of outlets is known", 1.0/assumedOutlets, -1)
+		ga.Outlets = func() int { return 4 }
+		check("without a directive", 1.0/4, -1)
+		di.Store(&Directive{Outlets: 8, ReceivedAt: time.Now(), Learning: true})
+		check("with a relay that learns", 1.0/8, 0)
+		di.Store(&Directive{Outlets: 8, ReceivedAt: time.Now(), Shares: map[string]Share{tenantName: {Admit: 0.5}}})
+		check("with a directive", 0.5, 0)
+		time.Sleep(DirectiveTTL + 1)
+		check("with an old directive", 1.0/8, -1)
+	})
+}
+
 // TestChangedLimit guards against a raised limit that is not used because of what was taken under
 // the lower one, and against a lowered one that is refilled.
 func TestChangedLimit(t *testing.T) {
