--- a/internal/quota/admit/admit_test.go
+++ b/internal/quota/admit/admit_test.go
@@ -188,7 +188,7 @@
 		ga, _ := newTestGate(Limit{Rate: 1000, Burst: 1000})
 		ga.Outlets = func() int { return 1 }
 		ga.Tolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Spare: 20}
-		ga.Admit(tenantName, time.Now())
+		ga.Admit(tenantName, 0, time.Now())
 		time.Sleep(startPeriod)
 		low := Limit{Rate: 10, Burst: 10}
 		ga.Update(map[string]Limit{tenantName: low}, time.Now())
