mesh/ctrl: log when the number of outlets is settled and who counts

An operator could not see why an outlet refuses tenants after a start: no line showed how many outlets a daemon reckoned with, nor that a daemon counts before it is a relay. Two events, tenant-outlets once a process and tenant-counting at each change, only while a tenant has a limit. Comments on the board's cells say what holds now.

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -43,12 +43,12 @@
 	Epoch Cell[store.Epoch]
 	// Rollouts holds the newest rollout of each service.
 	Rollouts Cell[canary.View]
-	// Outlets is how many outlets the mesh has as far as this daemon knows, nil until that is settled
-	// or if no tenant has a limit.
+	// Outlets is how many outlets the mesh has as far as this daemon knows, nil until that is settled.
+	// It is kept up to date while a tenant has a limit.
 	Outlets Cell[int]
 	// Directive says which tenants exceed their limits.
 	Directive Cell[admit.Directive]
-	// TenantUse is what tenants use of their limits, nil unless this daemon is a relay.
+	// TenantUse is what tenants use of their limits, nil unless this daemon counts for others.
 	TenantUse Cell[TenantUse]
 	// Poison holds the requests during which backend servers crashed.
 	Poison Cell[poison.View]
--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
 	"github.com/flamingomast/flamingomast/internal/quota/admit"
 	"github.com/flamingomast/flamingomast/internal/quota/ledger"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 const (
@@ -25,7 +27,7 @@
 	// minShareInterval is the shortest time between two computations of shares.
 	minShareInterval = 40 * time.Millisecond
 	// learnTime is how long a new relay collects reports before its members rely on it, and
-	// startLearnTime the same if the daemons have started together: then none of them follows a
+	// startLearnTime the same if most daemons have started together: then few of them follow a
 	// directive of an earlier relay.
 	learnTime      = time.Second
 	startLearnTime = 300 * time.Millisecond
@@ -108,6 +110,7 @@
 		return
 	}
 	qc.counts = qc.counting()
+	qc.nd.log.Info(logs.TenantCounting, slog.Bool("counts", qc.counts), slog.Bool("relay", qc.nd.isRelay()))
 	qc.reset()
 }
 
@@ -425,6 +428,9 @@
 		return
 	}
 	if cur := nd.Board.Outlets.Get(); now.Sub(qc.outletsSince) >= outletsSettleTime && (cur == nil || *cur != n) {
+		if cur == nil {
+			nd.log.Info(logs.TenantOutlets, slog.Int("outlets", n), slog.Duration("age", now.Sub(nd.started)))
+		}
 		nd.Board.Outlets.Set(&n)
 	}
 }
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -8,6 +8,10 @@
 	Attempt = "attempt"
 	// TenantRefused is a request that was refused for its API key or the limit of its tenant.
 	TenantRefused = "tenant-refused"
+	// TenantOutlets is that a process has settled how many outlets share the limits of tenants,
+	// TenantCounting that it begins or ceases to count the requests of other daemons' outlets.
+	TenantOutlets  = "tenant-outlets"
+	TenantCounting = "tenant-counting"
 	// InletRefused is a request that an inlet did not forward to its backend server, InletFailed
 	// one that it forwarded and that was not answered.
 	InletRefused = "inlet-refused"
