path/outlet: refusals for capacity are given back while a relay learns

A request that finds no capacity counts towards its tenant's limit only while the tenant is above it. The check took the share that an outlet admits, which is 1/N without a directive and while a relay learns, so that after a restart of all, with servers full of cold requests, tenants below their limits lost the few requests that they had.

Now only a directive that names the tenant says so.

In path/inlet, noteCrash is now setLastCrash.

--- a/internal/mesh/ctrl/quota.go
+++ b/internal/mesh/ctrl/quota.go
@@ -58,7 +58,8 @@
 }
 
 // quotaController reports the use of tenants' limits to the relays and, on a relay, decides what
-// the outlets of its members admit. Only its run method uses it, but for received.
+// the outlets of its members admit. Only its run method uses it, but for
+// received, directiveFrom and counting.
 type quotaController struct {
 	nd *Node
 	// directiveFrom is the peer whose directive this daemon follows.
--- a/internal/path/inlet/broken.go
+++ b/internal/path/inlet/broken.go
@@ -103,9 +103,9 @@
 	return !cd.lastCrashAt.IsZero() && cd.lastCrash.sameInstance(tg) && startedAt.After(cd.lastCrashAt)
 }
 
-// noteCrash records the last instance that crashed while its socket accepted connections, and when
+// setLastCrash records the last instance that crashed while its socket accepted connections, and when
 // the last of its requests broke off. cd.mu must be held.
-func (cd *crashDetector) noteCrash(tg *Target, at time.Time) {
+func (cd *crashDetector) setLastCrash(tg *Target, at time.Time) {
 	if tg.Lifetime == "" {
 		// The next instance cannot be told from this one.
 		return
@@ -143,7 +143,7 @@
 	if len(ids) < minBrokenTogether {
 		return nil
 	}
-	cd.noteCrash(tg, lastAt)
+	cd.setLastCrash(tg, lastAt)
 	cd.broken = slices.DeleteFunc(cd.broken, concurrent)
 	return ids
 }
@@ -173,7 +173,7 @@
 				broken = map[Target][]requestID{}
 			}
 			broken[br.target] = append(broken[br.target], br.id)
-			cd.noteCrash(&br.target, br.brokenAt)
+			cd.setLastCrash(&br.target, br.brokenAt)
 		}
 		return true
 	})
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -282,11 +282,7 @@
 // run: it found no capacity, while the tenant sends more than its limit. If it were given back, such a
 // tenant could send all its requests to servers that are full, and push out those of other tenants.
 func (rq *request) keepsToken(rf *result.Refusal) bool {
-	if !rf.Reason.NoCapacity() {
-		return false
-	}
-	share, _ := rq.ou.quota.Share(rq.tenant.Name, time.Now())
-	return share < 1
+	return rf.Reason.NoCapacity() && rq.ou.quota.IsLimited(rq.tenant.Name, time.Now())
 }
 
 // Delays after which refused callers are asked to retry.
--- a/internal/path/outlet/tenant_test.go
+++ b/internal/path/outlet/tenant_test.go
@@ -188,17 +188,20 @@
 // Below its limit a tenant gets them back.
 func TestRefusedAboveLimit(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		shares   map[string]admit.Share
-		admitted int64
+		name      string
+		directive admit.Directive
+		admitted  int64
 	}{
-		{"below its limit", nil, 0},
-		{"above its limit", map[string]admit.Share{"acme": {Admit: 0.5, RetryAfter: time.Second}}, 10},
-		{"another tenant above its limit", map[string]admit.Share{"other": {Admit: 0.5, RetryAfter: time.Second}}, 0},
+		{"below its limit", admit.Directive{}, 0},
+		{"above its limit", admit.Directive{Shares: map[string]admit.Share{"acme": {Admit: 0.5, RetryAfter: time.Second}}}, 10},
+		{"another tenant above its limit", admit.Directive{Shares: map[string]admit.Share{"other": {Admit: 0.5, RetryAfter: time.Second}}}, 0},
+		{"while its relay learns", admit.Directive{Outlets: 2, Learning: true}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			gate := admit.New(func() *admit.Directive {
-				return &admit.Directive{ReceivedAt: time.Now(), Outlets: 1, Shares: tc.shares}
+				di := tc.directive
+				di.ReceivedAt, di.Outlets = time.Now(), max(1, di.Outlets)
+				return &di
 			})
 			tr := newTenantRig(t, outlet.Options{Quota: gate})
 			tr.sn = compile(t, strings.Replace(tenantRules, "rate: 1, burst: 2", "rate: 1000000, burst: 1", 1))
--- a/internal/quota/admit/admit.go
+++ b/internal/quota/admit/admit.go
@@ -190,6 +190,17 @@
 	}
 }
 
+// IsLimited reports whether the newest directive refuses a part of a tenant's requests. A directive of
+// a relay that learns does not tell.
+func (ga *Gate) IsLimited(name string, now time.Time) bool {
+	di := ga.Directive()
+	if !di.IsValid(now) || di.Learning {
+		return false
+	}
+	_, limited := di.Shares[name]
+	return limited
+}
+
 // Share returns the part of a tenant's requests that the newest directive admits, or the outlet's own
 // part of the limit if that is what it admits, and the age of the directive, or -1 without one that
 // is valid.
