--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -142,10 +143,12 @@
 		return 2
 	}
 	defer ms.close()
-	hosts := []string{first}
+	hosts, added := []string{first}, busca
+	// A variant: ADDED=NAME gives the added route a name of its own.
+	added.Name = cmp.Or(os.Getenv("ADDED"), busca.Name)
 	if trouble {
 		hosts = append(hosts, second)
-		if err := ms.configure(8, []string{"agendamento"}, map[string][]route{first: {busca}, second: {busca}}); err != nil {
+		if err := ms.configure(8, []string{"agendamento"}, map[string][]route{first: {busca}, second: {added}}); err != nil {
 			return 2
 		}
 	}
