--- a/review/standin/gone.go
+++ b/review/standin/gone.go
@@ -120,6 +120,9 @@
 		return id, 0, closed
 	}
 	req.ContentLength = int64(len(body))
+	if os.Getenv("BODY") == "chunked" {
+		req.ContentLength = -1
+	}
 	req.Host = ms.host
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
