--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 	if len(os.Args) < 2 {
 		os.Exit(2)
 	}
-	cases := map[string]func(trouble bool) int{"crash-then-kill": crashThenKill, "leave-queued": leaveQueued, "dropped-route": droppedRoute, "second-host": secondHost}
+	cases := map[string]func(trouble bool) int{"crash-then-kill": crashThenKill, "leave-queued": leaveQueued, "dropped-route": droppedRoute, "followers-stand": followersStand, "second-host": secondHost}
 	if os.Args[1] == "worker" {
 		os.Exit(runWorker(os.Args[2:]))
 	}
