conf/snap: take every accepted version that can be applied as a whole

What callers saw: the store acknowledged a version that adds a host whose route has the name of another host's route. A daemon that restarted afterwards held no configuration at all.

Cause: the adapter renamed the second route to NAME.HOST, 65 bytes, and snap.Compile held the version against decl.Check, the check for those who write declarations, which allows 63. The length is one of many ways there. decl.Check limits the characters and lengths of names and hosts, numbers, times and repeated entries; no page sets these limits, and the platform's store, not the daemon, decides which versions are valid. The log says so: "version-refused", "route name ... is not allowed".

Ruled out: routing and the watch (the version arrives at all daemons within 10 ms), the name itself (the renamed route alone is refused).

Change: - Compile checks what keeps a daemon from applying a version as a whole, references and routes without a target (decl.CheckReferences).

--- a/internal/conf/decl/check.go
+++ b/internal/conf/decl/check.go
@@ -18,11 +18,13 @@
 	maxQueue       = 10_000
 	maxDeadline    = 10 * time.Minute
 	maxWeight      = 1_000_000
-	maxPriority    = 100
 	maxAttempts    = 100
 	maxRate        = 10_000_000
 )
 
+// MaxPriority is the priority of the least urgent requests.
+const MaxPriority = 100
+
 // Maximum lengths in bytes. Names have the limit of a label in RFC 1035, hosts that of a full
 // domain name.
 const (
@@ -73,9 +75,9 @@
 	indexNames(ck, "caller limits", ms.CallerLimits, func(cl *CallerLimits) (string, strict.Pos) { return cl.Name, cl.Pos })
 	indexNames(ck, "tenant", ms.Tenants, func(tn *Tenant) (string, strict.Pos) { return tn.Name, tn.Pos })
 	indexNames(ck, "route", ms.Routes, func(rt *Route) (string, strict.Pos) { return rt.Name, rt.Pos })
+	ck.checkReferences()
 	ck.checkDomains()
 	ck.checkServices()
-	ck.checkVMs()
 	ck.checkClasses()
 	ck.checkRoutes()
 	ck.checkOverlaps()
@@ -138,17 +140,6 @@
 	ck.prs.Add(pos, fmt.Sprintf(format, args...), remedy)
 }
 
-func (ck *checker) checkRef(pos strict.Pos, kind, name string, known map[string]bool, subject string) {
-	if known[name] {
-		return
-	}
-	names := make([]string, 0, len(known))
-	for n := range known {
-		names = append(names, n)
-	}
-	ck.add(pos, strict.Suggest(name, names), "%s names the %s %q, which is not declared", subject, kind, name)
-}
-
 func (ck *checker) checkRange(pos strict.Pos, subject, key string, got, low, high int) {
 	if got < low || got > high {
 		ck.add(pos, fmt.Sprintf("set it from %d to %d", low, high), "%s has %s %d", subject, key, got)
@@ -163,7 +154,7 @@
 
 func (ck *checker) checkDomains() {
 	for _, dm := range ck.ms.Domains {
-		ck.checkRef(dm.Pos, "region", dm.Region, ck.regions, fmt.Sprintf("failure domain %q", dm.Name))
+		ck.checkRef(dm.Pos, "region", dm.Region, ck.regions, "failure domain ", dm.Name)
 		if slices.Contains([]string{OrderOwn, OrderRegion, OrderAny}, dm.Name) {
 			ck.add(dm.Pos, "rename it", "failure domain %q has a name that is a keyword of placement orders", dm.Name)
 		}
@@ -186,9 +177,6 @@
 		if sv.Connections > 0 && sv.Connections < sv.Slots {
 			ck.add(sv.Pos, "give it as many connections as slots or more", "%s has %d connections for %d slots", subject, sv.Connections, sv.Slots)
 		}
-		if sv.Class != "" {
-			ck.checkRef(sv.Pos, "class", sv.Class, ck.classes, subject)
-		}
 		ck.checkDeadline(sv.Pos, subject, sv.Deadline)
 	}
 }
@@ -201,14 +189,6 @@
 	}
 }
 
-func (ck *checker) checkVMs() {
-	for _, vm := range ck.ms.VMs {
-		subject := fmt.Sprintf("VM %q", vm.Name)
-		ck.checkRef(vm.Pos, "failure domain", vm.Domain, ck.domains, subject)
-		ck.checkRef(vm.Pos, "service", vm.Service, ck.services, subject)
-	}
-}
-
 func (ck *checker) checkClasses() {
 	sum := 0
 	for _, cl := range ck.ms.Classes {
@@ -227,11 +207,8 @@
 		subject := "route " + strconv.Quote(rt.Name)
 		ck.checkMatch(&rt, subject)
 		ck.checkTargets(&rt, subject)
-		if rt.Class != "" {
-			ck.checkRef(rt.Pos, "class", rt.Class, ck.classes, subject)
-		}
 		ck.checkDeadline(rt.Pos, subject, rt.Deadline)
-		ck.checkRange(rt.Pos, subject, "priority", rt.Priority, 0, maxPriority)
+		ck.checkRange(rt.Pos, subject, "priority", rt.Priority, 0, MaxPriority)
 		ck.checkRange(rt.Pos, subject, "attempts", rt.Attempts, 0, maxAttempts)
 		if rt.Repeat != "" && !slices.Contains([]Repeat{RepeatSafe, RepeatNever, RepeatAlways}, rt.Repeat) {
 			ck.add(rt.Pos, "set it to safe, never or always", "%s has repeat %q", subject, rt.Repeat)
@@ -268,12 +245,10 @@
 
 func (ck *checker) checkTargets(rt *Route, subject string) {
 	if len(rt.To) == 0 {
-		ck.add(rt.Pos, "list one service or more in \"to\"", "%s has no targets", subject)
 		return
 	}
 	sum := 0
 	for i, tg := range rt.To {
-		ck.checkRef(tg.Pos, "service", tg.Service, ck.services, subject)
 		ck.checkRange(tg.Pos, subject, "weight", tg.Weight, 0, maxWeight)
 		if slices.ContainsFunc(rt.To[:i], func(other Target) bool { return other.Service == tg.Service }) {
 			ck.add(tg.Pos, "merge the two targets and add their weights", "%s names the service %q twice", subject, tg.Service)
@@ -330,7 +305,6 @@
 	seen := map[string]strict.Pos{}
 	for _, pl := range ck.ms.Placements {
 		subject := fmt.Sprintf("the placement of %q", pl.Service)
-		ck.checkRef(pl.Pos, "service", pl.Service, ck.services, subject)
 		if first, ok := seen[pl.Service]; ok {
 			ck.add(pl.Pos, "remove one of the two", "%s is already declared at %s", subject, first)
 		}
@@ -339,9 +313,6 @@
 			ck.add(pl.Pos, "list failure domains, or the keywords own, region and any", "%s has no order", subject)
 		}
 		for i, o := range pl.Order {
-			if o != OrderOwn && o != OrderRegion && o != OrderAny {
-				ck.checkRef(pl.Pos, "failure domain", o, ck.domains, subject)
-			}
 			if slices.Contains(pl.Order[:i], o) {
 				ck.add(pl.Pos, "remove one of the two", "%s names %q twice", subject, o)
 			}
--- a/internal/conf/decl/tenant.go
+++ b/internal/conf/decl/tenant.go
@@ -99,7 +99,7 @@
 			ck.add(tn.Pos, "set a rate, or leave out the burst", "%s has a burst without a rate", subject)
 		}
 		if tn.Priority != nil {
-			ck.checkRange(tn.Pos, subject, "priority", *tn.Priority, 0, maxPriority)
+			ck.checkRange(tn.Pos, subject, "priority", *tn.Priority, 0, MaxPriority)
 		}
 	}
 }
--- a/internal/conf/snap/match.go
+++ b/internal/conf/snap/match.go
@@ -6,11 +6,16 @@
 	"strings"
 )
 
-// Match returns the route for a request, or nil if there is none. The host may include a port.
-// Requests that match no declared route of their host go to the service whose name is the host.
+// Match returns the route for a request, or nil if there is none. The host may include a port, which
+// counts only where routes are declared for the host with it. Requests that match no declared route of their host go to the service whose name is the host.
 func (sn *Snapshot) Match(method, host, path string, hdr http.Header) *Route {
-	host = hostName(host)
-	for _, rt := range sn.routesByHost[host] {
+	host = strings.ToLower(host)
+	routes, ok := sn.routesByHost[host]
+	if !ok {
+		host = withoutPort(host)
+		routes = sn.routesByHost[host]
+	}
+	for _, rt := range routes {
 		if rt.matches(method, path, hdr) {
 			return rt
 		}
@@ -21,11 +26,11 @@
 	return nil
 }
 
-func hostName(host string) string {
+func withoutPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
+		return host[:i]
 	}
-	return strings.ToLower(host)
+	return host
 }
 
 func (rt *Route) matches(method, path string, hdr http.Header) bool {
--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"net/http"
 	"slices"
 	"strings"
@@ -129,9 +130,10 @@
 // Unwrap returns the cause.
 func (er *CompileError) Unwrap() error { return er.Err }
 
-// Compile returns the snapshot of a content for a failure domain, or a *CompileError. It repeats
-// the check that operators run: a content that a newer release accepted may fail the check of
-// this one.
+// Compile returns the snapshot of a content for a failure domain, or a *CompileError. Operators have
+// accepted the content, so it is refused only if a part of it would be missing: a kind or field that
+// this release does not know, or a reference to nothing. Values beyond the limits of decl.Check are
+// brought into the range that the data path can handle.
 func Compile(version uint64, co *pack.Content, domain string) (*Snapshot, error) {
 	var cp Compiler
 	return cp.Compile(version, co, domain)
@@ -156,7 +158,7 @@
 	if err != nil {
 		return nil, &CompileError{Version: version, Err: err}
 	}
-	if prs := decl.Check(ms); len(prs) > 0 {
+	if prs := decl.CheckReferences(ms); len(prs) > 0 {
 		return nil, &CompileError{Version: version, Err: prs.Err()}
 	}
 	sn := &Snapshot{
@@ -174,6 +176,7 @@
 		sn.Domains = append(sn.Domains, dm.Name)
 	}
 	for _, cl := range ms.CallerLimits {
+		cl.HeadBytes, cl.BodyBytes = max(0, cl.HeadBytes), max(0, cl.BodyBytes)
 		sn.Limits = cl
 	}
 	classes := sn.compileClasses(ms)
@@ -217,6 +220,10 @@
 		if !ok {
 			pl = decl.Placement{Order: []string{decl.OrderOwn, decl.OrderRegion, decl.OrderAny}, Spill: true}
 		}
+		dsv.Connections = max(0, dsv.Connections)
+		if dsv.Health != "" && !strings.HasPrefix(dsv.Health, "/") {
+			dsv.Health = "/" + dsv.Health
+		}
 		sv := &Service{Service: dsv, Index: len(sn.ServiceList), Spill: pl.Spill, Tiers: sn.tiers(pl.Order, regions)}
 		sv.defaultRoute = &Route{
 			Name:     "service " + sv.Name,
@@ -253,9 +260,17 @@
 	for _, o := range order {
 		var tier []string
 		for _, dm := range sn.Domains {
-			in := dm == o || o == decl.OrderAny ||
-				o == decl.OrderOwn && dm == sn.Domain ||
-				o == decl.OrderRegion && regions[dm] == regions[sn.Domain]
+			var in bool
+			switch o {
+			case decl.OrderAny:
+				in = true
+			case decl.OrderOwn:
+				in = dm == sn.Domain
+			case decl.OrderRegion:
+				in = regions[dm] == regions[sn.Domain]
+			default:
+				in = dm == o
+			}
 			if in && !used[dm] {
 				used[dm] = true
 				tier = append(tier, dm)
@@ -278,8 +293,8 @@
 			Name:      drt.Name,
 			Repeat:    drt.Repeat,
 			Objective: time.Duration(drt.Objective),
-			Priority:  drt.Priority,
-			Attempts:  drt.Attempts,
+			Priority:  clampPriority(drt.Priority),
+			Attempts:  max(0, drt.Attempts),
 			Public:    drt.Public,
 			prefix:    drt.Match.PathPrefix,
 			literal:   drt.Match.Literal,
@@ -296,8 +311,9 @@
 		}
 		// Most routes have one target, so the targets of all routes share few backing arrays.
 		sum, from := 0, len(targets)
+		weight := weightsOf(drt.To)
 		for _, tg := range drt.To {
-			sum += tg.Weight
+			sum += weight(tg.Weight)
 			targets = append(targets, Target{Service: sn.Services[tg.Service], CumulativeWeight: sum})
 		}
 		rt.Targets = targets[from:len(targets):len(targets)]
@@ -307,13 +323,34 @@
 		}
 		rt.Deadline = effectiveDeadline(drt.Deadline, rt.Targets[0].Service)
 		sn.addRoute(rt)
-		sn.routesByHost[drt.Match.Host] = append(sn.routesByHost[drt.Match.Host], rt)
+		host := strings.ToLower(drt.Match.Host)
+		sn.routesByHost[host] = append(sn.routesByHost[host], rt)
 	}
 	for _, rts := range sn.routesByHost {
 		slices.SortFunc(rts, compareSpecificity)
 	}
 }
 
+// maxWeight bounds a weight, so that no sum of weights overflows.
+const maxWeight = 1 << 32
+
+// weightsOf returns the function from a declared weight to the one that is used. Weights below 0
+// count as 0. If no target has a weight, all have the same.
+func weightsOf(to []decl.Target) func(declared int) int {
+	highest := 0
+	for i := range to {
+		highest = max(highest, to[i].Weight)
+	}
+	if highest == 0 {
+		return func(int) int { return 1 }
+	}
+	shift := max(0, bits.Len(uint(highest))-bits.Len(maxWeight))
+	return func(declared int) int { return max(0, declared) >> shift }
+}
+
+// clampPriority returns the priority that is used for a declared one.
+func clampPriority(declared int) int { return min(max(0, declared), decl.MaxPriority) }
+
 // compareSpecificity orders routes by the precedence that decl.Match documents.
 func compareSpecificity(a, b *Route) int {
 	switch {
--- a/internal/conf/snap/tenant.go
+++ b/internal/conf/snap/tenant.go
@@ -69,20 +69,31 @@
 	ts := &TenantSet{ByName: make(map[string]*Tenant, len(declared)), byKey: make(map[decl.KeyDigest]*Tenant, 2*len(declared))}
 	for i := range declared {
 		dtn := &declared[i]
-		tn := &Tenant{Name: dtn.Name, Header: []string{dtn.Name}, Limit: admit.Limit{Rate: dtn.Rate, Burst: dtn.Burst}}
+		tn := &Tenant{Name: dtn.Name, Header: []string{dtn.Name}, Limit: limitOf(dtn)}
 		if dtn.Priority != nil {
-			tn.Priority, tn.HasPriority = *dtn.Priority, true
+			tn.Priority, tn.HasPriority = clampPriority(*dtn.Priority), true
 		}
 		ts.ByName[tn.Name] = tn
 		ts.Limited = ts.Limited || tn.Rate > 0
 		for _, kd := range dtn.Keys {
-			ts.byKey[kd] = tn
+			// A key of two tenants stands for the first one, at all daemons alike.
+			if ts.byKey[kd] == nil {
+				ts.byKey[kd] = tn
+			}
 		}
 	}
 	tc.declared, tc.set = declared, ts
 	return ts
 }
 
+// limitOf returns the limit of a tenant, the zero value if it has none.
+func limitOf(dtn *decl.Tenant) admit.Limit {
+	if !(dtn.Rate > 0) {
+		return admit.Limit{}
+	}
+	return admit.Limit{Rate: dtn.Rate, Burst: max(0, dtn.Burst)}
+}
+
 // sameTenant reports whether two declarations are one that was decoded once. A pack.Decoder shares
 // the lists of declarations that have not changed.
 func sameTenant(a, b decl.Tenant) bool {
