--- a/internal/node/setup/setup.go
+++ b/internal/node/setup/setup.go
@@ -294,6 +294,11 @@
 
 var nameRegexp = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
+// adaptedNameRegexp is the form of names that another platform assigns. They are not those of an
+// inventory, so only characters are excluded that separate names in settings and in keys of the store,
+// and lengths with which such keys would be too long.
+var adaptedNameRegexp = regexp.MustCompile(`^[^\pC\s=,/]([^\pC=,/]{0,93}[^\pC\s=,/])?$`)
+
 func (rd *Reader) validate(rw *rawSettings) Settings {
 	se := Settings{
 		VM: rd.name("vm", rw.vm), Domain: rd.name("failure-domain", rw.domain),
@@ -408,14 +413,23 @@
 	switch {
 	case value == "":
 		rd.addProblem(setting, setting+" is not set", "set it to the name that the inventory has")
-	case !nameRegexp.MatchString(value):
+	case !rd.isName(value):
 		rd.addProblem(setting, fmt.Sprintf("%s is %q", setting, value), "set it to the name that the inventory has: 1 to 63 of a-z, 0-9, \"-\" and \".\"")
 	}
 	return value
 }
 
+// isName reports whether a value has the form of a name of the inventory or, with an adapter, of one
+// that another platform assigns.
+func (rd *Reader) isName(value string) bool {
+	if rd.raw.adapter != "" {
+		return adaptedNameRegexp.MatchString(value)
+	}
+	return nameRegexp.MatchString(value)
+}
+
 func (rd *Reader) optionalName(setting, value string) string {
-	if value != "" && !nameRegexp.MatchString(value) {
+	if value != "" && !rd.isName(value) {
 		rd.addProblem(setting, fmt.Sprintf("%s is %q", setting, value), "set it to 1 to 63 of a-z, 0-9, \"-\" and \".\", or leave it out")
 	}
 	return value
@@ -429,7 +443,7 @@
 	domains := map[string]string{}
 	for _, item := range strings.Split(text, ",") {
 		name, region, _ := strings.Cut(strings.TrimSpace(item), "=")
-		if !nameRegexp.MatchString(name) || !nameRegexp.MatchString(region) {
+		if !rd.isName(name) || !rd.isName(region) && (region != "" || rd.raw.adapter == "") {
 			rd.addProblem("failure-domains", fmt.Sprintf("failure-domains has %q", item), "write each as NAME=REGION, separated by commas")
 		}
 		domains[name] = region
--- a/internal/node/setup/setup_test.go
+++ b/internal/node/setup/setup_test.go
@@ -104,6 +104,23 @@
 	}
 }
 
+// TestAdaptedNames guards against a daemon that does not start since the platform of an adapter assigns
+// names that an inventory could not have.
+func TestAdaptedNames(t *testing.T) {
+	text := "vm: Side_1\nfailure-domain: Sala Norte\nfailure-domains: [Sala Norte=Vale_Sul, b=]\nservice: Agenda_Mento\n" +
+		"inlet: 127.0.0.1:7001\ncontrol: 127.0.0.1:7002\nplatform: 127.0.0.1:7070\n"
+	se, prs := readText(t, text+"adapter: municipal\n")
+	if prs != nil || se.VM != "Side_1" || se.Domain != "Sala Norte" || se.Service != "Agenda_Mento" || se.Domains["Sala Norte"] != "Vale_Sul" || len(se.Domains) != 2 {
+		t.Errorf("with an adapter: %+v, %q", se, prs)
+	}
+	if _, prs = readText(t, text); len(prs) != 5 {
+		t.Errorf("with an inventory: %q, want a problem for each of the 5 names", prs)
+	}
+	if _, prs = readText(t, strings.Replace(text, "vm: Side_1", "vm: a/b", 1)+"adapter: municipal\n"); len(prs) != 1 {
+		t.Errorf("with a slash: %q, want one problem", prs)
+	}
+}
+
 // TestPrecedence checks that flags take precedence over the environment, and the environment over
 // the file.
 func TestPrecedence(t *testing.T) {
