path/outlet: names of routes that cannot be the value of a header

An accepted version may name a route as it likes, while the name travels to inlets in a header. A name with a control character failed each request of the route with 503 no-connection, as the transport refuses such a header.

--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -194,7 +195,7 @@
 	out.Header[result.SentHeader] = []string{delay.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
 	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.priority, rq.elapsed, time.Since(rq.start), rq.final)}
-	out.Header[result.RouteHeader] = []string{rq.route.Name}
+	out.Header[result.RouteHeader] = []string{url.PathEscape(rq.route.Name)}
 	if rq.serverCrashes > 0 {
 		out.Header[result.CrashesHeader] = []string{strconv.Itoa(rq.serverCrashes)}
 	}
