path/inlet, path/outlet: notice that a caller has left before its body is read

The slots were missing for those who still waited.

Cause: net/http watches a connection for its end only once the body of the request has been read to its end. An inlet read nothing before the request had its slot, so the context of the request outlived the connection. The outlet had closed it at once where it had read the body. Where it had not, in chunks or above 64 KB, the outlet did not notice either; and it sent such a body unasked after a second, after which the request could go to no other VM.

Evidence: without a body the same load has no such request; TestCallerLeavesQueue fails for each form of body, also behind Expect and on kept connections, and passes without one. Ruled out: the outlet's part for bodies up to 64 KB (it closes the connection at once), and the queue itself, which drops a request when its context ends.

Change: - An inlet reads a body up to 64 KB before any wait, at most 2 MiB in all and until the deadline of the request; net/http watches the connection from then on. A body that does not arrive takes no slot any more. - Other unread bodies, at inlets and outlets: the connection is checked every 100 ms without reading from it (package gone), also behind unread bytes. A body beyond the 2 MiB is one of these: no request is refused for it. - Outlets wait for 100-continue as long as the request lasts. - The queue's refusal says caller-gone in place of deadline-passed, so that logs and counters tell the two apart.

--- a/internal/node/daemon/serve.go
+++ b/internal/node/daemon/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/flamingomast/flamingomast/internal/node/admin"
+	"github.com/flamingomast/flamingomast/internal/path/gone"
 	"github.com/flamingomast/flamingomast/internal/path/idle"
 	"github.com/flamingomast/flamingomast/internal/path/piping"
 )
@@ -54,7 +55,7 @@
 	sv.outlet = newServer(dm.closeWhenDraining(sv.front.Handler(dm.Outlet)))
 	sv.outlet.Protocols = &protocols
 	sv.outlet.ConnState, sv.outlet.ConnContext = sv.front.ConnState, sv.front.ConnContext
-	sv.inlet.ConnState = sv.peers.ConnState
+	sv.inlet.ConnState, sv.inlet.ConnContext = sv.peers.ConnState, gone.ConnContext
 	sv.control.ErrorLog = sv.outlet.ErrorLog
 	return sv
 }
--- a/internal/path/idle/idle.go
+++ b/internal/path/idle/idle.go
@@ -128,6 +128,9 @@
 	return cn.Conn.SetReadDeadline(t)
 }
 
+// NetConn returns the underlying connection.
+func (cn *conn) NetConn() net.Conn { return cn.Conn }
+
 // CloseWrite closes the write side of the connection, if the underlying connection supports it.
 func (cn *conn) CloseWrite() error {
 	if cw, ok := cn.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -66,8 +66,9 @@
 	suspectRunning atomic.Bool
 	// counts holds the request counts of the current instance of the server.
 	counts atomic.Pointer[tally.Counter]
-	// buffered is the memory taken by responses that were read and are not sent yet.
-	buffered proxy.Budget
+	// buffered is the memory taken by responses that were read and are not sent yet, bodies that of
+	// the request bodies that were read ahead.
+	buffered, bodies proxy.Budget
 	// notices is what the current instance of the server says about itself, rate limits its requests
 	// to the rate that it names.
 	notices notices
@@ -85,7 +86,7 @@
 // responses are paced by link, which may be nil.
 func New(op proxy.Options, link *pacer.Pacer) *Inlet {
 	in := &Inlet{Gate: limit.New(), Unreachable: func(Target) {}, Leaving: func(Target) {}, Poison: func() *poison.View { return nil }, Report: func([]poison.Report) {}, Log: slog.New(slog.DiscardHandler), op: op, link: link}
-	in.buffered.Limit = maxBuffered
+	in.buffered.Limit, in.bodies.Limit = maxBuffered, maxBodies
 	in.counts.Store(&tally.Counter{})
 	in.fw.Store(proxy.New(op))
 	return in
@@ -132,15 +133,24 @@
 		in.refuse(w, r, rf)
 		return
 	}
+	r, ahead, done := in.watchOutlet(r)
+	defer done()
 	ctx, cancel := in.withDeadline(r, start)
 	defer cancel()
 	if ctx.Err() != nil {
-		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadlinePassed})
+		in.refuse(w, r, notRun(ctx))
 		return
 	}
 	class := r.Header.Get(result.ClassHeader)
 	sr := in.Stats.For(tg.Service, class)
 	rq := parseUrgency(r.Header, class)
+	if ahead > 0 {
+		if rf := in.readBody(ctx, w, r, ahead); rf != nil {
+			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+			in.refuse(w, r, rf)
+			return
+		}
+	}
 	tf := in.transfer(r)
 	defer tf.release()
 	if rf := tf.reserve(r, rq.Objective, in.Gate.Load()); rf != nil {
@@ -171,7 +181,9 @@
 	}
 	defer slot.Release()
 	if ctx.Err() != nil {
-		in.refuse(w, r, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonDeadlinePassed})
+		rf := notRun(ctx)
+		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
+		in.refuse(w, r, rf)
 		return
 	}
 	if in.notices.leaving.Load() {
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -249,6 +250,8 @@
 	switch {
 	case lm.draining:
 		return nil, refuse(result.ReasonDraining, 0)
+	case errors.Is(ctx.Err(), context.Canceled):
+		return nil, refuse(result.ReasonCallerGone, 0)
 	case ctx.Err() != nil:
 		return nil, refuse(result.ReasonDeadlinePassed, retryAfter)
 	case late:
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/path/gone"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/resend"
@@ -84,6 +85,10 @@
 		rq.refuse(rf)
 		return
 	}
+	if rq.body.streamed() {
+		stop := rq.watchCaller()
+		defer stop()
+	}
 	if rf := rq.checkPoison(); rf != nil {
 		rq.refuse(rf)
 		return
@@ -97,6 +102,19 @@
 	rq.th.RecordOutcome(rq.priority, time.Now(), rq.send())
 }
 
+// watchCaller cancels the contexts of the request once its caller has disconnected. It is needed as
+// long as part of the body is unread.
+func (rq *request) watchCaller() (stop func()) {
+	ctx, stopWatch := gone.Watch(rq.r)
+	rq.r = rq.r.WithContext(ctx)
+	var cancel context.CancelFunc
+	rq.ctx, cancel = context.WithDeadline(ctx, rq.start.Add(rq.limit))
+	return func() {
+		cancel()
+		stopWatch()
+	}
+}
+
 // send makes attempts until the request is answered or given up. It reports whether an inlet
 // accepted the request.
 func (rq *request) send() (accepted bool) {
--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -80,6 +80,9 @@
 	arrived time.Time
 }
 
+// NetConn returns the caller's connection.
+func (cn *conn) NetConn() net.Conn { return cn.Conn }
+
 func newConn(pl *Pipeliner, nc net.Conn) *conn {
 	cn := &conn{Conn: nc, pl: pl}
 	cn.changed = sync.NewCond(&cn.mu)
--- a/internal/path/piping/pipeliner.go
+++ b/internal/path/piping/pipeliner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/flamingomast/flamingomast/internal/path/gone"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 )
 
@@ -133,7 +134,7 @@
 
 // ConnContext is the ConnContext hook of the http.Server.
 func (pl *Pipeliner) ConnContext(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
+	return gone.ConnContext(context.WithValue(ctx, connKey{}, nc), nc)
 }
 
 // Handler wraps next so that each connection is notified of a request before next is called.
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -23,8 +23,9 @@
 	// side and no request is written to one that the server is closing.
 	idleTimeout = 10 * time.Second
 	// continueTimeout is how long a request with Expect: 100-continue waits for a response before
-	// its body is sent.
-	continueTimeout   = time.Second
+	// its body is sent. Inlets always respond, and read the body only once they have a slot; the
+	// context of a request ends the wait long before.
+	continueTimeout   = time.Hour
 	maxResponseHeader = 256 << 10
 )
 
