path/piping: notice that a caller has left behind a large request

Once 16 KB of further requests are buffered, nothing is read from the connection until the request before them is answered, so the end of the connection went unnoticed: a caller that sends a large request ahead and leaves had both the one that waits and the early ones run. The connection is checked meanwhile, every 100 ms.

--- a/internal/path/outlet/left_test.go
+++ b/internal/path/outlet/left_test.go
@@ -129,6 +129,8 @@
 		"body sent before 100-continue":        fmt.Sprintf("%sExpect: 100-continue\r\nContent-Length: %d\r\n\r\n%s", postHead, large, strings.Repeat("b", large)),
 		"a request behind a length":            withLength(small) + "GET /always/quick HTTP/1.1\r\nHost: booking\r\n\r\n",
 		"a request behind chunks":              withChunks(small) + "GET /always/quick HTTP/1.1\r\nHost: booking\r\n\r\n",
+		"a large request behind a length":      withLength(small) + withLength(large),
+		"a large request behind one with none": "GET /long HTTP/1.1\r\nHost: booking\r\n\r\n" + withLength(large),
 	} {
 		for _, kept := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/kept=%t", name, kept), func(t *testing.T) {
--- a/internal/path/piping/conn.go
+++ b/internal/path/piping/conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/flamingomast/flamingomast/internal/path/gone"
 )
 
 // phase is what the net/http server reads next from a connection.
@@ -116,11 +118,19 @@
 		return n, err
 	case cn.phase == readingHead && len(cn.pending) == 0:
 		return cn.readHead(p)
+	case cn.phase != headRead && len(cn.unread) >= maxUnread && gone.Closed(cn.Conn):
+		cn.cancelEarly()
+		return 0, io.EOF
 	case cn.phase == headRead, len(cn.unread) >= maxUnread:
 		// The server sets no deadline at this point but a past one, which ends the wait.
 		if !cn.readDeadline.IsZero() && !cn.readDeadline.After(time.Now()) {
 			return 0, os.ErrDeadlineExceeded
 		}
+		if cn.phase != headRead {
+			// No byte is read that would show that the caller has disconnected.
+			tm := time.AfterFunc(gone.CheckInterval, cn.changed.Broadcast)
+			defer tm.Stop()
+		}
 		cn.changed.Wait()
 		return 0, nil
 	}
