mesh/ctrl: hold the last version in force after a restart while a newer one is refused

Cause: a refused version raises the floor of new processes, since it is the newest one known, and the version before it exists in the memory of running daemons alone: the store has the newest one, peers pass on the newest one.

Change: a daemon that refuses a version writes the one that it holds to the store (version-fallback), and takes the one there if it is newer. The floor has two parts: the newest version known, unless this process refuses it itself, and what the predecessor reported as held, which always counts. Refusals of values that cannot be read reach the status too (version-unreadable was in the log only), and version-refused is a metric.

Ruled out: the copy at peers alone, as all may restart; no copy and a lower floor, a way back to a version before one that was held.

Tests, each fails without its part of the change: TestRestartWithRefusedVersion (one daemon, a failure domain, all; holds none before), TestUnreadableVersion, TestFallbackNotBelowPredecessor (without the second floor it holds version 1 after 2).

--- a/internal/mesh/board/board.go
+++ b/internal/mesh/board/board.go
@@ -20,7 +20,12 @@
 	Latest Cell[Config]
 	// Held is the configuration in force in this daemon.
 	Held Cell[snap.Snapshot]
-	// Refused is the newest version that failed to compile.
+	// InForce is the configuration of which Held is the compiled form.
+	InForce Cell[Config]
+	// Fallback is the newest version known to have been in force before the newest one was refused,
+	// nil unless this daemon needs it.
+	Fallback Cell[Config]
+	// Refused is the newest version that could not be read or compiled. Only Refuse writes it.
 	Refused Cell[Refusal]
 	// Floor is the lowest version that this daemon may put in force.
 	Floor Cell[Floor]
@@ -86,10 +91,23 @@
 // must not use an older version than that one did. So no version is installed until the floor
 // is settled, either by peers or by proof that there are none.
 type Floor struct {
+	// Version is the newest version that the predecessor may have held: one that peers or the store
+	// know.
 	Version uint64
+	// Held is the newest version that the predecessor is known to have held. It is the floor if this
+	// daemon refuses Version, as its predecessor did.
+	Held    uint64
 	Settled bool
 }
 
+// lowest returns the lowest version that may be put in force while rf is the newest refusal, if any.
+func (fl *Floor) lowest(rf *Refusal) uint64 {
+	if rf != nil && rf.Version >= fl.Version {
+		return fl.Held
+	}
+	return fl.Version
+}
+
 // Links lists the peers that a daemon is connected to, and whether it is a relay.
 type Links struct {
 	Relay bool
@@ -128,24 +146,55 @@
 // RaiseFloor raises the floor to at least version. settle means that no peer is left to ask that
 // may know a higher one.
 func (bd *Board) RaiseFloor(version uint64, settle bool) {
+	bd.raiseFloor(Floor{Version: version, Settled: settle})
+}
+
+// RaiseHeldFloor is like RaiseFloor for a version that the predecessor is known to have held.
+func (bd *Board) RaiseHeldFloor(version uint64, settle bool) {
+	bd.raiseFloor(Floor{Version: version, Held: version, Settled: settle})
+}
+
+func (bd *Board) raiseFloor(next Floor) {
 	bd.Floor.Update(func(cur *Floor) *Floor {
-		next := Floor{Version: version, Settled: settle}
-		if cur != nil {
-			next.Version = max(cur.Version, version)
-			next.Settled = cur.Settled || settle
-			if next == *cur {
-				return cur
-			}
+		if cur == nil {
+			return &next
+		}
+		fl := Floor{Version: max(cur.Version, next.Version), Held: max(cur.Held, next.Held), Settled: cur.Settled || next.Settled}
+		if fl == *cur {
+			return cur
+		}
+		return &fl
+	})
+}
+
+// Refuse records a refusal unless a newer version is known to be refused.
+func (bd *Board) Refuse(rf *Refusal) {
+	bd.Refused.Update(func(cur *Refusal) *Refusal {
+		if cur != nil && (cur.Version > rf.Version || *cur == *rf) {
+			return cur
 		}
-		return &next
+		return rf
 	})
 }
 
+// RefusedVersion returns the newest refused version if it is newer than the one in force, otherwise 0.
+func (bd *Board) RefusedVersion() uint64 {
+	if rf := bd.Refused.Get(); rf != nil && rf.Version > bd.HeldVersion() {
+		return rf.Version
+	}
+	return 0
+}
+
+// MayInstall reports whether the floor is settled and a version not below it.
+func (bd *Board) MayInstall(version uint64) bool {
+	fl := bd.Floor.Get()
+	return fl != nil && fl.Settled && version >= fl.lowest(bd.Refused.Get())
+}
+
 // Install puts sn in force if the floor is settled, sn is not below it, and sn is newer than the
 // configuration in force, and reports whether it did. It is the only writer of Held.
 func (bd *Board) Install(sn *snap.Snapshot) bool {
-	fl := bd.Floor.Get()
-	if fl == nil || !fl.Settled || sn.Version < fl.Version {
+	if !bd.MayInstall(sn.Version) {
 		return false
 	}
 	installed := false
--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/plat/fakekv"
 	"github.com/flamingomast/flamingomast/internal/plat/memnet"
+	"github.com/flamingomast/flamingomast/internal/plat/store"
 )
 
 const (
@@ -260,6 +262,126 @@
 	})
 }
 
+// submitUnknownKind submits a version with a kind of resource that no release knows yet.
+func (fl *fleet) submitUnknownKind(base uint64) {
+	fl.t.Helper()
+	co, err := pack.Encode(fl.ms)
+	if err != nil {
+		fl.t.Fatal(err)
+	}
+	extended := pack.New(append(slices.Clone(co.Resources), pack.Resource{Key: pack.Key{Kind: "mirror", Name: "x"}, Body: []byte(`{}`)}))
+	if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), accept.Submission{ID: "odd", Base: base, Content: extended}); err != nil {
+		fl.t.Fatal(err)
+	}
+}
+
+// waitRefused waits until all daemons refuse a version and hold another one.
+func (fl *fleet) waitRefused(refused, held uint64) {
+	fl.t.Helper()
+	fl.waitFor(fmt.Sprintf("all hold version %d and refuse %d", held, refused), convergeLimit, func() bool {
+		for _, tn := range fl.nodes {
+			if tn.Board.RefusedVersion() != refused || tn.Board.HeldVersion() != held {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestRestartWithRefusedVersion guards against daemons that hold no configuration after a restart, since
+// the newest version is refused.
+func TestRestartWithRefusedVersion(t *testing.T) {
+	for _, linearizable := range []bool{false, true} {
+		t.Run(fmt.Sprintf("linearizable=%t", linearizable), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, sample.Mesh(9, 3, 2))
+				fl.linearizable = linearizable
+				defer fl.stopAll()
+				fl.apply(fl.ms, 0)
+				fl.startAll()
+				fl.waitHeld(1, 20*time.Second)
+				fl.waitMembers(20 * time.Second)
+				fl.submitUnknownKind(1)
+				fl.waitRefused(2, 1)
+				var all []string
+				for name := range fl.nodes {
+					all = append(all, name)
+				}
+				slices.Sort(all)
+				for _, names := range [][]string{all[:1], fl.domainVMs("d1"), all} {
+					time.Sleep(settleTime)
+					fl.kill(names...)
+					for _, name := range names {
+						fl.restart(name)
+					}
+					fl.waitRefused(2, 1)
+				}
+				v := fl.apply(sample.Change(fl.ms, 9), 2)
+				fl.waitHeld(v, convergeLimit)
+			})
+		})
+	}
+}
+
+// TestUnreadableVersion guards against daemons that hold no configuration after a restart of all, and
+// against operators who see no refusal, when the newest version cannot even be read.
+func TestUnreadableVersion(t *testing.T) {
+	withFleet(t, func(fl *fleet) {
+		kv := fl.st.Store()
+		head, err := kv.Get(fl.t.Context(), accept.HeadKey)
+		if err != nil {
+			fl.t.Fatal(err)
+		}
+		if _, _, err := kv.Swap(fl.t.Context(), store.Change{Key: accept.HeadKey, Revision: head.Revision, Value: []byte("no head")}); err != nil {
+			fl.t.Fatal(err)
+		}
+		time.Sleep(settleTime)
+		listed := 0
+		for _, su := range fl.nodes[fl.relays()[0]].Status(context.Background(), false).Summaries {
+			listed += len(su.Refused)
+		}
+		if listed == 0 {
+			fl.t.Error("the status lists no refusal")
+		}
+		var all []string
+		for name := range fl.nodes {
+			all = append(all, name)
+		}
+		fl.kill(all...)
+		for _, name := range all {
+			fl.restart(name)
+		}
+		fl.waitHeld(1, 20*time.Second)
+	})
+}
+
+// TestFallbackNotBelowPredecessor guards against a daemon that goes back to the version before, where its
+// predecessor, of another release, held the one that this daemon refuses.
+func TestFallbackNotBelowPredecessor(t *testing.T) {
+	withFleet(t, func(fl *fleet) {
+		names := fl.domainVMs("d1")
+		for _, name := range names {
+			fl.nodes[name].cf.Compile = func(v uint64, co *pack.Content, domain string) (*snap.Snapshot, error) {
+				known := slices.DeleteFunc(slices.Clone(co.Resources), func(rs pack.Resource) bool { return rs.Key.Kind == "mirror" })
+				return snap.Compile(v, pack.New(known), domain)
+			}
+		}
+		fl.submitUnknownKind(1)
+		time.Sleep(convergeLimit)
+		for _, name := range names {
+			if got := fl.nodes[name].Board.HeldVersion(); got != 2 {
+				fl.t.Fatalf("%s holds version %d, want 2", name, got)
+			}
+		}
+		fl.kill(names[0])
+		fl.restart(names[0])
+		time.Sleep(time.Minute)
+		if bd := fl.nodes[names[0]].Board; bd.HeldVersion() != 0 || bd.RefusedVersion() != 2 {
+			fl.t.Errorf("%s holds version %d and refuses %d, want none and 2", names[0], bd.HeldVersion(), bd.RefusedVersion())
+		}
+	})
+}
+
 // TestTwoReleases: during a rolling upgrade, some VMs run a release that knows a kind of resource
 // which the other release does not. The older daemons refuse a version with it and keep theirs, but
 // relays among them forward it, and every newer daemon holds it.
--- a/internal/mesh/ctrl/holds.go
+++ b/internal/mesh/ctrl/holds.go
@@ -145,6 +145,10 @@
 	su := &wirepb.Summary{
 		Domain: nd.cf.Domain, Reporter: nd.cf.VM, Stamp: uint64(time.Now().UnixMilli()), Highest: latest,
 	}
+	if nd.Board.RefusedVersion() == latest {
+		// A VM of which nothing else is known has refused it as well.
+		su.Highest = nd.Board.HeldVersion()
+	}
 	add := func(vm string, hd heldVersion) {
 		if su.Members == 0 || hd.version < su.Lowest {
 			su.Lowest = hd.version
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -265,7 +265,7 @@
 	stop := context.AfterFunc(ctx, nd.cancel)
 	defer stop()
 	for _, fn := range []func(context.Context){
-		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runFreshReads, nd.runDirectory, nd.runRollouts, nd.runTallies, nd.quota.run,
+		nd.linker.run, nd.runCompiler, nd.runHousekeeping, nd.runWatcher, nd.runFallback, nd.runFreshReads, nd.runDirectory, nd.runRollouts, nd.runTallies, nd.quota.run,
 	} {
 		nd.background(func() { fn(nd.ctx) })
 	}
--- a/internal/mesh/ctrl/peers.go
+++ b/internal/mesh/ctrl/peers.go
@@ -251,7 +251,7 @@
 	if wc.Nonce != self.Nonce && wc.Incarnation >= self.Incarnation {
 		nd.handleConflict(&member.Record{VM: self.VM, Incarnation: wc.Incarnation, Nonce: wc.Nonce})
 	}
-	nd.Board.RaiseFloor(wc.Floor, pr.Relay)
+	nd.Board.RaiseHeldFloor(wc.Floor, pr.Relay)
 }
 
 // recordPredecessor records what a peer knows of the predecessor. A peer that knows nothing of one
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -159,7 +159,9 @@
 	case err != nil:
 		// Reading the value again would give the same error; the held version stays in force.
 		nd.log.Error("version-unreadable", slog.Uint64("version", version), slog.Any("error", err))
-		nd.Board.Refused.Set(&board.Refusal{Version: version, Reason: err.Error()})
+		// A value without a readable version is one after those that are known.
+		nd.Board.Refuse(&board.Refusal{Version: max(version, nd.Board.LatestVersion()+1), Reason: err.Error()})
+		nd.publishHeld()
 		nd.setObserved(ent.Revision, 0)
 		return nil
 	}
@@ -214,21 +216,27 @@
 	})
 }
 
-// runCompiler installs the newest version once it compiles.
+// runCompiler installs the newest version once it compiles, and the fallback if it is refused.
 func (nd *Node) runCompiler(ctx context.Context) {
-	var tried uint64
+	var tried, triedFallback uint64
 	for {
 		cfg, newer := nd.Board.Latest.Watch()
-		fl, raised := nd.Board.Floor.Watch()
-		if cfg != nil && fl != nil && fl.Settled && cfg.Version >= fl.Version && cfg.Version > tried {
+		_, raised := nd.Board.Floor.Watch()
+		fb, found := nd.Board.Fallback.Watch()
+		if cfg != nil && cfg.Version > tried && nd.Board.MayInstall(cfg.Version) {
 			tried = cfg.Version
 			nd.compile(cfg)
 		}
+		if fb != nil && fb.Version > triedFallback && tried > fb.Version && nd.Board.MayInstall(fb.Version) {
+			triedFallback = fb.Version
+			nd.compile(fb)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-newer:
 		case <-raised:
+		case <-found:
 		case <-time.After(compilerCacheTTL):
 			nd.compiler.Reset()
 			select {
@@ -236,6 +244,7 @@
 				return
 			case <-newer:
 			case <-raised:
+			case <-found:
 			}
 		}
 	}
@@ -252,13 +261,19 @@
 	start := time.Now()
 	sn, err := nd.cf.Compile(cfg.Version, cfg.Content, nd.cf.Domain)
 	if err != nil {
-		nd.Board.Refused.Set(&board.Refusal{Version: cfg.Version, Reason: err.Error()})
+		nd.Board.Refuse(&board.Refusal{Version: cfg.Version, Reason: err.Error()})
 		nd.log.Error("version-refused", slog.Uint64("version", cfg.Version), slog.Any("error", err))
 	} else if nd.Board.Install(sn) {
+		nd.Board.InForce.Set(cfg)
 		nd.log.Info("version-held", slog.Uint64("version", cfg.Version), slog.String("digest", sn.Digest.String()[:12]),
 			slog.Duration("compile", time.Since(start)))
 		nd.Board.Members.Update(nd.pruneMembers)
 	}
+	nd.publishHeld()
+}
+
+// publishHeld tells the relays of the failure domain which version is held and which one refused.
+func (nd *Node) publishHeld() {
 	held := nd.ownHeld()
 	nd.mu.Lock()
 	nd.summaryDirty = true
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -344,6 +344,7 @@
 	num := func(name string, fn func() int64) { m.Set(name, expvar.Func(func() any { return fn() })) }
 	bd := dm.Node.Board
 	num("version-held", func() int64 { return int64(bd.HeldVersion()) })
+	num("version-refused", func() int64 { return int64(bd.RefusedVersion()) })
 	num("version-latest", func() int64 { return int64(bd.LatestVersion()) })
 	num("members", func() int64 { return int64(bd.Members.Get().Len()) })
 	num("links", func() int64 { return int64(len(bd.Links.Get().Peers)) })
