path/outlet: try a suspect request on one server when its servers crashed together

What callers saw: three servers crashed at one moment while each ran the same popular lookup. It would have ended ten minutes after the crash: only an answer clears a suspect, and none could come.

Cause: crashes are counted, not incidents. Three servers that crash together while each runs a lookup say as much about it as one.

Change: the threshold stays at three crashes. If they were fewer than three incidents, a second apart, all outlets send the request to one server, chosen by rendezvous hashing, whose inlet runs one suspect at a time: two seconds after the last crash, and ten seconds after the next incident. An answer clears it; a request that does crash servers crashes two more at most, where three later sends are allowed. Each trial has a log line, poison-trial.

Ruled out: counting incidents for the threshold, as a request that crashes servers would reach all that are up within the second.

--- a/internal/mesh/poison/poison.go
+++ b/internal/mesh/poison/poison.go
@@ -27,6 +27,14 @@
 	RetryJitter = time.Minute
 	// retention is how long after its last crash a request is remembered.
 	retention = time.Hour
+	// crashSpan is the time within which crashes of several servers are one incident. Servers that
+	// crash together may have a common cause, whatever they were running.
+	crashSpan = time.Second
+	// trialDelay is how long after an incident a refused request may be tried on one server. It exceeds
+	// crashSpan and the time in which all daemons learn of a crash. After each further incident it is
+	// longer by trialBackoff.
+	trialDelay   = 2 * time.Second
+	trialBackoff = 5
 )
 
 // Limits on what is remembered. Without them, servers that all crash repeatedly, each time with
@@ -105,6 +113,33 @@
 	return vw.CrashCount(key) >= RefuseThreshold && now.Sub(vw.requests[key].last) < refusePeriod+jitter
 }
 
+// incidents returns the number of incidents among the crashes that no later answer has cleared.
+func (rq *request) incidents() (n int) {
+	var began time.Time
+	for _, cr := range rq.crashes {
+		if !cr.answered && (n == 0 || cr.at.Sub(began) > crashSpan) {
+			n++
+			began = cr.at
+		}
+	}
+	return n
+}
+
+// MayTry reports whether a refused request may be tried on one server, since it crashed servers in
+// fewer incidents than RefuseThreshold. An answer clears it; a crash is one more incident.
+func (vw *View) MayTry(key ident.Key, now time.Time) bool {
+	if vw.CrashCount(key) < RefuseThreshold {
+		return false
+	}
+	rq := vw.requests[key]
+	n := rq.incidents()
+	delay := trialDelay
+	for range n - 1 {
+		delay *= trialBackoff
+	}
+	return n < RefuseThreshold && now.Sub(rq.last) >= delay
+}
+
 // AnswerReports returns the reports to publish after a server answered a request: one for each
 // known crash that no answer has cleared yet.
 func (vw *View) AnswerReports(key ident.Key) []Report {
--- a/internal/mesh/poison/poison_test.go
+++ b/internal/mesh/poison/poison_test.go
@@ -59,6 +59,47 @@
 	}
 }
 
+// TestMayTry guards against refusing a harmless request for long since several servers crashed together
+// while each ran it, and against trying one again and again that crashes servers.
+func TestMayTry(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	lookup := httptest.NewRequest("GET", "http://booking/visits/7", nil)
+	for _, tc := range []struct {
+		name    string
+		crashes []time.Duration
+		// answered is the number of crashes that an answer has cleared.
+		answered int
+		after    time.Duration
+		want     bool
+	}{
+		{"no crash", nil, 0, time.Minute, false},
+		{"not refused", []time.Duration{0, 0}, 0, time.Minute, false},
+		{"together, too early", []time.Duration{0, 0, 0}, 0, trialDelay - 1, false},
+		{"together", []time.Duration{0, 0, 0}, 0, trialDelay, true},
+		{"almost together", []time.Duration{0, crashSpan / 2, crashSpan}, 0, crashSpan + trialDelay, true},
+		{"many together", []time.Duration{0, 0, 0, 0, 0, 0, 0, 0, 0, 0}, 0, trialDelay, true},
+		{"one by one", []time.Duration{0, crashSpan + 1, 2 * (crashSpan + 1)}, 0, time.Minute, false},
+		{"a wave that lasts", []time.Duration{0, crashSpan * 3 / 4, crashSpan * 3 / 2, crashSpan * 9 / 4}, 0, time.Minute, true},
+		{"a trial crashed its server, too early", []time.Duration{0, 0, 0, trialDelay}, 0, 2 * trialDelay, false},
+		{"a trial crashed its server", []time.Duration{0, 0, 0, trialDelay}, 0, trialDelay + trialDelay*trialBackoff, true},
+		{"two trials crashed their servers", []time.Duration{0, 0, 0, trialDelay, trialDelay * 7}, 0, 9 * time.Minute, false},
+		{"answered", []time.Duration{0, 0, 0}, 3, trialDelay, false},
+	} {
+		var vw *View
+		for i, at := range tc.crashes {
+			re := Report{Head: ident.HeaderHash(lookup), Key: 1, Crash: CrashID(i), At: start.Add(at), Answered: i < tc.answered}
+			vw, _ = vw.Merge([]Report{re}, start.Add(at))
+		}
+		now := start.Add(tc.after)
+		if got := vw.MayTry(1, now); got != tc.want {
+			t.Errorf("%s: may be tried %t, want %t", tc.name, got, tc.want)
+		}
+		if vw.MayTry(1, now) && !vw.Refuses(1, now, 0) {
+			t.Errorf("%s: tried although it is not refused", tc.name)
+		}
+	}
+}
+
 // TestMergeOrder checks that all daemons refuse the same requests, in whatever order and however
 // often the reports reach them, and that a known report is not returned as new. A daemon forwards
 // new reports, so it would circulate forever.
--- a/internal/path/outlet/poison.go
+++ b/internal/path/outlet/poison.go
@@ -10,10 +10,15 @@
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
+// minTrialAge is the age from which an outlet takes part in trials. A younger one may know too few servers
+// to designate the same one as the others.
+const minTrialAge = 5 * time.Second
+
 // checkPoison refuses a poison request: one that crashes the backend servers that run it. A single
 // such request can crash all backend servers of a service, because each outlet retries it and its
 // caller retries it through other outlets. What any daemon has observed of the request is therefore
-// taken into account.
+// taken into account. A request of which that is no proof is sent to one server, the same one from all
+// outlets, whose inlet runs one such request at a time.
 func (rq *request) checkPoison() *result.Refusal {
 	vw := rq.ou.poison()
 	if !vw.Suspects(rq.r) {
@@ -29,6 +34,13 @@
 	if !vw.Refuses(key, time.Now(), rq.ou.poisonJitter) {
 		return nil
 	}
+	if vw.MayTry(key, time.Now()) && time.Since(rq.ou.started) >= minTrialAge {
+		if rq.trial = rq.base.Designated(key.String()); rq.trial != nil {
+			rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.PoisonTrial, slog.String(logs.ID, rq.id()),
+				slog.String(logs.RequestKey, key.String()), slog.Int(logs.Crashes, rq.serverCrashes), slog.String(logs.TargetVM, rq.trial.VM))
+			return nil
+		}
+	}
 	rq.ou.log.LogAttrs(context.Background(), slog.LevelInfo, logs.PoisonRefused,
 		slog.String(logs.ID, rq.id()), slog.String(logs.RequestKey, key.String()), slog.Int(logs.Crashes, rq.serverCrashes))
 	return &result.Refusal{
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -71,6 +71,9 @@
 	attempts, rejections, delivered, overLimit int
 	// serverCrashes counts the backend servers that crashed while they ran the request.
 	serverCrashes int
+	// trial is the only server that the request is sent to; nil if it is no trial of a request that is
+	// refused otherwise.
+	trial *pick.Endpoint
 	// lastRefusal is the refusal of the last attempt, nil if it was answered.
 	lastRefusal *result.Refusal
 }
@@ -160,6 +163,12 @@
 
 // pick returns the server of the next attempt, or nil if there is none.
 func (rq *request) pick() *pick.Endpoint {
+	if rq.trial != nil {
+		if rq.attempts > 0 {
+			return nil
+		}
+		return rq.trial
+	}
 	now := time.Now()
 	if rq.rejections < rq.rejectionLimit() {
 		ep := rq.gp.Pick(now, rq.criteria(), &rq.tried, rand.IntN)
--- a/internal/path/pick/pick.go
+++ b/internal/path/pick/pick.go
@@ -76,6 +76,18 @@
 // Len returns the number of backend servers in the group.
 func (gp *Group) Len() int { return len(gp.all) }
 
+// Designated returns the server that all outlets with the same servers choose for a key, by rendezvous
+// hashing, or nil if there is none. The result does not depend on the state of the servers.
+func (gp *Group) Designated(key string) (best *Endpoint) {
+	highest := uint64(0)
+	for _, ep := range gp.all {
+		if score := xxhash.Sum64String(key + "\x00" + ep.VM); best == nil || score > highest {
+			best, highest = ep, score
+		}
+	}
+	return best
+}
+
 // mayEject reports whether a failing server may be ejected. At least half of the servers stay in
 // use, and the server must fail much more often than the others. If most servers fail alike, the
 // likely cause is the requests or something that the servers share, such as a service that they
--- a/internal/path/pick/pick_test.go
+++ b/internal/path/pick/pick_test.go
@@ -99,3 +99,33 @@
 		t.Errorf("the wait is still %v a second later", got)
 	}
 }
+
+// TestDesignated guards against outlets that send a suspect request to different servers: each that the
+// request crashes counts for all of them.
+func TestDesignated(t *testing.T) {
+	group := func(vms ...string) *Group {
+		gp := &Group{meanUse: &utilization{}}
+		for _, vm := range vms {
+			gp.all = append(gp.all, NewEndpoint(Endpoint{VM: vm}))
+		}
+		return gp
+	}
+	if ep := group().Designated("a"); ep != nil {
+		t.Errorf("without servers: %+v", ep)
+	}
+	used := map[string]int{}
+	for key := range 300 {
+		key := string(rune('0' + key))
+		best := group("a", "b", "c", "d").Designated(key)
+		used[best.VM]++
+		if got := group("d", "c", "b", "a").Designated(key); got.VM != best.VM {
+			t.Errorf("key %s: %s, in another order %s", key, best.VM, got.VM)
+		}
+		if got := group("a", "b", "c").Designated(key); best.VM != "d" && got.VM != best.VM {
+			t.Errorf("key %s: %s, without another server %s", key, best.VM, got.VM)
+		}
+	}
+	if len(used) != 4 {
+		t.Errorf("designated: %v, want all four", used)
+	}
+}
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -33,6 +33,9 @@
 	// servers crash when they run it. PoisonCleared is one that has since been answered.
 	PoisonFound   = "poison-found"
 	PoisonCleared = "poison-cleared"
+	// PoisonTrial is a request that an outlet sent to one server only, to learn whether it is a poison
+	// request.
+	PoisonTrial = "poison-trial"
 	// PoisonRefused is a request that an outlet did not send because it is a poison request.
 	PoisonRefused = "poison-refused"
 
