conf/snap, platform: no route to the name of a service without a declaration

Cause: a request that matches no route of its host goes to the service whose name is the host, a convenience of our own interface that the platform's protocol does not have. Any client could reach a service by its name as well, without a route.

Change: a source of configurations says that services are reached by declared routes only; the compiler then leaves these routes out. Nothing changes in the content, so older releases beside it read the same versions.

--- a/internal/conf/snap/match.go
+++ b/internal/conf/snap/match.go
@@ -7,7 +7,8 @@
 )
 
 // Match returns the route for a request, or nil if there is none. The host may include a port, which
-// counts only where routes are declared for the host with it. Requests that match no declared route of their host go to the service whose name is the host.
+// counts only where routes are declared for the host with it. Requests that match no declared route of
+// their host go to the service whose name is the host, unless the Compiler leaves out such routes.
 func (sn *Snapshot) Match(method, host, path string, hdr http.Header) *Route {
 	host = strings.ToLower(host)
 	routes, ok := sn.routesByHost[host]
--- a/internal/conf/snap/snap.go
+++ b/internal/conf/snap/snap.go
@@ -46,7 +46,7 @@
 	// Tiers are the failure domains to which requests may be sent, in order of preference.
 	Tiers [][]string
 	Spill bool
-	// defaultRoute is for requests whose host is the name of the service.
+	// defaultRoute is for requests whose host is the name of the service; nil if there is none.
 	defaultRoute *Route
 }
 
@@ -142,8 +142,11 @@
 // Compiler compiles successive versions. It reuses what has not changed, which is cheaper than
 // separate calls of Compile. The zero value is ready for use; it is not safe for concurrent use.
 type Compiler struct {
-	de      pack.Decoder
-	tenants tenantCompiler
+	// RoutesOnly leaves out the routes by which requests whose host is the name of a service reach it.
+	// It is set before use.
+	RoutesOnly bool
+	de         pack.Decoder
+	tenants    tenantCompiler
 }
 
 // Reset discards what the compiler keeps of the last version.
@@ -180,7 +183,7 @@
 		sn.Limits = cl
 	}
 	classes := sn.compileClasses(ms)
-	sn.compileServices(ms, classes)
+	sn.compileServices(ms, classes, !cp.RoutesOnly)
 	sn.compileRoutes(ms, classes)
 	sn.Tenants = cp.tenants.compile(ms.Tenants)
 	return sn, nil
@@ -206,7 +209,7 @@
 	return byName
 }
 
-func (sn *Snapshot) compileServices(ms *decl.Mesh, classes map[string]*Class) {
+func (sn *Snapshot) compileServices(ms *decl.Mesh, classes map[string]*Class, defaultRoutes bool) {
 	regions := map[string]string{}
 	for _, dm := range ms.Domains {
 		regions[dm.Name] = dm.Region
@@ -225,14 +228,16 @@
 			dsv.Health = "/" + dsv.Health
 		}
 		sv := &Service{Service: dsv, Index: len(sn.ServiceList), Spill: pl.Spill, Tiers: sn.tiers(pl.Order, regions)}
-		sv.defaultRoute = &Route{
-			Name:     "service " + sv.Name,
-			Targets:  []Target{{Service: sv, CumulativeWeight: 1}},
-			Class:    classes[sv.Class],
-			Deadline: effectiveDeadline(0, sv),
-			Repeat:   decl.RepeatSafe,
+		if defaultRoutes {
+			sv.defaultRoute = &Route{
+				Name:     "service " + sv.Name,
+				Targets:  []Target{{Service: sv, CumulativeWeight: 1}},
+				Class:    classes[sv.Class],
+				Deadline: effectiveDeadline(0, sv),
+				Repeat:   decl.RepeatSafe,
+			}
+			sn.addRoute(sv.defaultRoute)
 		}
-		sn.addRoute(sv.defaultRoute)
 		sn.ServiceList = append(sn.ServiceList, sv)
 		sn.Services[sv.Name] = sv
 	}
--- a/internal/mesh/ctrl/node.go
+++ b/internal/mesh/ctrl/node.go
@@ -74,6 +74,8 @@
 	// Linearizable says that a read returns every version ever accepted, unless the store was
 	// restored from an older copy. Such a read determines the version floor of a new process.
 	Linearizable bool
+	// RoutesOnly says that a service is reached by declared routes only, not by its name as the host.
+	RoutesOnly bool
 	// Restore rewrites a version that the store has lost; nil if the writer of versions does this
 	// itself. Several daemons may call it concurrently and repeatedly.
 	Restore func(ctx context.Context, kv store.Store, cfg *board.Config) error
@@ -227,6 +229,7 @@
 	if nd.cf.Source.Read == nil {
 		nd.cf.Source = defaultSource()
 	}
+	nd.compiler.RoutesOnly = nd.cf.Source.RoutesOnly
 	if nd.cf.Compile == nil {
 		nd.cf.Compile = nd.compiler.Compile
 	}
