mesh/ctrl: replace followers of the store that are silent on their links

Cause: a follower counts as one until its announcement expires (5.5 s) or its link ends (link.PeerTimeout, 2.5 s). A suspended process does neither earlier.

Change: a relay that has a link to a follower and has heard nothing on it for relaySilence, 1.5 s, counts it as inactive when it decides whether to follow the store itself; the link stays. It looks when that may next be so, not every half second only. A daemon that is no relay already did the same. Heard again, the follower is active at once, so a silence costs a read and a watch.

--- a/internal/mesh/ctrl/follow.go
+++ b/internal/mesh/ctrl/follow.go
@@ -63,12 +63,33 @@
 		order := wt.relayOrder()
 		nd.mu.Lock()
 		defer nd.mu.Unlock()
-		return wt.turn.ShouldFollow(nd.cf.VM, order, &nd.followers, now)
+		silent, _ := nd.silentRelays(now)
+		return wt.turn.ShouldFollow(nd.cf.VM, order, silent, &nd.followers, now)
 	}
 	wt.turn = follow.Candidate{}
 	return !nd.hearsRelay() && !nd.defersToOthers(now.Sub(nd.started))
 }
 
+// silentRelays returns the relays that have a link to this daemon and have sent nothing for
+// relaySilence, and the time until the next one has; nd.mu is held.
+func (nd *Node) silentRelays(now time.Time) (silent []string, next time.Duration) {
+	lastHeard := map[string]time.Time{}
+	for pr := range nd.peers {
+		if at := pr.LastHeard(); pr.Relay && at.After(lastHeard[pr.Record.VM]) {
+			lastHeard[pr.Record.VM] = at
+		}
+	}
+	next = relaySilence
+	for vm, at := range lastHeard {
+		if left := relaySilence - now.Sub(at); left > 0 {
+			next = min(next, left)
+		} else {
+			silent = append(silent, vm)
+		}
+	}
+	return silent, next
+}
+
 // defersToOthers reports whether a process of the given age leaves it to others of its failure
 // domain to read the store.
 func (nd *Node) defersToOthers(age time.Duration) bool {
--- a/internal/mesh/ctrl/follow_test.go
+++ b/internal/mesh/ctrl/follow_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"expvar"
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/link"
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/plat/memnet"
 )
 
 // followLimit is the time within which a version must be held by all daemons after the followers of
@@ -89,6 +92,43 @@
 	}
 }
 
+// TestFollowersStandStill guards against a version that is in force late, since the daemons that follow the
+// store are suspended and no link to them breaks.
+func TestFollowersStandStill(t *testing.T) {
+	for _, vms := range []int{3, 9} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, sample.Mesh(vms, 3, 1))
+				defer fl.stopAll()
+				fl.apply(fl.ms, 0)
+				fl.startAll()
+				fl.waitHeld(1, 20*time.Second)
+				fl.waitMembers(20 * time.Second)
+				time.Sleep(churnTime)
+				still := fl.followers(5 * time.Second)
+				if len(still) != 2 {
+					t.Fatalf("%v follow the store, want two", still)
+				}
+				fl.vmFaults.Store(&map[string]vmFault{still[0]: faultHang, still[1]: faultHang})
+				fl.nw.SetPartition(func(a, b *memnet.Host) bool {
+					return slices.Contains(still, strings.TrimSuffix(a.Addr, ":7000")) || slices.Contains(still, strings.TrimSuffix(b.Addr, ":7000"))
+				})
+				time.Sleep(50 * time.Millisecond)
+				v := fl.apply(sample.Change(fl.ms, 3), 1)
+				took := fl.waitFor("all others hold the version", convergeLimit, func() bool {
+					return len(slices.DeleteFunc(fl.behind(v), func(vm string) bool { return slices.Contains(still, vm) })) == 0
+				})
+				if took > followLimit {
+					t.Errorf("all others hold the version after %s, want %s at most", took, followLimit)
+				}
+				fl.nw.SetPartition(nil)
+				fl.vmFaults.Store(&map[string]vmFault{})
+				fl.waitConverged(v)
+			})
+		})
+	}
+}
+
 // TestFollowerPartitioned: the failure domain of one follower is cut off from the others, but not
 // from the store. Both sides of the partition must follow the store and hold new versions in time.
 func TestFollowerPartitioned(t *testing.T) {
--- a/internal/mesh/ctrl/watcher.go
+++ b/internal/mesh/ctrl/watcher.go
@@ -104,7 +104,10 @@
 	case isRelay && wt.turn.HasVacancy(), !isRelay && time.Since(nd.started) < startRelayWait:
 		return turnPollFast
 	case isRelay:
-		return turnPollSlow
+		nd.mu.Lock()
+		defer nd.mu.Unlock()
+		_, next := nd.silentRelays(time.Now())
+		return min(turnPollSlow, max(turnPollFast, next))
 	}
 	return max(turnPollFast, relaySilence-time.Since(nd.relayLastHeard()))
 }
--- a/internal/mesh/follow/follow.go
+++ b/internal/mesh/follow/follow.go
@@ -106,14 +106,15 @@
 
 // ShouldFollow reports whether the daemon self should follow the store now. A substitute gives
 // the candidates ahead of it in the order time to take over first, so that a single vacancy is
-// not filled by all of them at once.
-func (ca *Candidate) ShouldFollow(self string, order []string, fw *Followers, now time.Time) bool {
+// not filled by all of them at once. silent lists daemons that are not heard over any link to them:
+// they may be suspended, whatever they have announced.
+func (ca *Candidate) ShouldFollow(self string, order, silent []string, fw *Followers, now time.Time) bool {
 	active, inactive := 0, 0
 	for _, vm := range order {
 		if vm == self {
 			break
 		}
-		if fw.active(vm, now) {
+		if fw.active(vm, now) && !slices.Contains(silent, vm) {
 			active++
 		} else {
 			inactive++
--- a/internal/mesh/follow/follow_test.go
+++ b/internal/mesh/follow/follow_test.go
@@ -26,16 +26,21 @@
 		heard map[string]time.Duration // how long ago
 		after time.Duration            // since the vacancy was noticed
 		want  []string
+		// silent are the daemons that are not heard over their links.
+		silent []string
 	}{
-		{"no follower known, at once", nil, 0, []string{"a", "b"}},
-		{"no follower known, after one takeover delay", nil, 150 * ms, []string{"a", "b", "c"}},
-		{"no follower known for a long time", nil, time.Second, order},
-		{"first two follow", map[string]time.Duration{"a": 100 * ms, "b": 200 * ms}, time.Hour, []string{"a", "b"}},
-		{"announcement expired, at once", map[string]time.Duration{"a": 5600 * ms, "b": 200 * ms}, 0, []string{"a", "b"}},
-		{"announcement expired, after one takeover delay", map[string]time.Duration{"a": 5800 * ms, "b": 200 * ms}, 160 * ms, []string{"a", "b", "c"}},
-		{"substitute has taken over", map[string]time.Duration{"b": 200 * ms, "c": 100 * ms}, time.Second, []string{"a", "b", "c"}},
-		{"first relay is back", map[string]time.Duration{"a": 50 * ms, "b": 200 * ms, "c": 100 * ms}, time.Second, []string{"a", "b"}},
-		{"announcements at the limit of AnnounceTTL", map[string]time.Duration{"a": AnnounceTTL, "b": AnnounceTTL}, time.Second, []string{"a", "b"}},
+		{"no follower known, at once", nil, 0, []string{"a", "b"}, nil},
+		{"no follower known, after one takeover delay", nil, 150 * ms, []string{"a", "b", "c"}, nil},
+		{"no follower known for a long time", nil, time.Second, order, nil},
+		{"first two follow", map[string]time.Duration{"a": 100 * ms, "b": 200 * ms}, time.Hour, []string{"a", "b"}, nil},
+		{"announcement expired, at once", map[string]time.Duration{"a": 5600 * ms, "b": 200 * ms}, 0, []string{"a", "b"}, nil},
+		{"announcement expired, after one takeover delay", map[string]time.Duration{"a": 5800 * ms, "b": 200 * ms}, 160 * ms, []string{"a", "b", "c"}, nil},
+		{"substitute has taken over", map[string]time.Duration{"b": 200 * ms, "c": 100 * ms}, time.Second, []string{"a", "b", "c"}, nil},
+		{"first relay is back", map[string]time.Duration{"a": 50 * ms, "b": 200 * ms, "c": 100 * ms}, time.Second, []string{"a", "b"}, nil},
+		{"both followers silent, at once", map[string]time.Duration{"a": 100 * ms, "b": 200 * ms}, 0, []string{"a", "b"}, []string{"a", "b"}},
+		{"both followers silent, after one takeover delay", map[string]time.Duration{"a": 100 * ms, "b": 200 * ms}, 150 * ms, []string{"a", "b", "c"}, []string{"a", "b"}},
+		{"another relay silent", map[string]time.Duration{"a": 100 * ms, "b": 200 * ms}, time.Hour, []string{"a", "b"}, []string{"c"}},
+		{"announcements at the limit of AnnounceTTL", map[string]time.Duration{"a": AnnounceTTL, "b": AnnounceTTL}, time.Second, []string{"a", "b"}, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
@@ -47,9 +52,9 @@
 			var got []string
 			for _, vm := range order {
 				var ca Candidate
-				follows := ca.ShouldFollow(vm, order, &fw, start)
+				follows := ca.ShouldFollow(vm, order, tc.silent, &fw, start)
 				if tc.after > 0 {
-					follows = ca.ShouldFollow(vm, order, &fw, now)
+					follows = ca.ShouldFollow(vm, order, tc.silent, &fw, now)
 				}
 				if follows {
 					got = append(got, vm)
