mesh/ctrl: share the set-up of tests with an unknown kind

Two older tests and three new ones submit the same version and compile it like a newer release; the code stood four times. No check changes.

--- a/internal/mesh/ctrl/fault_test.go
+++ b/internal/mesh/ctrl/fault_test.go
@@ -235,14 +235,7 @@
 // reports the refusal, and the next version that compiles is installed.
 func TestUnknownKind(t *testing.T) {
 	withFleet(t, func(fl *fleet) {
-		co, err := pack.Encode(fl.ms)
-		if err != nil {
-			fl.t.Fatal(err)
-		}
-		extended := pack.New(append(slices.Clone(co.Resources), pack.Resource{Key: pack.Key{Kind: "mirror", Name: "x"}, Body: []byte(`{}`)}))
-		if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), accept.Submission{ID: "odd", Base: 1, Content: extended}); err != nil {
-			fl.t.Fatal(err)
-		}
+		fl.submitUnknownKind(1)
 		fl.waitFor("all refuse version 2", convergeLimit, func() bool {
 			for _, tn := range fl.nodes {
 				if rf := tn.Board.Refused.Get(); rf == nil || rf.Version != 2 || tn.Board.HeldVersion() != 1 {
@@ -275,6 +268,12 @@
 	}
 }
 
+// compileKnown compiles a version like a release that knows the kind of submitUnknownKind.
+func compileKnown(v uint64, co *pack.Content, domain string) (*snap.Snapshot, error) {
+	known := slices.DeleteFunc(slices.Clone(co.Resources), func(rs pack.Resource) bool { return rs.Key.Kind == "mirror" })
+	return snap.Compile(v, pack.New(known), domain)
+}
+
 // waitRefused waits until all daemons refuse a version and hold another one.
 func (fl *fleet) waitRefused(refused, held uint64) {
 	fl.t.Helper()
@@ -361,10 +360,7 @@
 	withFleet(t, func(fl *fleet) {
 		names := fl.domainVMs("d1")
 		for _, name := range names {
-			fl.nodes[name].cf.Compile = func(v uint64, co *pack.Content, domain string) (*snap.Snapshot, error) {
-				known := slices.DeleteFunc(slices.Clone(co.Resources), func(rs pack.Resource) bool { return rs.Key.Kind == "mirror" })
-				return snap.Compile(v, pack.New(known), domain)
-			}
+			fl.nodes[name].cf.Compile = compileKnown
 		}
 		fl.submitUnknownKind(1)
 		time.Sleep(convergeLimit)
@@ -392,20 +388,10 @@
 		}
 		for name, tn := range fl.nodes {
 			if newer(name) {
-				tn.cf.Compile = func(v uint64, co *pack.Content, domain string) (*snap.Snapshot, error) {
-					known := slices.DeleteFunc(slices.Clone(co.Resources), func(rs pack.Resource) bool { return rs.Key.Kind == "mirror" })
-					return snap.Compile(v, pack.New(known), domain)
-				}
+				tn.cf.Compile = compileKnown
 			}
 		}
-		co, err := pack.Encode(fl.ms)
-		if err != nil {
-			fl.t.Fatal(err)
-		}
-		extended := pack.New(append(slices.Clone(co.Resources), pack.Resource{Key: pack.Key{Kind: "mirror", Name: "x"}, Body: []byte(`{}`)}))
-		if _, err := accept.Submit(fl.t.Context(), fl.st.Store(), accept.Submission{ID: "odd", Base: 1, Content: extended}); err != nil {
-			fl.t.Fatal(err)
-		}
+		fl.submitUnknownKind(1)
 		time.Sleep(convergeLimit)
 		for name, tn := range fl.nodes {
 			want := uint64(1)
