path/inlet: no further trial of a refused request while the last one is not answered

Besides, outlets took part from 5 s after their start, so that the trial fell into the last part of the test, where each daemon must refuse.

Change: the inlet that trials are sent to begins none for 10 s after one that was not answered; an answer, or a trial that did not reach the server, ends the wait. Outlets take part from 3 s on.

--- a/internal/node/daemon/crash_test.go
+++ b/internal/node/daemon/crash_test.go
@@ -68,6 +68,8 @@
 	fl   *crashFleet
 	dm   *Daemon
 	addr string
+	// active is the number of requests being run.
+	active atomic.Int64
 	// mu guards running, starts and socket.
 	mu      sync.Mutex
 	running *faulty.Server
@@ -179,6 +181,8 @@
 
 func (cs *crashServer) handle(cn net.Conn, n int, req *http.Request) bool {
 	faulty.ReadBody(req)
+	cs.active.Add(1)
+	defer cs.active.Add(-1)
 	if !strings.HasPrefix(req.URL.Path, poisonPath) {
 		<-time.After(normalServiceTime)
 		return faulty.RespondOK(cn, n, req)
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -14,6 +14,7 @@
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/path/ident"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/plat/mono"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
@@ -30,6 +31,8 @@
 	// maxAbandoned bounds the number of such requests that are remembered.
 	abandonedTTL = time.Second
 	maxAbandoned = 64
+	// trialInterval is the time between two trials of refused requests, if the first is not answered.
+	trialInterval = 10 * time.Second
 )
 
 // crashDetector detects crashes of the backend server and records which requests it was running.
@@ -214,12 +217,26 @@
 	return vw.CrashCount(id.key)
 }
 
+// beginTrial delays further trials, if the request is one, until it is answered; endTrial ends the delay.
+func (in *Inlet) beginTrial(r *http.Request) {
+	if crashesOf(r) >= poison.RefuseThreshold {
+		in.trialsFrom.Store(mono.Nanos(time.Now().Add(trialInterval)))
+	}
+}
+
+func (in *Inlet) endTrial(r *http.Request) {
+	if crashesOf(r) >= poison.RefuseThreshold {
+		in.trialsFrom.Store(0)
+	}
+}
+
 // clearSuspect reports that a server answered a suspect request completely.
 func (in *Inlet) clearSuspect(r *http.Request, pr *ident.PrefixReader) {
 	vw := in.Poison()
 	if !vw.Suspects(r) {
 		return
 	}
+	in.endTrial(r)
 	if id, ok := requestIDOf(r, pr); ok {
 		if list := vw.AnswerReports(id.key); len(list) > 0 {
 			in.Report(list)
@@ -234,15 +251,26 @@
 	return !in.fw.Load().Reachable(ctx, tg.Addr) && ctx.Err() == nil
 }
 
+// crashesOf returns how many crashes the outlet knew of during a request; 0 from an older release, which
+// sends no count.
+func crashesOf(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get(result.CrashesHeader))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // isolate admits one suspect request at a time, so that another crash shows which of them caused
-// it.
+// it. A request beyond the threshold at which requests are refused is here for a trial, and there is
+// none for a while after one that was not answered: the evidence of a crash may come only once the
+// server is back.
 func (in *Inlet) isolate(r *http.Request) (release func(), rf *result.Refusal) {
-	crashCount, err := strconv.Atoi(r.Header.Get(result.CrashesHeader))
-	if err != nil || crashCount < poison.IsolateThreshold {
-		// The outlet knows of too few crashes, or is an older release that sends no count.
+	crashes := crashesOf(r)
+	if crashes < poison.IsolateThreshold {
 		return func() {}, nil
 	}
-	if !in.suspectRunning.CompareAndSwap(false, true) {
+	if crashes >= poison.RefuseThreshold && mono.Nanos(time.Now()) < in.trialsFrom.Load() || !in.suspectRunning.CompareAndSwap(false, true) {
 		return nil, &result.Refusal{Outcome: result.NotRun, Reason: result.ReasonSuspectRunning}
 	}
 	return func() { in.suspectRunning.Store(false) }, nil
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -64,6 +64,8 @@
 	// suspectRunning is set while a request runs that is suspected of having crashed several
 	// servers.
 	suspectRunning atomic.Bool
+	// trialsFrom is when the next trial of a refused request may begin, by the clock of package mono.
+	trialsFrom atomic.Int64
 	// counts holds the request counts of the current instance of the server.
 	counts atomic.Pointer[tally.Counter]
 	// buffered is the memory taken by responses that were read and are not sent yet, bodies that of
@@ -304,11 +306,15 @@
 	pr := ident.NewPrefixReader(r.Body)
 	rr := in.crashes.begin(tg)
 	defer in.crashes.finish(rr, false)
+	in.beginTrial(r)
 	sentAt := time.Now()
 	at := in.fw.Load().Do(in.outgoing(ctx, r, tg, pr))
 	if at.Response == nil {
 		in.countFailure(r, ctx.Err() != nil, ar)
 		rf := in.failure(ctx, r, at, tg)
+		if rf.Outcome == result.NotRun {
+			in.endTrial(r)
+		}
 		in.recordCrash(r, pr, rr, rf)
 		sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
 		in.refuse(w, r, rf)
--- a/internal/path/outlet/poison.go
+++ b/internal/path/outlet/poison.go
@@ -12,7 +12,7 @@
 
 // minTrialAge is the age from which an outlet takes part in trials. A younger one may know too few servers
 // to designate the same one as the others.
-const minTrialAge = 5 * time.Second
+const minTrialAge = 3 * time.Second
 
 // checkPoison refuses a poison request: one that crashes the backend servers that run it. A single
 // such request can crash all backend servers of a service, because each outlet retries it and its
