--- a/internal/path/inlet/trial_test.go
+++ b/internal/path/inlet/trial_test.go
@@ -37,7 +37,7 @@
 			{"no trial yet", func() {}, true, true},
 			{"a trial is not answered", func() { in.beginTrial(trial) }, true, false},
 			{"just before the interval has passed", func() { time.Sleep(trialInterval - 1) }, true, false},
-			{"the interval has passed", func() { time.Sleep(1) }, true, true},
+			{"the interval has passed", func() { time.Sleep(time.Nanosecond) }, true, true},
 			{"another trial", func() { in.beginTrial(trial) }, true, false},
 			{"it is answered", func() { in.endTrial(trial) }, true, true},
 			{"a request with too few crashes", func() { in.beginTrial(httptest.NewRequest("GET", "http://booking/", nil)) }, true, true},
