--- a/internal/path/inlet/body.go
+++ b/internal/path/inlet/body.go
@@ -24,9 +24,9 @@
 	maxBodies = 2 << 20
 )
 
-// watchOutlet makes sure that the request's context ends when its outlet closes the connection, also
-// while the request waits for a slot. Either ahead is the size of a body to be read first, after which
-// net/http watches the connection, or the connection is checked meanwhile. The caller must call done.
+// watchOutlet returns the request with a context that ends when its outlet closes the connection, also
+// while the request waits for a slot. If ahead is above 0, the caller must read that many bytes of body
+// before any wait; net/http watches the connection from then on. The caller must call done.
 func (in *Inlet) watchOutlet(r *http.Request) (watched *http.Request, ahead int64, done func()) {
 	if r.ContentLength == 0 {
 		return r, 0, func() {}
--- a/internal/path/inlet/crash.go
+++ b/internal/path/inlet/crash.go
@@ -262,9 +262,9 @@
 }
 
 // isolate admits one suspect request at a time, so that another crash shows which of them caused
-// it. A request beyond the threshold at which requests are refused is here for a trial, and there is
-// none for a while after one that was not answered: the evidence of a crash may come only once the
-// server is back.
+// it. Outlets send a request that has reached poison.RefuseThreshold for a trial only. After a trial
+// without an answer no other is admitted for trialInterval, since the evidence of a crash may arrive
+// only once the server is back.
 func (in *Inlet) isolate(r *http.Request) (release func(), rf *result.Refusal) {
 	crashes := crashesOf(r)
 	if crashes < poison.IsolateThreshold {
--- a/internal/path/outlet/poison.go
+++ b/internal/path/outlet/poison.go
@@ -17,8 +17,8 @@
 // checkPoison refuses a poison request: one that crashes the backend servers that run it. A single
 // such request can crash all backend servers of a service, because each outlet retries it and its
 // caller retries it through other outlets. What any daemon has observed of the request is therefore
-// taken into account. A request of which that is no proof is sent to one server, the same one from all
-// outlets, whose inlet runs one such request at a time.
+// taken into account. If the crashes may have had another cause, the request is sent on a trial to one
+// server, the same one from all outlets, whose inlet limits trials.
 func (rq *request) checkPoison() *result.Refusal {
 	vw := rq.ou.poison()
 	if !vw.Suspects(rq.r) {
