mesh/poison: the first trial of a refused request ten seconds after the last crash

Cause: where a socket outlives its server, the crash is known only when the server is back, two seconds later. A trial two seconds after that falls about four seconds after the third crash, into the part of the test in which no server may be reached.

Change: the first trial comes ten seconds after the last known crash, the next one fifty.

--- a/internal/mesh/poison/poison.go
+++ b/internal/mesh/poison/poison.go
@@ -33,7 +33,7 @@
 	// trialDelay is how long after an incident a refused request may be tried on one server. It exceeds
 	// crashSpan and the time in which all daemons learn of a crash. After each further incident it is
 	// longer by trialBackoff.
-	trialDelay   = 2 * time.Second
+	trialDelay   = 10 * time.Second
 	trialBackoff = 5
 )
 
