path, stat: the served share of each kind, and which check of an inlet refuses

New: the field check of inlet-refused, also in explain; slot-ms by route and outcome as a metric, in the usage line and in the account; served shares by route and priority (path/floor) as the metric outlet-kinds and as kinds in status; the lines kind-below-floor and kind-above-floor. No decision changes: the tests of path/limit, path/inlet and path/outlet pass unchanged.

--- a/internal/node/admin/status.go
+++ b/internal/node/admin/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/mesh/member"
 	"github.com/flamingomast/flamingomast/internal/mesh/wirepb"
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
 )
 
 // Status is the state of the fleet as one daemon knows it.
@@ -20,6 +21,8 @@
 	Domains        []DomainStatus `json:"failure-domains"`
 	// Server is what the VM's own backend server says about itself, nil if nothing is in force.
 	Server *ServerStatus `json:"server,omitempty"`
+	// Kinds are the kinds of requests of which this daemon's outlet served the smallest part recently.
+	Kinds []outlet.KindStatus `json:"kinds,omitempty"`
 	// Tenants are those that send the most requests, of those with a limit.
 	Tenants []TenantStatus `json:"tenants,omitempty"`
 }
--- a/internal/node/cmds/account.go
+++ b/internal/node/cmds/account.go
@@ -106,7 +106,7 @@
 	for _, row := range []struct {
 		name string
 		by   map[string]int64
-	}{{"calls to the platform", fl.StoreCalls}, {"bytes read from the platform", fl.StoreBytesRead}, {"bytes on links", fl.LinkBytes}} {
+	}{{"calls to the platform", fl.StoreCalls}, {"bytes read from the platform", fl.StoreBytesRead}, {"bytes on links", fl.LinkBytes}, {"ms that slots were held", fl.SlotTime}} {
 		if len(row.by) > 0 {
 			fmt.Fprintf(ap.out, "%s: %s\n", row.name, formatCounts(row.by))
 		}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -305,6 +305,7 @@
 	}
 	st := admin.NewStatus(dm.se.VM, dm.Node.Board.HeldVersion(), domains, dm.Node.Status(ctx, false))
 	st.Server = dm.serverStatus()
+	st.Kinds = dm.leastServed()
 	return st
 }
 
@@ -322,6 +323,15 @@
 	return st
 }
 
+// maxKindsInStatus bounds the kinds of requests in a status.
+const maxKindsInStatus = 16
+
+// leastServed returns the kinds of requests of which this daemon's outlet serves the least.
+func (dm *Daemon) leastServed() []outlet.KindStatus {
+	kinds := dm.Outlet.Kinds(time.Now())
+	return kinds[:min(len(kinds), maxKindsInStatus)]
+}
+
 // drainVM drains a VM, through its own daemon if it is another VM.
 func (dm *Daemon) drainVM(ctx context.Context, vm string) (int, error) {
 	if vm == dm.se.VM {
@@ -372,6 +382,8 @@
 	num("processor-ms", func() int64 { return ownUsage().CPUTime.Milliseconds() })
 	m.Set("outlet", dm.Outlet.Stats.Var())
 	m.Set("inlet", dm.Inlet.Stats.Var())
+	m.Set("outlet-kinds", dm.Outlet.KindsVar())
+	m.Set("inlet-slot-ms", &dm.Inlet.SlotTime)
 	m.Set("outlet-tenants", dm.Outlet.TenantStats.Var())
 	return m
 }
--- a/internal/node/daemon/usage.go
+++ b/internal/node/daemon/usage.go
@@ -57,7 +57,7 @@
 			attrs = append(attrs, slog.Uint64(me.field, samples[i].Value.Uint64()))
 		}
 	}
-	attrs = append(attrs, group(logs.StoreCalls, &dm.guard.CallsByPurpose), group(logs.StoreBytesRead, &dm.guard.BytesByPurpose), group(logs.LinkBytes, dm.Node.Traffic))
+	attrs = append(attrs, group(logs.StoreCalls, &dm.guard.CallsByPurpose), group(logs.StoreBytesRead, &dm.guard.BytesByPurpose), group(logs.LinkBytes, dm.Node.Traffic), group(logs.SlotTime, &dm.Inlet.SlotTime))
 	dm.log.LogAttrs(context.Background(), slog.LevelInfo, logs.Usage, attrs...)
 }
 
--- /dev/null
+++ b/internal/path/floor/doc.go
@@ -0,0 +1,2 @@
+// Package floor measures which part of each kind of request an outlet serves.
+package floor
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"expvar"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -77,6 +78,9 @@
 	rate    rate.Limiter
 	// link paces the VM's link; nil if it is not paced.
 	link *pacer.Pacer
+	// SlotTime counts the milliseconds for which slots were held, by route and by whether the request was
+	// answered.
+	SlotTime expvar.Map
 }
 
 // maxBuffered bounds the bytes of all buffered responses. The largest responses have about 0.5 MB;
@@ -243,7 +247,7 @@
 	}
 	in.Log.LogAttrs(context.Background(), slog.LevelWarn, event, slog.String(logs.ID, in.callerRequestID(r)),
 		slog.String(logs.Outcome, rf.Outcome.String()), slog.String(logs.Reason, string(rf.Reason)),
-		slog.String(logs.Load, load), slog.Duration("retry-after", rf.RetryAfter), rf.CauseAttr())
+		slog.String(logs.Load, load), slog.Duration("retry-after", rf.RetryAfter), rf.CheckAttr(), rf.CauseAttr())
 	if r.ContentLength > maxAutoDiscard && r.Header.Get("Expect") == "" {
 		w.Header().Set("Connection", "close")
 	}
@@ -298,11 +302,22 @@
 	return result.SlotTimes{Wait: ar.slot.AcquiredAt().Sub(ar.start), ServiceTime: now.Sub(ar.slot.AcquiredAt())}
 }
 
+// recordSlotTime counts the time for which a request held its slot.
+func (in *Inlet) recordSlotTime(r *http.Request, ar *admittedRequest, answered bool) {
+	end := "/unanswered"
+	if answered {
+		end = "/answered"
+	}
+	in.SlotTime.Add(r.Header.Get(result.RouteHeader)+end, ar.slot.Held(time.Now()).Milliseconds())
+}
+
 // forward sends an admitted request to the backend server and the response back. The slot is
 // released once the response has been read: the backend server is done then, while a narrow link or
 // a slow caller may take much longer to receive the response.
 func (in *Inlet) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, tg *Target, ar *admittedRequest) {
 	sr := ar.sr
+	answered := false
+	defer func() { in.recordSlotTime(r, ar, answered) }()
 	pr := ident.NewPrefixReader(r.Body)
 	rr := in.crashes.begin(tg)
 	defer in.crashes.finish(rr, false)
@@ -355,6 +370,7 @@
 			in.clearSuspect(r, pr)
 		}
 	}
+	answered = true
 	in.countResponse(r, at.Response.StatusCode >= http.StatusInternalServerError, ar.spent(time.Now()).ServiceTime, tg)
 	proxy.CopyHeader(w, at.Response, func(hdr http.Header) {
 		in.setNotice(hdr)
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -120,6 +120,7 @@
 	rq         Request
 	acquiredAt time.Time
 	released   bool
+	held       time.Duration // set when released
 }
 
 // Acquire waits for a slot. It returns the slot, or a refusal if the request has certainly not run.
@@ -129,7 +130,7 @@
 	lm.mu.Lock()
 	if lm.draining {
 		lm.mu.Unlock()
-		return nil, refuse(result.ReasonDraining, 0)
+		return nil, refuse(result.ReasonDraining, "", 0)
 	}
 	cl := lm.class(rq.Class)
 	if lm.mayRun(cl) {
@@ -162,8 +163,8 @@
 	return lm.meanServiceTime.value
 }
 
-func refuse(reason result.Reason, retryAfter time.Duration) *result.Refusal {
-	return &result.Refusal{Outcome: result.NotRun, Reason: reason, RetryAfter: retryAfter}
+func refuse(reason result.Reason, check result.Check, retryAfter time.Duration) *result.Refusal {
+	return &result.Refusal{Outcome: result.NotRun, Reason: reason, Check: check, RetryAfter: retryAfter}
 }
 
 // mayRun reports whether a request of the class can run immediately. A class below its reserved
@@ -197,11 +198,14 @@
 func (lm *Limiter) refuseLate(ctx context.Context, cl *class, wt *waiter, pos int) *result.Refusal {
 	wait := lm.expectedWait(cl, wt, pos)
 	last := pos >= len(cl.queue)
-	if last && len(cl.queue) >= cl.Queue || wait > wt.maxExpectedWait() {
-		return refuse(result.ReasonSlotsFull, wait)
+	if last && len(cl.queue) >= cl.Queue {
+		return refuse(result.ReasonSlotsFull, result.CheckQueueFull, wait)
+	}
+	if wait > wt.maxExpectedWait() {
+		return refuse(result.ReasonSlotsFull, result.CheckExpectedWait, wait)
 	}
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < wait+wt.serviceTime {
-		return refuse(result.ReasonDeadlineTooNear, wait)
+		return refuse(result.ReasonDeadlineTooNear, result.CheckDeadline, wait)
 	}
 	return nil
 }
@@ -242,22 +246,24 @@
 		return &Slot{lm: lm, cl: cl, rq: wt.Request, acquiredAt: time.Now()}, nil
 	}
 	retryAfter := lm.expectedWait(cl, wt, len(cl.queue))
+	check := result.CheckEvicted
 	if !wt.dequeued {
+		check = result.CheckQueueTimeout
 		wt.dequeued = true
 		lm.waiting--
 		cl.remove(wt)
 	}
 	switch {
 	case lm.draining:
-		return nil, refuse(result.ReasonDraining, 0)
+		return nil, refuse(result.ReasonDraining, "", 0)
 	case errors.Is(ctx.Err(), context.Canceled):
-		return nil, refuse(result.ReasonCallerGone, 0)
+		return nil, refuse(result.ReasonCallerGone, "", 0)
 	case ctx.Err() != nil:
-		return nil, refuse(result.ReasonDeadlinePassed, retryAfter)
+		return nil, refuse(result.ReasonDeadlinePassed, check, retryAfter)
 	case late:
-		return nil, refuse(result.ReasonDeadlineTooNear, retryAfter)
+		return nil, refuse(result.ReasonDeadlineTooNear, check, retryAfter)
 	}
-	return nil, refuse(result.ReasonSlotsFull, retryAfter)
+	return nil, refuse(result.ReasonSlotsFull, check, retryAfter)
 }
 
 // evict refuses the victim of a full queue to make room for a request ranked ahead of it. Without
@@ -274,6 +280,14 @@
 // AcquiredAt returns when the slot was acquired.
 func (sl *Slot) AcquiredAt() time.Time { return sl.acquiredAt }
 
+// Held returns for how long the slot has been or was held.
+func (sl *Slot) Held(now time.Time) time.Duration {
+	if sl.released {
+		return sl.held
+	}
+	return now.Sub(sl.acquiredAt)
+}
+
 // Release returns the slot. Further calls have no effect. It is not safe for concurrent use.
 func (sl *Slot) Release() {
 	if sl.released {
@@ -282,6 +296,7 @@
 	sl.released = true
 	lm := sl.lm
 	serviceTime := time.Since(sl.acquiredAt)
+	sl.held = serviceTime
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	lm.meanServiceTime.add(serviceTime)
--- a/internal/path/outlet/outlet.go
+++ b/internal/path/outlet/outlet.go
@@ -13,6 +13,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/mesh/board"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/path/floor"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/notice"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
@@ -61,6 +62,10 @@
 	activeRequests, bufferedBytes proxy.Budget
 	// notices holds what backend servers have said about themselves.
 	notices notice.Memory
+	// allKinds is the served share of all requests. The kinds are compared with it at nextKindCheck, by
+	// the clock of package mono.
+	allKinds      floor.Share
+	nextKindCheck atomic.Int64
 	// callerTries remembers failed requests, so that a caller's retry of one is recognized.
 	callerTries resend.Tracker
 }
@@ -270,7 +275,7 @@
 	sv := route.Target(rand.IntN(route.TotalWeight()))
 	rq := &request{
 		ou: ou, route: route, sv: sv, base: rt.tb.Group(sv), gp: rt.tb.Group(sv).ForRequest(start, rand.Float64()), bu: rt.budgets[sv.Index],
-		version: rt.tb.Snap.Version, rs: rs, th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, parentRetry: parentRetry, callerRetry: callerRetry, callerTry: callerTry, tenant: tenant, tenantStats: rt.tenantStats,
+		version: rt.tb.Snap.Version, rs: rs, kind: rs.kinds.of(priority), th: rt.throttles[sv.Index][route.Class.Index], w: w, r: r, ctx: ctx, start: start, queued: time.Since(start), limit: limit, elapsed: elapsed, final: final, priority: priority, parentRetry: parentRetry, callerRetry: callerRetry, callerTry: callerTry, tenant: tenant, tenantStats: rt.tenantStats,
 	}
 	undo := ou.setDeadlines(w, start.Add(limit))
 	defer func() {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
+	"github.com/flamingomast/flamingomast/internal/path/floor"
 	"github.com/flamingomast/flamingomast/internal/path/gone"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
@@ -31,6 +32,7 @@
 	base, gp *pick.Group
 	bu       *retry.Budget
 	rs       *routeStats
+	kind     *floor.Kind
 	th       *shed.Throttle
 	w        http.ResponseWriter
 	r        *http.Request
@@ -65,6 +67,8 @@
 	software string
 	// spent is the time that the answered attempt took at the inlet.
 	spent result.SlotTimes
+	// status is the status of the response that a backend server gave.
+	status int
 	// attempts counts all attempts, rejections those rejected for lack of capacity or shed,
 	// delivered those that may have reached a backend server, overLimit those refused for a server's
 	// rate limit, up to maxOverLimit.
@@ -385,6 +389,7 @@
 		ts.Outcomes.Add(name, 1)
 	}
 	sr.Attempts.Add(strconv.Itoa(rq.attempts), 1)
+	rq.recordShare(oc, re)
 	rq.logResult(oc, re, took)
 }
 
--- a/internal/path/outlet/routestats.go
+++ b/internal/path/outlet/routestats.go
@@ -20,6 +20,8 @@
 	held atomic.Int64
 	// callerRetries tracks whether callers retry after a refusal.
 	callerRetries resend.RetryStats
+	// kinds holds the served shares.
+	kinds kinds
 }
 
 // sizeDivisor is the inverse weight of one response in the moving average of sizes.
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -76,6 +76,18 @@
 	ReasonServerLimit      Reason = "over-server-limit"
 )
 
+// Check is a check of an inlet's admission control.
+type Check string
+
+// The checks.
+const (
+	CheckQueueFull    Check = "queue-full"
+	CheckExpectedWait Check = "expected-wait"
+	CheckDeadline     Check = "deadline"
+	CheckEvicted      Check = "evicted"
+	CheckQueueTimeout Check = "queue-timeout"
+)
+
 // The headers of this system. All begin with Prefix, and all but TimeoutHeader are dropped from
 // callers' requests.
 const (
@@ -204,6 +216,8 @@
 	// RetryAfter is when the caller should retry; zero for no advice.
 	RetryAfter time.Duration
 	Detail     string
+	// Check is the check of the admission control that refused the request, for logs only.
+	Check Check
 	// Cause is the error of the connection, for logs only; nil if none failed.
 	Cause error
 	// Crashes is how many backend servers crashed while they ran the request, if one did in this
@@ -219,6 +233,14 @@
 	return slog.Any(logs.Error, rf.Cause)
 }
 
+// CheckAttr returns the check for a log line, or an empty attribute without one.
+func (rf *Refusal) CheckAttr() slog.Attr {
+	if rf.Check == "" {
+		return slog.Attr{}
+	}
+	return slog.String(logs.Check, string(rf.Check))
+}
+
 // Overloaded reports whether the request was refused for lack of capacity, or its deadline passed
 // before it ran.
 func (rf *Refusal) Overloaded() bool {
--- a/internal/stat/acct/acct_test.go
+++ b/internal/stat/acct/acct_test.go
@@ -99,7 +99,7 @@
 	ac := rd.Account()
 	want := &Fleet{
 		Processes: 3, Resident: 30, MaxResident: 40, CPUTime: 310 * time.Millisecond, ControlBytes: 30, PathBytes: 300,
-		StoreCalls: map[string]int64{"watch/op": 10, "list/relays": 3}, StoreBytesRead: map[string]int64{}, LinkBytes: map[string]int64{"across/records": 21},
+		StoreCalls: map[string]int64{"watch/op": 10, "list/relays": 3}, StoreBytesRead: map[string]int64{}, LinkBytes: map[string]int64{"across/records": 21}, SlotTime: map[string]int64{},
 	}
 	if diff := cmp.Diff(want, ac.Fleet); diff != "" {
 		t.Error(diff)
--- a/internal/stat/acct/fleet.go
+++ b/internal/stat/acct/fleet.go
@@ -22,10 +22,12 @@
 	ControlBytes int64 `json:"control-bytes"`
 	PathBytes    int64 `json:"path-bytes"`
 	// StoreCalls counts calls to the platform's store and StoreBytesRead the bytes that they
-	// returned, both by purpose. LinkBytes counts the bytes sent on links by kind.
+	// returned, both by purpose. LinkBytes counts the bytes sent on links by kind,
+	// SlotTime the milliseconds for which slots were held, by route and by whether it was answered.
 	StoreCalls     map[string]int64 `json:"calls"`
 	StoreBytesRead map[string]int64 `json:"read-bytes"`
 	LinkBytes      map[string]int64 `json:"link-bytes"`
+	SlotTime       map[string]int64 `json:"slot-ms"`
 }
 
 // processes keeps the last usage line of each process. The counts in a line start from zero with
@@ -60,13 +62,13 @@
 	if len(all) == 0 {
 		return nil
 	}
-	fl := &Fleet{Processes: len(all), MaxResident: ps.maxResident, StoreCalls: map[string]int64{}, StoreBytesRead: map[string]int64{}, LinkBytes: map[string]int64{}}
+	fl := &Fleet{Processes: len(all), MaxResident: ps.maxResident, StoreCalls: map[string]int64{}, StoreBytesRead: map[string]int64{}, LinkBytes: map[string]int64{}, SlotTime: map[string]int64{}}
 	for _, ln := range all {
 		fl.Resident += int64(ln.Number("resident"))
 		fl.CPUTime += time.Duration(ln.Number("processor-ms")) * time.Millisecond
 		fl.ControlBytes += int64(ln.Number("control-out"))
 		fl.PathBytes += int64(ln.Number("path-out"))
-		for name, to := range map[string]map[string]int64{logs.StoreCalls: fl.StoreCalls, logs.StoreBytesRead: fl.StoreBytesRead, logs.LinkBytes: fl.LinkBytes} {
+		for name, to := range map[string]map[string]int64{logs.StoreCalls: fl.StoreCalls, logs.StoreBytesRead: fl.StoreBytesRead, logs.LinkBytes: fl.LinkBytes, logs.SlotTime: fl.SlotTime} {
 			addCounts(to, ln.Fields[name])
 		}
 	}
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -29,6 +29,10 @@
 	ServerCrashed = "backend-server-ended"
 	// RunningAtCrash is a request that a backend server was running when it crashed.
 	RunningAtCrash = "ended-under"
+	// KindStarved is a kind of request of which much less is served than of all at an outlet,
+	// KindRecovered its recovery.
+	KindStarved   = "kind-below-floor"
+	KindRecovered = "kind-above-floor"
 	// PoisonFound is a request that is no longer sent because it is a poison request: backend
 	// servers crash when they run it. PoisonCleared is one that has since been answered.
 	PoisonFound   = "poison-found"
@@ -46,6 +50,9 @@
 	StoreCalls     = "calls"
 	StoreBytesRead = "read"
 	LinkBytes      = "links"
+	// SlotTime groups the milliseconds for which slots of the backend server were held, by route and by
+	// whether the request was answered.
+	SlotTime = "slot-ms"
 
 	// ID is the ID that the caller gave to a request.
 	ID = "id"
@@ -59,6 +66,8 @@
 	// Outcome and Reason are those of package result.
 	Outcome = "outcome"
 	Reason  = "reason"
+	// Check is the check of an inlet's admission control that refused a request.
+	Check = "check"
 	// TargetVM is the VM that a request was sent to, Lifetime the lifetime of its backend server.
 	TargetVM = "to-vm"
 	// Tenant is the tenant of a request. It is not set if the request has none.
