path/decay: round at random

All sums were rounded down at each addition, by up to a sixteenth: a sum of 4 to which nothing was added 100 times within a half-life was 0 in place of 2, and 2.8 when rounded to the nearest (TestAddNothing, which fails with both). Rounded at random, the sum is right on average.

--- a/internal/path/decay/decay.go
+++ b/internal/path/decay/decay.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -51,4 +52,6 @@
 	}
 }
 
-func toFixed(v float64) uint64 { return min(uint64(v*fixedOne), maxSum) }
+// toFixed rounds at random: if it always rounded down, frequent additions of little would reduce a sum, and
+// to the nearest, they would keep it from decaying.
+func toFixed(v float64) uint64 { return min(uint64(v*fixedOne+rand.Float64()), maxSum) }
--- a/internal/path/decay/decay_test.go
+++ b/internal/path/decay/decay_test.go
@@ -39,6 +39,26 @@
 	}
 }
 
+// TestAddNothing guards against a sum that frequent additions of nothing change.
+func TestAddNothing(t *testing.T) {
+	const plays = 200
+	sum := 0.0
+	for range plays {
+		now := time.Unix(1000, 0)
+		var pa Pair
+		pa.Add(now, time.Second, 0, 4)
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			pa.Add(now, time.Second, 0, 0)
+		}
+		_, second := pa.Read(now, time.Second)
+		sum += second
+	}
+	if mean := sum / plays; math.Abs(mean-2) > 0.1 {
+		t.Errorf("%.3f after a half-life, want 2", mean)
+	}
+}
+
 // TestConcurrentAdds checks that no addition is lost.
 func TestConcurrentAdds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
