path: precedence for kinds of requests that are served much less than all

Cause: ranks alone decided who gets a slot. Inlets refuse a request at its entry whose expected wait at its place is too long, and displace the last ones, so the kind ranked last never stood in the queue in which every 16th slot goes to who has waited longest. Class of fault: strict priority without a minimum share, at each check by itself.

Ruled out: slots held without an answer (2% of the time).

Now the outlet, which sees all tries of its callers, compares the served share of each kind (route and priority) with that of all, and gives precedence to as many requests as a kind is short of 0.4 of it: past the throttle, ahead in the queue, in every other slot and half of a queue at most, before classes with reserved slots. The probability of a grant makes that hold as a sum over outlets with few requests. An outlet that carries one kind alone learns the share of all from inlets' refusals.

--- a/internal/path/floor/floor.go
+++ b/internal/path/floor/floor.go
@@ -1,6 +1,7 @@
 package floor
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -55,11 +56,26 @@
 type Kind struct {
 	Share
 	below atomic.Bool
+	// grants are the recent granted requests, granted all of them, inFlight those that have not ended.
+	grants   decay.Pair
+	granted  atomic.Int64
+	inFlight atomic.Int32
+	// reported is the mean that an inlet last reported, as bits of a float64.
+	reported atomic.Uint64
 }
 
+// SetReported records the served share of all kinds over all outlets that an inlet reports.
+func (ki *Kind) SetReported(mean float64) { ki.reported.Store(math.Float64bits(mean)) }
+
+// Reported returns the share last set by SetReported, 0 if none was.
+func (ki *Kind) Reported() float64 { return math.Float64frombits(ki.reported.Load()) }
+
 // Below reports whether the kind was below its floor at the last check.
 func (ki *Kind) Below() bool { return ki.below.Load() }
 
+// Mean returns the served share, at most 1, and 0 without requests.
+func (sh *Share) Mean(now time.Time) float64 { return mean(sh.Recent(now)) }
+
 // Check compares the kind with all kinds of the outlet. It reports whether the kind has fallen below its
 // floor or has come back since the last check.
 func (ki *Kind) Check(now time.Time, all *Share) (changed bool) {
--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -14,6 +14,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/mesh/poison"
 	"github.com/flamingomast/flamingomast/internal/path/delay"
+	"github.com/flamingomast/flamingomast/internal/path/floor"
 	"github.com/flamingomast/flamingomast/internal/path/ident"
 	"github.com/flamingomast/flamingomast/internal/path/limit"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
@@ -76,6 +77,8 @@
 	// to the rate that it names.
 	notices notices
 	rate    rate.Limiter
+	// served is the average of the served shares that outlets report.
+	served floor.Mean
 	// link paces the VM's link; nil if it is not paced.
 	link *pacer.Pacer
 	// SlotTime counts the milliseconds for which slots were held, by route and by whether the request was
@@ -150,6 +153,9 @@
 	class := r.Header.Get(result.ClassHeader)
 	sr := in.Stats.For(tg.Service, class)
 	rq := parseUrgency(r.Header, class)
+	if text := r.Header.Get(result.ServedHeader); text != "" {
+		in.served.Add(result.ParseProbability(text))
+	}
 	if ahead > 0 {
 		if rf := in.readBody(ctx, w, r, ahead); rf != nil {
 			sr.Outcomes.Add(rf.Outcome.String()+"/"+string(rf.Reason), 1)
@@ -240,6 +246,9 @@
 func (in *Inlet) refuse(w http.ResponseWriter, r *http.Request, rf *result.Refusal) {
 	load := in.load().String()
 	w.Header().Set(result.LoadHeader, load)
+	if mean, ok := in.served.Value(); ok {
+		w.Header().Set(result.ServedHeader, result.FormatProbability(mean))
+	}
 	in.setNotice(w.Header())
 	event := logs.InletRefused
 	if rf.Outcome != result.NotRun || rf.Reason == result.ReasonShed {
@@ -264,6 +273,7 @@
 	rq := limit.Request{Class: class, Priority: lowestPriority}
 	text, final := strings.CutSuffix(hdr.Get(result.UrgencyHeader), result.FinalSuffix)
 	rq.Final, rq.Kind, rq.Repeat = final, hdr.Get(result.RouteHeader), result.ParseProbability(hdr.Get(result.RepeatHeader))
+	rq.Floor = hdr.Get(result.FloorHeader) != ""
 	prio, objectiveMs, hasObjective := strings.Cut(text, "/")
 	if n, err := strconv.Atoi(prio); err == nil && n >= 0 {
 		rq.Priority = min(n, lowestPriority)
--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -33,6 +33,8 @@
 	meanServiceTime       movingAverage
 	meanServiceTimeByKind serviceTimes
 	ranker                ranker
+	// lastFloor is set if the last slot given to a queued request went to a floor request.
+	lastFloor bool
 	// runningByPriority counts the running requests without calls.
 	runningByPriority [result.Ranks - 1]int
 	// repeats is the expected number of running requests that are repeats, the sum of
@@ -63,6 +65,9 @@
 	// Final is set if the caller does not retry after a refusal. That is the case for calls:
 	// requests that a backend server makes while it runs another one.
 	Final bool
+	// Floor is set if the kind of the request is below its floor: it goes ahead of the others, in at most
+	// every other slot.
+	Floor bool
 	// Repeat is the probability, 0 to 1, that a backend server received the request before.
 	Repeat float64
 }
@@ -140,6 +145,9 @@
 	}
 	wt := newWaiter(rq, lm.expectedServiceTime(rq.Kind), time.Now())
 	wt.rank = lm.ranker.rank(&rq, wt.serviceTime)
+	if rq.Floor && cl.floorWaiting() < max(1, cl.Queue/floorQueueDivisor) {
+		wt.floor, wt.rank = true, floorRank
+	}
 	pos := cl.position(wt)
 	if rf := lm.refuseLate(ctx, cl, wt, pos); rf != nil {
 		lm.mu.Unlock()
@@ -320,7 +328,8 @@
 		if cl == nil {
 			return
 		}
-		wt := cl.next(time.Now())
+		wt := cl.next(time.Now(), !lm.lastFloor)
+		lm.lastFloor = wt.floor
 		cl.remove(wt)
 		lm.waiting--
 		wt.granted, wt.dequeued = true, true
@@ -331,8 +340,19 @@
 	}
 }
 
+// nextClass returns the class whose queue gets the next slot, nil if all are empty.
 func (lm *Limiter) nextClass() *class {
 	var best *class
+	if !lm.lastFloor {
+		for _, cl := range lm.order {
+			if cl.floorFirst() && (best == nil || cl.queue[0].since.Before(best.queue[0].since)) {
+				best = cl
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
 	for _, cl := range lm.order {
 		if len(cl.queue) == 0 {
 			continue
--- a/internal/path/limit/queue.go
+++ b/internal/path/limit/queue.go
@@ -16,7 +16,9 @@
 	// meanServiceTime is how long the request is expected to hold a slot.
 	serviceTime time.Duration
 	// rank orders the queue, lower ones first.
-	rank  float64
+	rank float64
+	// floor is set if the request goes ahead of the others because its kind is below its floor.
+	floor bool
 	since time.Time
 	// due is when the objective ends, zero if none is declared.
 	due      time.Time
@@ -33,6 +35,14 @@
 	return wt
 }
 
+const (
+	// floorRank is the rank of requests whose kind is below its floor.
+	floorRank = -1
+	// floorQueueDivisor bounds them to a part of a queue, as one in so many, so that the others can still
+	// wait.
+	floorQueueDivisor = 2
+)
+
 const (
 	// maxWaitShare is the longest expected wait with which a request is queued, as a share of the
 	// time left until it must start to meet its objective. A request refused at once can still be
@@ -59,7 +69,7 @@
 
 // maxExpectedWait returns the longest expected wait with which the request is queued.
 func (wt *waiter) maxExpectedWait() time.Duration {
-	if wt.Final || wt.due.IsZero() {
+	if wt.floor || wt.Final || wt.due.IsZero() {
 		return math.MaxInt64
 	}
 	return max(lateMaxWait, time.Duration(maxWaitShare*float64(wt.Objective-wt.paddedTime())))
@@ -67,7 +77,7 @@
 
 // queueTimeout returns how long the request may stay in the queue before it is refused.
 func (wt *waiter) queueTimeout() time.Duration {
-	if wt.Final || wt.due.IsZero() {
+	if wt.floor || wt.Final || wt.due.IsZero() {
 		return math.MaxInt64
 	}
 	return max(0, wt.Objective-wt.serviceTime) + lateMaxWait
@@ -102,37 +112,71 @@
 
 // preferred reports whether the request goes ahead of those that can no longer meet their
 // objective.
-func (wt *waiter) preferred(now time.Time) bool { return wt.Final || wt.meetsObjective(now) }
+func (wt *waiter) preferred(now time.Time) bool {
+	return wt.floor || wt.Final || wt.meetsObjective(now)
+}
+
+// floorFirst reports whether a floor request is the first of the queue.
+func (cl *class) floorFirst() bool { return len(cl.queue) > 0 && cl.queue[0].floor }
+
+// floorWaiting returns the number of queued floor requests.
+func (cl *class) floorWaiting() (n int) {
+	for n < len(cl.queue) && cl.queue[n].floor {
+		n++
+	}
+	return n
+}
 
 // serviceTimeAhead returns the total service time of the queued requests that are served before a
 // request at position pos.
 func (cl *class) serviceTimeAhead(wt *waiter, pos int) (sum time.Duration) {
 	now := time.Now()
-	preferred := wt.preferred(now)
+	preferred, others := wt.preferred(now), 0
 	for i, other := range cl.queue {
+		if other.floor && !wt.floor {
+			continue
+		}
 		if i < pos && (!preferred || other.preferred(now)) || !preferred && other.preferred(now) {
 			sum += other.serviceTime
+			others++
 		}
 	}
+	if !wt.floor {
+		sum += cl.floorTimeAhead(others)
+	}
+	return sum
+}
+
+// floorTimeAhead returns the total service time of the floor requests that get slots before a request with
+// others ahead of it that are no floor requests.
+func (cl *class) floorTimeAhead(others int) (sum time.Duration) {
+	for i, wt := range cl.queue {
+		if !wt.floor || i > others {
+			break
+		}
+		sum += wt.serviceTime
+	}
 	return sum
 }
 
 // addWaits adds, for each rank of result.Load.Waits, the service time of the queued requests that
 // are served before a request of that rank. callRank is the rank of calls.
 func (cl *class) addWaits(waits *[result.Ranks]time.Duration, callRank float64, now time.Time) {
+	var others [result.Ranks]int
 	for _, wt := range cl.queue {
-		if !wt.preferred(now) {
+		if wt.floor || !wt.preferred(now) {
 			continue
 		}
-		if wt.rank <= callRank {
-			waits[0] += wt.serviceTime
-		}
-		for i := 1; i < len(waits); i++ {
-			if wt.rank <= float64(i-1) {
+		for i := range waits {
+			if i == 0 && wt.rank <= callRank || i > 0 && wt.rank <= float64(i-1) {
 				waits[i] += wt.serviceTime
+				others[i]++
 			}
 		}
 	}
+	for i, n := range others {
+		waits[i] += cl.floorTimeAhead(n)
+	}
 }
 
 // oldestFirstEvery is how often a slot goes to the request that has waited longest instead of the
@@ -141,14 +185,15 @@
 const oldestFirstEvery = 16
 
 // next returns the waiter that gets the next slot: the first preferred one, otherwise the first in
-// the queue. Every oldestFirstEvery-th slot goes to the one that has waited longest.
-func (cl *class) next(now time.Time) *waiter {
+// the queue. Every oldestFirstEvery-th slot goes to the one that has waited longest. Floor requests
+// come after the other preferred ones unless floorAllowed is set.
+func (cl *class) next(now time.Time, floorAllowed bool) *waiter {
 	cl.grants++
 	if cl.grants%oldestFirstEvery == 0 {
 		return slices.MinFunc(cl.queue, func(a, b *waiter) int { return a.since.Compare(b.since) })
 	}
 	for _, wt := range cl.queue {
-		if wt.preferred(now) {
+		if wt.preferred(now) && (floorAllowed || !wt.floor) {
 			return wt
 		}
 	}
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -196,6 +196,12 @@
 	out.Header[result.SentHeader] = []string{delay.Stamp(time.Now())}
 	out.Header[result.ClassHeader] = []string{rq.route.Class.Name}
 	out.Header[result.UrgencyHeader] = []string{urgency(rq.route, rq.priority, rq.elapsed, time.Since(rq.start), rq.final)}
+	if rq.floor {
+		out.Header[result.FloorHeader] = []string{"1"}
+	}
+	if rq.attempts == 1 && !rq.callerRetry {
+		out.Header[result.ServedHeader] = []string{result.FormatProbability(rq.ou.allKinds.Mean(time.Now()))}
+	}
 	out.Header[result.RouteHeader] = []string{url.PathEscape(rq.route.Name)}
 	if rq.serverCrashes > 0 {
 		out.Header[result.CrashesHeader] = []string{strconv.Itoa(rq.serverCrashes)}
--- a/internal/path/outlet/kinds.go
+++ b/internal/path/outlet/kinds.go
@@ -5,6 +5,7 @@
 	"context"
 	"expvar"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,6 +38,9 @@
 
 // recordShare counts the end of a request in the served shares.
 func (rq *request) recordShare(oc result.Outcome, re result.Reason) {
+	if rq.floor {
+		rq.kind.Done()
+	}
 	if re == result.ReasonCallerGone {
 		// Its caller did not wait for a response.
 		return
@@ -47,6 +51,13 @@
 	rq.ou.checkKinds(now)
 }
 
+// requestFloor decides whether the request goes ahead of others because its kind is below its floor.
+func (rq *request) requestFloor() {
+	now := time.Now()
+	mean := max(rq.ou.allKinds.Mean(now), rq.kind.Reported())
+	rq.floor = rq.kind.Grant(now, mean, !rq.callerRetry, rand.Float64())
+}
+
 // checkKinds logs which kinds have fallen below their floors or have come back.
 func (ou *Outlet) checkKinds(now time.Time) {
 	at, next := mono.Nanos(now), ou.nextKindCheck.Load()
@@ -127,6 +138,7 @@
 type kindCounts struct {
 	Offered int64 `json:"offered"`
 	Served  int64 `json:"served"`
+	Granted int64 `json:"granted"`
 	Below   bool  `json:"below-floor"`
 }
 
@@ -136,7 +148,7 @@
 		vars := map[string]kindCounts{}
 		for _, st := range ou.kindsOf(ou.routing.Get()) {
 			offered, served := st.kind.Totals()
-			vars[st.Service+"/"+st.Route+"/"+strconv.Itoa(st.Priority)] = kindCounts{offered, served, st.kind.Below()}
+			vars[st.Service+"/"+st.Route+"/"+strconv.Itoa(st.Priority)] = kindCounts{offered, served, st.kind.Granted(), st.kind.Below()}
 		}
 		return vars
 	})
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -50,6 +50,8 @@
 	tenantStats map[string]*hist.Series
 	// final is set if the caller cannot retry after a refusal.
 	final bool
+	// floor is set if the request goes ahead of others because its kind is below its floor.
+	floor bool
 	// priority is that of the route or, for a call of a backend server, that of the request it is
 	// made for.
 	priority int
@@ -100,9 +102,10 @@
 		rq.refuse(rf)
 		return
 	}
+	rq.requestFloor()
 	// A caller's retry bypasses the throttle: throttling it would refuse the same request twice
 	// without any benefit.
-	if !rq.final && !rq.callerRetry && !rq.th.Allow(rq.priority, rq.start, rand.Float64()) {
+	if !rq.floor && !rq.final && !rq.callerRetry && !rq.th.Allow(rq.priority, rq.start, rand.Float64()) {
 		rq.refuse(&result.Refusal{Outcome: result.NotRun, Reason: result.ReasonSlotsFull})
 		return
 	}
@@ -154,6 +157,9 @@
 			rq.tried.Add(ep)
 		}
 		last = combineRefusals(last, rf)
+		if rf.Served > 0 {
+			rq.kind.SetReported(rf.Served)
+		}
 		// A request that the new version did not answer goes to the previous one.
 		if rq.base.Len() > 0 {
 			rq.gp = rq.base
@@ -234,7 +240,7 @@
 
 // rejectionLimit returns the number of rejections after which the request is refused.
 func (rq *request) rejectionLimit() int {
-	if rq.gp.Len() >= manyServers {
+	if rq.gp.Len() >= manyServers || rq.floor {
 		return maxRejections + 1
 	}
 	return maxRejections
@@ -405,7 +411,7 @@
 	rq.ou.log.LogAttrs(context.Background(), level, logs.Request, slog.String(logs.ID, rq.id()),
 		slog.String("service", rq.sv.Name), slog.String("route", rq.route.Name), slog.Uint64(logs.Version, rq.version),
 		slog.String("method", rq.r.Method), slog.String(logs.Outcome, oc.String()), slog.String(logs.Reason, string(re)),
-		slog.Int("attempts", rq.attempts), slog.String(logs.TargetVM, rq.vm), rq.softwareAttr(), rq.tenantAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
+		slog.Int("attempts", rq.attempts), slog.String(logs.TargetVM, rq.vm), rq.softwareAttr(), rq.tenantAttr(), rq.floorAttr(), slog.Duration(logs.Elapsed, rq.elapsed),
 		slog.Duration(logs.Queued, rq.queued), slog.Duration(logs.Limit, rq.limit), rq.causeAttr(),
 		slog.Duration(logs.Objective, rq.route.Objective),
 		slog.Duration(logs.Wait, rq.spent.Wait), slog.Duration(logs.ServiceTime, rq.spent.ServiceTime), slog.Duration(logs.Took, took))
@@ -428,6 +434,14 @@
 	return slog.String(logs.Tenant, rq.tenant.Name)
 }
 
+// floorAttr returns the log attribute of a request that goes ahead of others, empty for others.
+func (rq *request) floorAttr() slog.Attr {
+	if !rq.floor {
+		return slog.Attr{}
+	}
+	return slog.Bool(logs.Floor, true)
+}
+
 // causeAttr returns the log attribute for the error of the last attempt, empty if the request was
 // answered.
 func (rq *request) causeAttr() slog.Attr {
--- /dev/null
+++ b/internal/path/outlet/starved_gates_test.go
@@ -0,0 +1,106 @@
+package outlet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/flamingomast/flamingomast/internal/mesh/member"
+	"github.com/flamingomast/flamingomast/internal/path/limit"
+)
+
+// twoServices are the VMs of the tests: two for booking and two for orders.
+var twoServices = []string{"booking", "booking", "orders", "orders"}
+
+// TestKindStarvedAtGate guards against a kind that reaches its floor at the queue of an inlet and is
+// starved by another check on its way.
+func TestKindStarvedAtGate(t *testing.T) {
+	low, high := lists.at(40), lists.at(160)
+	low.name, low.key = "low-tenant", acmeKey
+	high.name, high.key = "high-tenant", otherKey
+	low.rule, high.rule = ", objective: 200ms, deadline: 2s", ", objective: 200ms, deadline: 2s"
+	confirms := lists.at(160)
+	confirms.rule += ", class: confirm"
+	for _, tc := range []struct {
+		name    string
+		outlets int
+		flows   []kindFlow
+		more    string
+		prepare func(kr *kindRig)
+	}{
+		{
+			"priorities of tenants", 3, []kindFlow{low, high}, "tenants:\n- {name: acme, keys: [" + acmeKey + "], priority: 2}\n- {name: other, keys: [" + otherKey + "], priority: 1}\n",
+			func(*kindRig) {},
+		},
+		{
+			"slots reserved for another class", 3, []kindFlow{confirms, sheets.at(40), orders.at(100)},
+			"classes: [{name: confirm, share: 100, queue: 16}, {name: default, queue: 16}]\n",
+			func(kr *kindRig) {
+				for _, ga := range kr.gates[:2] {
+					ga.Configure(slots, []limit.Class{{Name: "confirm", Share: 100, Queue: 16}, {Name: "default", Queue: 16}})
+				}
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kr := newKindRig(t, twoServices, tc.outlets, tc.flows, tc.more)
+				defer kr.close()
+				tc.prepare(kr)
+				kr.play(tc.flows, 2*time.Second)
+				check(t, kr.play(tc.flows, 20*time.Second), minServed)
+			})
+		})
+	}
+}
+
+// TestKindStarvedInCutDomain guards against a kind that is hardly served in a failure domain whose
+// outlets reach the servers there only.
+func TestKindStarvedInCutDomain(t *testing.T) {
+	inside := func(fl kindFlow) kindFlow {
+		fl.outlet = 1
+		return fl
+	}
+	flows := []kindFlow{inside(lists.at(90)), inside(sheets.at(30)), inside(orders.at(60))}
+	synctest.Test(t, func(t *testing.T) {
+		kr := newKindRig(t, twoServices, 2, flows, "")
+		defer kr.close()
+		kr.updateOutlets([]*member.Record{kr.recs[0], kr.recs[2]})
+		kr.play(flows, 2*time.Second)
+		check(t, kr.play(flows, 20*time.Second), minServed)
+	})
+}
+
+// TestUrgentKindsBesideFlood guards against a flood of a less urgent kind that takes the slots of more
+// urgent ones because it is below its floor.
+func TestUrgentKindsBesideFlood(t *testing.T) {
+	flows := []kindFlow{lists.at(25), sheets.at(600), orders.at(100)}
+	synctest.Test(t, func(t *testing.T) {
+		kr := newKindRig(t, twoServices, 3, flows, "")
+		defer kr.close()
+		kr.play(flows, 2*time.Second)
+		counts := kr.play(flows, 20*time.Second)
+		check(t, counts, 0)
+		if share := counts["lists"].share(); share < 0.95 {
+			t.Errorf("%.3f of the lists were served, whose requests need a fifth of the slots", share)
+		}
+	})
+}
+
+// TestKindsAfterFlood guards against kinds that stay behind after a flood has ended.
+func TestKindsAfterFlood(t *testing.T) {
+	flood := []kindFlow{lists.at(300), sheets.at(40), calls.at(200), orders.at(100)}
+	usual := []kindFlow{lists.at(30), sheets.at(10), calls.at(40), orders.at(50)}
+	synctest.Test(t, func(t *testing.T) {
+		kr := newKindRig(t, twoServices, 3, flood, "")
+		defer kr.close()
+		kr.play(flood, 20*time.Second)
+		counts := kr.play(usual, 5*time.Second)
+		for name, kc := range counts {
+			t.Logf("%s: %d of %d served", name, kc.served, kc.offered)
+			if kc.share() < 0.97 {
+				t.Errorf("%s: %.3f were served after the flood", name, kc.share())
+			}
+		}
+	})
+}
--- a/internal/path/outlet/starved_test.go
+++ b/internal/path/outlet/starved_test.go
@@ -252,7 +252,8 @@
 		{"long requests", 3, []kindFlow{lists.at(160), long.at(8), orders.at(150)}},
 		{"calls for less urgent requests", 3, []kindFlow{lists.at(160), large.at(80), orders.at(150)}},
 		{"nothing else at its outlet", 2, []kindFlow{elsewhere(lists.at(160)), alone, elsewhere(orders.at(150))}},
-		{"rare at each of many outlets", 60, []kindFlow{lists.at(160), sheets.at(12), orders.at(150)}},
+		{"rare at each of 60 outlets", 60, []kindFlow{lists.at(160), sheets.at(12), orders.at(150)}},
+		{"rare at each of 300 outlets", 300, []kindFlow{lists.at(160), sheets.at(30), orders.at(150)}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -112,6 +112,12 @@
 	// caller cannot retry after a refusal.
 	UrgencyHeader = Prefix + "Urgency"
 	FinalSuffix   = "/final"
+	// FloorHeader on a request says that its kind is below its floor (package floor), so that it goes
+	// ahead of others.
+	FloorHeader = Prefix + "Floor"
+	// ServedHeader is the served share of all kinds, from 0 to 1: on a request that of its outlet, on an
+	// inlet's refusal the average over the outlets that use it.
+	ServedHeader = Prefix + "Served"
 	// RouteHeader names the route.
 	RouteHeader = Prefix + "Route"
 	// SizeHeader is the expected size of the response in bytes, set if that is large.
@@ -218,6 +224,8 @@
 	Detail     string
 	// Check is the check of the admission control that refused the request, for logs only.
 	Check Check
+	// Served is the value of ServedHeader, 0 if it is missing.
+	Served float64
 	// Cause is the error of the connection, for logs only; nil if none failed.
 	Cause error
 	// Crashes is how many backend servers crashed while they ran the request, if one did in this
@@ -344,6 +352,7 @@
 	if n, err := strconv.ParseUint(res.Header.Get(CrashesHeader), 10, 16); err == nil {
 		rf.Crashes = int(n)
 	}
+	rf.Served = ParseProbability(res.Header.Get(ServedHeader))
 	return rf
 }
 
--- a/internal/stat/diag/cause.go
+++ b/internal/stat/diag/cause.go
@@ -122,6 +122,9 @@
 	default:
 		add("ended as %s (%s) at the outlet of %s", end.Text(logs.Outcome), reason, end.VM)
 	}
+	if yes, _ := end.Fields[logs.Floor].(bool); yes {
+		add("it went ahead of others, because the outlet of %s serves much less of its kind than of all", end.VM)
+	}
 	return append(list, co.staleVersion(end)...)
 }
 
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -68,6 +68,9 @@
 	Reason  = "reason"
 	// Check is the check of an inlet's admission control that refused a request.
 	Check = "check"
+	// Floor is true for a request that went ahead of others because its kind was below its floor. It is
+	// not set for others.
+	Floor = "floor"
 	// TargetVM is the VM that a request was sent to, Lifetime the lifetime of its backend server.
 	TargetVM = "to-vm"
 	// Tenant is the tenant of a request. It is not set if the request has none.
