path: servers' rate limits honour the precedence of starved kinds

Cause: the tokens of a limit and the times for which outlets hold requests back go by rank, with every 16th token for any rank; the same class of fault at another check. Requests with precedence now have the first rank for both.

--- a/internal/path/inlet/notice.go
+++ b/internal/path/inlet/notice.go
@@ -193,7 +193,7 @@
 // reserveToken takes a token for a request, or refuses the request if the server takes no more at
 // the moment: another server may be able to run it at once.
 func (in *Inlet) reserveToken(rq *limit.Request) (rate.Token, *result.Refusal) {
-	token, retryAfter, ok := in.rate.Reserve(result.Rank(rq.Priority, rq.Final), time.Now())
+	token, retryAfter, ok := in.rate.Reserve(result.Rank(rq.Priority, rq.Final || rq.Floor), time.Now())
 	if !ok {
 		return token, overServerLimit(retryAfter)
 	}
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -202,7 +202,7 @@
 }
 
 // rank returns the request's rank at inlets.
-func (rq *request) rank() int { return result.Rank(rq.priority, rq.final) }
+func (rq *request) rank() int { return result.Rank(rq.priority, rq.final || rq.floor) }
 
 // staleConn reports whether the request was sent on a keep-alive connection that was already
 // closed. That says nothing about the server, which may be tried again.
--- a/internal/path/outlet/starved_gates_test.go
+++ b/internal/path/outlet/starved_gates_test.go
@@ -1,6 +1,7 @@
 package outlet_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,17 @@
 		more    string
 		prepare func(kr *kindRig)
 	}{
+		{
+			"server limits", 3, []kindFlow{lists.at(60), sheets.at(30), orders.at(100)}, "",
+			func(kr *kindRig) {
+				for _, be := range kr.backends[:2] {
+					be.fail = func(w http.ResponseWriter, r *http.Request) bool {
+						w.Header().Set(limitHeader, "20")
+						return runFor(w, r)
+					}
+				}
+			},
+		},
 		{
 			"priorities of tenants", 3, []kindFlow{low, high}, "tenants:\n- {name: acme, keys: [" + acmeKey + "], priority: 2}\n- {name: other, keys: [" + otherKey + "], priority: 1}\n",
 			func(*kindRig) {},
