path/outlet: only requests answered or refused for lack of capacity count for the floor

A kind whose requests fail at the servers was never served, and so was granted precedence for up to twice its floor without any use; a request refused as poison or for its body counted as well. Now answers of any status count as served, refusals for lack of capacity as not, and other requests not at all. A granted request is counted as ended by a deferred call, also if its handler panics.

Tenants of priority 2 and 3 on one route shared one kind, though inlets rank them; each priority up to 3 has its own now.

--- a/internal/path/floor/floor.go
+++ b/internal/path/floor/floor.go
@@ -19,7 +19,7 @@
 	minOffered = 20
 	// recovered is the part of the share of all kinds at which a kind that was below its floor counts
 	// as back.
-	recovered = 0.5
+	recovered = (Guaranteed + aim) / 2
 )
 
 // Share counts requests and those that were served. A caller's retries count as one request with its
@@ -29,8 +29,8 @@
 	offered, served atomic.Int64
 }
 
-// Record records the end of a request. first is set unless it is a caller's retry, served if its caller
-// got a response of a backend server that is no server error.
+// Record records the end of a request. first is set unless it is a caller's retry, served if a backend
+// server answered it.
 func (sh *Share) Record(now time.Time, first, served bool) {
 	offered, got := 0.0, 0.0
 	if first {
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -60,7 +60,6 @@
 		ep.End(time.Now(), verdictOf(rf), rq.gp)
 		return rf
 	}
-	rq.status = at.Response.StatusCode
 	rq.rs.recordSize(headBytes + knownBodySize(rq.r) + max(0, at.Response.ContentLength))
 	proxy.CopyHeader(rq.w, at.Response, nil)
 	err := proxy.Copy(rq.w, at, proxy.Pace{})
--- a/internal/path/outlet/kinds.go
+++ b/internal/path/outlet/kinds.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -15,13 +14,14 @@
 	"github.com/flamingomast/flamingomast/internal/conf/snap"
 	"github.com/flamingomast/flamingomast/internal/path/floor"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/path/shed"
 	"github.com/flamingomast/flamingomast/internal/plat/mono"
 	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // kinds holds the served shares of a route's requests by priority. Requests of one route have several
 // priorities if they are calls, or if tenants have priorities of their own.
-type kinds [result.Ranks - 1]atomic.Pointer[floor.Kind]
+type kinds [shed.Priorities]atomic.Pointer[floor.Kind]
 
 // of returns the kind of a priority.
 func (ks *kinds) of(priority int) *floor.Kind {
@@ -36,26 +36,29 @@
 // kindCheckInterval is how often an outlet compares its kinds with their floors.
 const kindCheckInterval = time.Second
 
-// recordShare counts the end of a request in the served shares.
+// recordShare counts a request in the served shares if it was answered, with whatever status, or refused
+// for lack of capacity. Precedence does not help a request that fails for another reason.
 func (rq *request) recordShare(oc result.Outcome, re result.Reason) {
-	if rq.floor {
-		rq.kind.Done()
-	}
-	if re == result.ReasonCallerGone {
-		// Its caller did not wait for a response.
+	served := oc == result.Answered
+	refused := re.NoCapacity() || re == result.ReasonServerLimit || re == result.ReasonDeadlinePassed && oc == result.NotRun
+	if !served && !refused {
 		return
 	}
-	now, served := time.Now(), oc == result.Answered && rq.status < http.StatusInternalServerError
+	now := time.Now()
 	rq.ou.allKinds.Record(now, !rq.callerRetry, served)
 	rq.kind.Record(now, !rq.callerRetry, served)
 	rq.ou.checkKinds(now)
 }
 
-// requestFloor decides whether the request goes ahead of others because its kind is below its floor.
-func (rq *request) requestFloor() {
+// requestFloor decides whether the request goes ahead of others because its kind is below its floor. done
+// must be called when it has ended.
+func (rq *request) requestFloor() (done func()) {
 	now := time.Now()
 	mean := max(rq.ou.allKinds.Mean(now), rq.kind.Reported())
-	rq.floor = rq.kind.Grant(now, mean, !rq.callerRetry, rand.Float64())
+	if rq.floor = rq.kind.Grant(now, mean, !rq.callerRetry, rand.Float64()); rq.floor {
+		return rq.kind.Done
+	}
+	return func() {}
 }
 
 // checkKinds logs which kinds have fallen below their floors or have come back.
@@ -86,8 +89,8 @@
 	Service  string `json:"service"`
 	Route    string `json:"route"`
 	Priority int    `json:"priority"`
-	// Offered is the number of recent requests, of which a part Served got a response. A request counts
-	// half after five seconds.
+	// Offered is the number of recent requests that were answered or refused for lack of capacity, Served
+	// the answered part of them. A request counts half after five seconds.
 	Offered float64 `json:"offered"`
 	Served  float64 `json:"served"`
 	// Below is set if the kind is below its floor.
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -69,8 +69,6 @@
 	software string
 	// spent is the time that the answered attempt took at the inlet.
 	spent result.SlotTimes
-	// status is the status of the response that a backend server gave.
-	status int
 	// attempts counts all attempts, rejections those rejected for lack of capacity or shed,
 	// delivered those that may have reached a backend server, overLimit those refused for a server's
 	// rate limit, up to maxOverLimit.
@@ -102,7 +100,7 @@
 		rq.refuse(rf)
 		return
 	}
-	rq.requestFloor()
+	defer rq.requestFloor()()
 	// A caller's retry bypasses the throttle: throttling it would refuse the same request twice
 	// without any benefit.
 	if !rq.floor && !rq.final && !rq.callerRetry && !rq.th.Allow(rq.priority, rq.start, rand.Float64()) {
--- a/internal/path/outlet/starved_gates_test.go
+++ b/internal/path/outlet/starved_gates_test.go
@@ -126,6 +126,40 @@
 	})
 }
 
+// TestFailingKind guards against a kind whose requests fail at the backend servers taking slots from others
+// because it is never served.
+func TestFailingKind(t *testing.T) {
+	failing := sheets.at(40)
+	failing.name = "failing"
+	flows := []kindFlow{lists.at(160), failing, orders.at(150)}
+	synctest.Test(t, func(t *testing.T) {
+		kr := newKindRig(t, twoServices, 3, flows, "")
+		defer kr.close()
+		for _, be := range kr.backends[:2] {
+			be.fail = func(w http.ResponseWriter, r *http.Request) bool {
+				if r.URL.Path[:5] == "/fail" {
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+				return runFor(w, r)
+			}
+		}
+		kr.play(flows, 2*time.Second)
+		check(t, kr.play(flows, 20*time.Second), 0)
+		for _, ou := range kr.outlets {
+			all, failing := 0.0, 0.0
+			for _, st := range ou.Kinds(time.Now()) {
+				all = max(all, st.Served)
+				if st.Route == "failing" {
+					failing = st.Served
+				}
+			}
+			if failing < minServed*0.5 || failing > 0.5*all {
+				t.Errorf("%.3f of the failing kind got a slot, want its floor", failing)
+			}
+		}
+	})
+}
+
 // TestKindsAfterFlood guards against kinds that stay behind after a flood has ended.
 func TestKindsAfterFlood(t *testing.T) {
 	flood := []kindFlow{lists.at(300), sheets.at(40), calls.at(200), orders.at(100)}
--- a/internal/path/outlet/starved_test.go
+++ b/internal/path/outlet/starved_test.go
@@ -81,7 +81,12 @@
 		kr.backends[i].fail = runFor
 	}
 	kr.rules = b.String() + more
-	busy := func() limit.Activity { return limit.Activity{Running: 1, Priority: 2} }
+	var work limit.Activity
+	if slices.ContainsFunc(flows, func(fl kindFlow) bool { return fl.call }) {
+		// Requests of callers who never return are taken for calls while the VM's own server is busy.
+		work = limit.Activity{Running: 1, Priority: 2}
+	}
+	busy := func() limit.Activity { return work }
 	for range outlets {
 		kr.outlets = append(kr.outlets, outlet.New(outlet.Options{Forwarder: kr.forwarder(), Names: fractional, Work: busy}))
 	}
