path/outlet: an outlet that has served nothing yet reports no served share

What callers see: where most outlets have just started, a kind alone at its outlet is held at too low a floor.

Cause: the first request of each outlet reported a served share of 0.00, which inlets average and pass on as the share of all. Such a request carries no share now.

TestServedShareOfNewOutlet fails without this: reports of 0.00 by outlets that serve all their requests.

--- a/internal/path/floor/grant.go
+++ b/internal/path/floor/grant.go
@@ -10,9 +10,9 @@
 // own requests and an estimate of the mean.
 const aim = 0.4
 
-// grantsPerService bounds the grants of a kind to this many for each request that its floor is short
-// of, so that a service that serves nothing is not flooded with granted requests.
-const grantsPerService = 2
+// maxGrants bounds the grants of a kind to this many times its floor, so that a service that serves nothing
+// is not flooded with granted requests.
+const maxGrants = 2
 
 // Grant decides whether the next request of a kind is granted precedence, so that the kind reaches its
 // floor. mean is the served share of all kinds, first is set unless the request is a caller's retry, and
@@ -47,7 +47,7 @@
 // over many such outlets.
 func probability(offered, served, granted, inFlight, mean float64) float64 {
 	due := aim * mean * offered
-	return min(due-served-inFlight, grantsPerService*due-granted)
+	return min(due-served-inFlight, maxGrants*due-granted)
 }
 
 // Mean is a moving average of the served shares that outlets report. The zero value has no samples.
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -198,8 +198,8 @@
 	if rq.floor {
 		out.Header[result.FloorHeader] = []string{"1"}
 	}
-	if rq.attempts == 1 && !rq.callerRetry {
-		out.Header[result.ServedHeader] = []string{result.FormatProbability(rq.ou.allKinds.Mean(time.Now()))}
+	if offered, served := rq.ou.allKinds.Recent(time.Now()); offered >= 1 && rq.attempts == 1 && !rq.callerRetry {
+		out.Header[result.ServedHeader] = []string{result.FormatProbability(min(1, served/offered))}
 	}
 	out.Header[result.RouteHeader] = []string{url.PathEscape(rq.route.Name)}
 	if rq.serverCrashes > 0 {
--- a/internal/path/outlet/request.go
+++ b/internal/path/outlet/request.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// rank returns the request's rank at inlets.
+// rank returns the request's rank at inlets, the first one if it goes ahead of others.
 func (rq *request) rank() int { return result.Rank(rq.priority, rq.final || rq.floor) }
 
 // staleConn reports whether the request was sent on a keep-alive connection that was already
--- a/internal/path/outlet/starved_gates_test.go
+++ b/internal/path/outlet/starved_gates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
+	"github.com/flamingomast/flamingomast/internal/path/result"
 )
 
 // twoServices are the VMs of the tests: two for booking and two for orders.
@@ -177,3 +179,36 @@
 		}
 	})
 }
+
+// TestServedShareOfNewOutlet guards against outlets that have just started, and have served nothing yet,
+// lowering the share of all kinds that inlets report.
+func TestServedShareOfNewOutlet(t *testing.T) {
+	flows := []kindFlow{orders.at(100)}
+	synctest.Test(t, func(t *testing.T) {
+		kr := newKindRig(t, twoServices, 50, flows, "")
+		defer kr.close()
+		var mu sync.Mutex
+		var reports []string
+		for _, in := range kr.inlets {
+			next := in.Handler
+			in.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				reports = append(reports, r.Header.Get(result.ServedHeader))
+				mu.Unlock()
+				next.ServeHTTP(w, r)
+			})
+		}
+		kr.play(flows, 5*time.Second)
+		first := 0
+		for _, text := range reports {
+			if text == "" {
+				first++
+			} else if result.ParseProbability(text) < 0.9 {
+				t.Errorf("an outlet that serves all requests reports %s", text)
+			}
+		}
+		if first < 50 || first == len(reports) {
+			t.Errorf("%d of %d requests of 50 outlets have no report, want the first of each", first, len(reports))
+		}
+	})
+}
