path/limit: requests of starved kinds get one slot in four ahead of the others

Cause: with every other slot for the flood, whose requests hold it twice as long, more than half of the time was gone. Every third was not tried.

The floors hold as before: all of TestKindsStarved, TestScaleKindsStarved, TestKindStarvedAtGate and TestKindStarvedInCutDomain pass.

--- a/internal/path/limit/limit.go
+++ b/internal/path/limit/limit.go
@@ -33,8 +33,8 @@
 	meanServiceTime       movingAverage
 	meanServiceTimeByKind serviceTimes
 	ranker                ranker
-	// lastFloor is set if the last slot given to a queued request went to a floor request.
-	lastFloor bool
+	// sinceFloor counts the slots given to queued requests since one went to a floor request.
+	sinceFloor int
 	// runningByPriority counts the running requests without calls.
 	runningByPriority [result.Ranks - 1]int
 	// repeats is the expected number of running requests that are repeats, the sum of
@@ -66,7 +66,7 @@
 	// requests that a backend server makes while it runs another one.
 	Final bool
 	// Floor is set if the kind of the request is below its floor: it goes ahead of the others, in at most
-	// every other slot.
+	// one slot in floorEvery.
 	Floor bool
 	// Repeat is the probability, 0 to 1, that a backend server received the request before.
 	Repeat float64
@@ -84,7 +84,7 @@
 
 // New returns a limiter without slots; Configure sets them.
 func New() *Limiter {
-	return &Limiter{classes: map[string]*class{}, meanServiceTimeByKind: serviceTimes{}}
+	return &Limiter{classes: map[string]*class{}, meanServiceTimeByKind: serviceTimes{}, sinceFloor: floorEvery}
 }
 
 // Configure sets the slots and classes. Running and queued requests are unaffected. A class that is
@@ -328,8 +328,11 @@
 		if cl == nil {
 			return
 		}
-		wt := cl.next(time.Now(), !lm.lastFloor)
-		lm.lastFloor = wt.floor
+		wt := cl.next(time.Now(), lm.floorAllowed())
+		lm.sinceFloor++
+		if wt.floor {
+			lm.sinceFloor = 0
+		}
 		cl.remove(wt)
 		lm.waiting--
 		wt.granted, wt.dequeued = true, true
@@ -340,10 +343,14 @@
 	}
 }
 
+// floorAllowed reports whether the next slot may go to a floor request ahead of the others. lm.mu must be
+// held.
+func (lm *Limiter) floorAllowed() bool { return lm.sinceFloor >= floorEvery-1 }
+
 // nextClass returns the class whose queue gets the next slot, nil if all are empty.
 func (lm *Limiter) nextClass() *class {
 	var best *class
-	if !lm.lastFloor {
+	if lm.floorAllowed() {
 		for _, cl := range lm.order {
 			if cl.floorFirst() && (best == nil || cl.queue[0].since.Before(best.queue[0].since)) {
 				best = cl
--- a/internal/path/limit/queue.go
+++ b/internal/path/limit/queue.go
@@ -38,6 +38,8 @@
 const (
 	// floorRank is the rank of requests whose kind is below its floor.
 	floorRank = -1
+	// floorEvery bounds the slots that they get ahead of the others, as one in so many.
+	floorEvery = 4
 	// floorQueueDivisor bounds them to a part of a queue, as one in so many, so that the others can still
 	// wait.
 	floorQueueDivisor = 2
@@ -151,7 +153,7 @@
 // others ahead of it that are no floor requests.
 func (cl *class) floorTimeAhead(others int) (sum time.Duration) {
 	for i, wt := range cl.queue {
-		if !wt.floor || i > others {
+		if !wt.floor || i > others/(floorEvery-1) {
 			break
 		}
 		sum += wt.serviceTime
