--- a/internal/stat/diag/cause.go
+++ b/internal/stat/diag/cause.go
@@ -165,12 +165,12 @@
 			list = append(list, fmt.Sprintf("%s did not take it (%s); the outlet believed %.0f requests there, %v old",
 				ln.Text(logs.TargetVM), ln.Text(logs.Reason), ln.Number(logs.Load), ln.Duration(logs.LoadAge).Round(time.Millisecond)))
 		case logs.InletRefused:
-			reason := ln.Text(logs.Reason)
-			if check := ln.Text(logs.Check); check != "" {
-				reason += " by the check " + check
+			check := ""
+			if name := ln.Text(logs.Check); name != "" {
+				check = "; it was refused by the check " + name
 			}
-			list = append(list, fmt.Sprintf("the inlet of %s says %s with load %s (running/waiting/slots/ms a slot is held/ms of backlog on its link)",
-				ln.VM, reason, ln.Text(logs.Load)))
+			list = append(list, fmt.Sprintf("the inlet of %s says %s with load %s (running/waiting/slots/ms a slot is held/ms of backlog on its link)%s",
+				ln.VM, ln.Text(logs.Reason), ln.Text(logs.Load), check))
 		}
 	}
 	return list
--- a/internal/stat/diag/diag_test.go
+++ b/internal/stat/diag/diag_test.go
@@ -39,7 +39,7 @@
 		{"refused by a check of an inlet, although it went ahead", []string{
 			request(30, "not-run", "slots-full", 1, `,"to-vm":"b","floor":true`),
 			line(19, "b", "inlet-refused", `"id":"x","reason":"slots-full","check":"queue-full","load":"6/16/6/80"`),
-		}, []string{"refused after 1 servers had no room", "the inlet of b says slots-full by the check queue-full", "it went ahead of others, because the outlet of a serves much less of its kind than of all"}},
+		}, []string{"refused after 1 servers had no room", "the inlet of b says slots-full with load 6/16/6/80 (running/waiting/slots/ms a slot is held/ms of backlog on its link); it was refused by the check queue-full", "it went ahead of others, because the outlet of a serves much less of its kind than of all"}},
 		{"throttled by the outlet", []string{request(30, "not-run", "slots-full", 0, "")}, []string{"refused without being sent"}},
 		{"401", []string{
 			line(30, "a", "tenant-refused", `"id":"x","route":"find","version":7,"outcome":"not-run","reason":"key-missing-or-unknown"`),
