path/outlet: the urgent kinds' test at twice the flood and twice the servers

Cause of the change: one slot in four ahead of the others is a constant, and was shown at one size only. The first case is the former test, unchanged.

--- a/internal/path/outlet/starved_gates_test.go
+++ b/internal/path/outlet/starved_gates_test.go
@@ -112,17 +112,29 @@
 // TestUrgentKindsBesideFlood guards against a flood of a less urgent kind that takes the slots of more
 // urgent ones because it is below its floor.
 func TestUrgentKindsBesideFlood(t *testing.T) {
-	flows := []kindFlow{lists.at(25), sheets.at(600), orders.at(100)}
-	synctest.Test(t, func(t *testing.T) {
-		kr := newKindRig(t, twoServices, 3, flows, "")
-		defer kr.close()
-		kr.play(flows, 2*time.Second)
-		counts := kr.play(flows, sharesSpan)
-		check(t, counts, 0)
-		if share := counts["lists"].share(); checkShares && share < 0.95 {
-			t.Errorf("%.3f of the lists were served, whose requests need a fifth of the slots", share)
-		}
-	})
+	fourServices := append([]string{"booking", "booking"}, twoServices...)
+	for _, tc := range []struct {
+		name     string
+		services []string
+		flows    []kindFlow
+	}{
+		{"flood", twoServices, []kindFlow{lists.at(25), sheets.at(600), orders.at(100)}},
+		{"twice the flood", twoServices, []kindFlow{lists.at(25), sheets.at(1200), orders.at(100)}},
+		{"twice the servers", fourServices, []kindFlow{lists.at(50), sheets.at(1200), orders.at(100)}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				kr := newKindRig(t, tc.services, 3, tc.flows, "")
+				defer kr.close()
+				kr.play(tc.flows, 2*time.Second)
+				counts := kr.play(tc.flows, sharesSpan)
+				check(t, counts, 0)
+				if share := counts["lists"].share(); checkShares && share < 0.95 {
+					t.Errorf("%.3f of the lists were served, whose requests need a fifth of the slots", share)
+				}
+			})
+		})
+	}
 }
 
 // TestFailingKind guards against a kind whose requests fail at the backend servers taking slots from others
