--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds, without a network, every stand-in that the scripts in review/4, review/5 and review/6
+# Builds, without a network, every stand-in that the scripts in review/4 and later folders
 # start. The project's own programs are built by the build line of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,6 +17,8 @@
 // cases are the scripts by name. trouble is unset for a run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) int{
 	"late-config": lateConfig,
+	"lost-answer": lostAnswer,
+	"stress":      stressCase,
 }
 
 func main() {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -81,7 +81,7 @@
 	}
 	wk.running.Add(1)
 	defer wk.running.Add(-1)
-	wk.rec.add("run", "vm", wk.vm, "service", wk.service, "id", id, "method", r.Method, "path", r.URL.Path, "bytes", len(body))
+	wk.rec.add("run", "vm", wk.vm, "service", wk.service, "id", id, "method", r.Method, "path", r.RequestURI, "bytes", len(body))
 	if wk.respond != nil && wk.respond(w, r) {
 		return
 	}
