review: a case of DRAIN, a leave that is forgotten

review/6 lets a worker leave while the store is down, its daemon be killed after the ack, and the worker's last heartbeat arrive late.

--- a/review/rig/gate.go
+++ b/review/rig/gate.go
@@ -77,3 +77,18 @@
 	go func() { _ = http.Serve(gateListener{ln, ga}, h) }()
 	return nil
 }
+
+// resetConn resets the connection of a call instead of an answer.
+func resetConn(w http.ResponseWriter) {
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if gc, ok := nc.(*gateConn); ok {
+		nc = gc.Conn
+	}
+	if tc, ok := nc.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = nc.Close()
+}
--- a/review/rig/lostanswer.go
+++ b/review/rig/lostanswer.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -50,14 +49,7 @@
 			}
 			time.Sleep(wk.work)
 			rec.add("answer-lost", "vm", wk.vm, "id", r.Header.Get("X-Attempt-Id"))
-			nc, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return false
-			}
-			if tc, ok := nc.(*gateConn); ok {
-				_ = tc.Conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = nc.Close()
+			resetConn(w)
 			return true
 		}
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -16,9 +16,12 @@
 
 // cases are the scripts by name. trouble is unset for a run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) int{
-	"late-config": lateConfig,
-	"lost-answer": lostAnswer,
-	"stress":      stressCase,
+	"late-config":     lateConfig,
+	"lost-answer":     lostAnswer,
+	"config-fuzz":     configFuzz,
+	"drain-fuzz":      drainFuzz,
+	"forgotten-leave": forgottenLeave,
+	"stress":          stressCase,
 }
 
 func main() {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -48,6 +48,8 @@
 	items     map[string]*item
 	leases    map[int64]*lease
 	events    []event
+	// down is set while the store resets the connection of each call.
+	down bool
 	// onCall is called with the machine that calls, the path and the query key.
 	onCall func(vm, path, key string)
 }
@@ -126,6 +128,16 @@
 	return time.Now()
 }
 
+// setDown takes the store down, or lets it serve again. All leases run out while it is down.
+func (st *kvStore) setDown(down bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.down = down
+	for id := range st.leases {
+		st.endLease(id)
+	}
+}
+
 // Get reads a key on behalf of the operator.
 func (st *kvStore) Get(key string) string {
 	st.mu.Lock()
@@ -155,7 +167,12 @@
 			st.onCall(vm, path, qu.Get("key")+qu.Get("path_prefix"))
 		}
 		time.Sleep(storeDelay)
+		st.mu.Lock()
+		down := st.down
+		st.mu.Unlock()
 		switch {
+		case down:
+			resetConn(w)
 		case path == "kv-key":
 			st.serveKey(w, qu.Get("key"))
 		case path == "kv-range":
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -42,9 +42,14 @@
 	if wk.draining.Load() {
 		state = "draining"
 	}
+	return wk.beatNumber(state, wk.seq.Add(1))
+}
+
+// beatNumber sends the heartbeat with a number.
+func (wk *worker) beatNumber(state string, seq int64) int {
 	body, _ := json.Marshal(map[string]any{
 		"service": wk.service, "address": wk.addr, "zone": wk.zone, "version": "v1", "slots": wk.slots,
-		"state": state, "cold_left": "0ms", "seq": wk.seq.Add(1),
+		"state": state, "cold_left": "0ms", "seq": seq,
 	})
 	req, _ := http.NewRequest("PUT", "http://"+wk.control+"/flamingomast/instances/"+wk.id, bytes.NewReader(body))
 	req.Header.Set("Content-Type", "application/json")
@@ -57,6 +62,20 @@
 	return res.StatusCode
 }
 
+// leave tells the daemon that the worker leaves, without having reported that it drains. The worker
+// sends no heartbeats any more and serves on. It reports whether the daemon acknowledged it.
+func (wk *worker) leave() bool {
+	wk.stopped.Store(true)
+	wk.draining.Store(true)
+	req, _ := http.NewRequest("DELETE", "http://"+wk.control+"/flamingomast/instances/"+wk.id, nil)
+	res, err := (&http.Client{Timeout: time.Second}).Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == 200
+}
+
 // ServeHTTP answers a probe or runs a request.
 func (wk *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	hdr := w.Header()
