--- a/review/rig/stress.go
+++ b/review/rig/stress.go
@@ -32,7 +32,6 @@
 	running       atomic.Int64
 	draining      atomic.Bool
 	stopped       atomic.Bool
-	born          time.Time
 }
 
 type sentRequest struct {
@@ -79,7 +78,7 @@
 }
 
 func startWorker(sx *stress, mc *machine, service string) *rawWorker {
-	wk := &rawWorker{sx: sx, mc: mc, service: service, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: mc.addr(portServer), control: mc.addr(portAnnounce), conns: map[net.Conn]bool{}, born: time.Now()}
+	wk := &rawWorker{sx: sx, mc: mc, service: service, id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: mc.addr(portServer), control: mc.addr(portAnnounce), conns: map[net.Conn]bool{}}
 	for try := 0; ; try++ {
 		ln, err := net.Listen("tcp", wk.addr)
 		if err == nil {
