--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -59,6 +60,13 @@
 		return nil, err
 	}
 	fl := &fleet{rec: rec, st: newStore(), dir: dir, extra: map[string]string{}}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		fl.stop()
+		os.Exit(notRun)
+	}()
 	for i, place := range places {
 		zone, service, _ := strings.Cut(place, "/")
 		mc := &machine{fl: fl, zone: zone, ip: fmt.Sprintf("127.0.71.%d", i+1), storeGate: newGate()}
