proxy: a response without a length ends only if its connection was closed in order

Callers got part of a response as a complete one: a backend server answered a long upload with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the error of a socket once. The write of the upload received the reset; the read of the response then returned the end of the stream, which is the end of a body without a length.

Change: package intact wraps the connection of a client. At the end of the stream it waits for a pending write, which it interrupts, and looks at the first error of a write. EPIPE means that the server had closed in order before, and the response is complete; any other failure is an error. A read that sees the orderly end is no longer overruled by the transport closing the connection meanwhile. The guard is in the forwarder, so it holds for the hop to the server and for the one between daemons.

--- /dev/null
+++ b/internal/path/outlet/reset_test.go
@@ -0,0 +1,79 @@
+package outlet_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/flamingomast/flamingomast/internal/plat/faulty"
+)
+
+// uploadSize exceeds all the buffers between caller and backend server.
+const uploadSize = 16 << 20
+
+// resets returns a handler that answers with text while the request is being received, and then
+// resets the connection.
+func resets(text string) faulty.Handler {
+	return func(cn net.Conn, _ int, req *http.Request) bool {
+		// The upload is on its way once its first bytes have arrived.
+		_, _ = io.ReadFull(req.Body, make([]byte, 1<<10))
+		_, _ = io.WriteString(cn, text)
+		_, _ = io.ReadFull(req.Body, make([]byte, 256<<10))
+		_ = cn.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
+func (rg *rig) upload(path string, size int) *http.Request {
+	req := rg.request("POST", path, "")
+	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, size))), int64(size)
+	return req
+}
+
+// TestResetDuringUpload guards against taking a response without a length for complete when its
+// connection was reset while the request was still being sent.
+func TestResetDuringUpload(t *testing.T) {
+	const rounds, callers = 25, 4
+	for _, tc := range []struct{ name, response string }{
+		{"to the end of the connection", "HTTP/1.1 200 OK\r\n\r\npart"},
+		{"announced close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart"},
+		{"no body", "HTTP/1.1 200 OK\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			be := newFaultyServer(t, resets(tc.response))
+			rg := newRig(t, be.Addr)
+			var wg conc.WaitGroup
+			for range callers {
+				wg.Go(func() {
+					for range rounds {
+						if rp := rg.do(rg.upload("/a", uploadSize)); rp.err == nil && rp.status == http.StatusOK {
+							t.Errorf("a response of %d bytes looked complete", len(rp.body))
+						}
+					}
+				})
+			}
+			wg.Wait()
+			if be.RequestCount() == 0 {
+				t.Error("no request was sent to the server")
+			}
+		})
+	}
+}
+
+// TestUnboundedResponseComplete guards against refusing a response without a length whose server has
+// closed the connection in order.
+func TestUnboundedResponseComplete(t *testing.T) {
+	rg := newRig(t, newFaultyServer(t, faulty.RespondRaw("HTTP/1.1 200 OK\r\n\r\nwhole", false)).Addr)
+	for _, size := range []int{0, 10, uploadSize} {
+		for range 10 {
+			if rp := rg.do(rg.upload("/a", size)); rp.err != nil || rp.status != http.StatusOK || rp.body != "whole" {
+				t.Fatalf("after an upload of %d bytes got %+v, %v; want the whole response", size, rp, rp.err)
+			}
+		}
+	}
+}
--- a/internal/path/proxy/conn.go
+++ b/internal/path/proxy/conn.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
+	"github.com/flamingomast/flamingomast/internal/plat/intact"
 )
 
 // errConnUnusable reports that a connection was closed, or delivered bytes that belong to no
@@ -38,7 +40,7 @@
 }
 
 func newConn(nc net.Conn) *conn {
-	cn := &conn{Conn: nc}
+	cn := &conn{Conn: intact.New(nc)}
 	cn.changed = sync.NewCond(&cn.mu)
 	return cn
 }
@@ -88,6 +90,7 @@
 // Read reads into p. Data that arrives before a request was written aborts the connection.
 func (cn *conn) Read(p []byte) (int, error) {
 	cn.mu.Lock()
+	wasAborted := cn.aborted
 	cn.reading = true
 	cn.changed.Broadcast()
 	cn.mu.Unlock()
@@ -98,6 +101,11 @@
 	if n > 0 && cn.written == cn.writtenBefore {
 		cn.aborted = true
 	}
+	if !wasAborted && n == 0 && errors.Is(err, io.EOF) {
+		// A write that is interrupted at the end of the response makes the transport close the
+		// connection. The response is complete nevertheless.
+		return 0, err
+	}
 	if cn.aborted {
 		return 0, errConnUnusable
 	}
--- /dev/null
+++ b/internal/plat/intact/conn.go
@@ -0,0 +1,98 @@
+package intact
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Conn is a client's connection to an HTTP/1 server.
+//
+// The kernel reports the failure of a socket once. If a write receives the error, reads end with
+// io.EOF, which is how a response without a length ends. Conn returns io.EOF only if the server has
+// closed the connection in order.
+type Conn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// writing is set while a write is in progress; writeErr is the first error of a write.
+	writing  bool
+	writeErr error
+}
+
+// New returns a connection that reads from and writes to nc.
+func New(nc net.Conn) *Conn {
+	cn := &Conn{Conn: nc}
+	cn.changed = sync.NewCond(&cn.mu)
+	return cn
+}
+
+// SyscallConn returns the raw connection of the socket.
+func (cn *Conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
+// Write writes p.
+func (cn *Conn) Write(p []byte) (int, error) {
+	cn.mu.Lock()
+	cn.writing = true
+	cn.mu.Unlock()
+	n, err := cn.Conn.Write(p)
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.writing = false
+	if err != nil && cn.writeErr == nil {
+		cn.writeErr = err
+	}
+	cn.changed.Broadcast()
+	return n, err
+}
+
+// Read reads into p.
+func (cn *Conn) Read(p []byte) (int, error) {
+	n, err := cn.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cn.verifyEnd(err)
+	}
+	return n, err
+}
+
+// past is a deadline that ends a pending write at once.
+var past = time.Unix(1, 0)
+
+// verifyEnd returns eof, the end that a read returned, or an *Error if the connection has failed.
+func (cn *Conn) verifyEnd(eof error) error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.writing {
+		// A write that has received the error of the socket returns it in spite of the deadline. Any
+		// other one is of no use, since the response to its request has ended.
+		if err := cn.Conn.SetWriteDeadline(past); err != nil {
+			return &Error{Kind: CutOff, Detail: "the connection failed", Err: err}
+		}
+	}
+	for cn.writing {
+		cn.changed.Wait()
+	}
+	if err := cn.writeErr; err != nil && !endsInOrder(err) {
+		return &Error{Kind: CutOff, Detail: "the connection failed before the end of the response", Err: err}
+	}
+	return eof
+}
+
+// endsInOrder reports whether reads from a connection end in order although a write failed with err,
+// its first error: the write was interrupted, or it failed because the server had closed the
+// connection before.
+func endsInOrder(err error) bool {
+	// A reset that follows an orderly close is EPIPE, any other one ECONNRESET.
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
+}
