proxy: a response with a status line that is none of HTTP/1 is refused

A backend server in trouble answered with the status 000, 001, 099 or +20. Callers got no answer: their connection was dropped, and the log had a panic of the HTTP library ("invalid WriteHeader code") that did not name the cause. Responses with the status 101, which nobody had asked for, or with a version such as HTTP/2.0 or HTTP/0.9, were forwarded as answers.

Cause: the library's parser takes any three characters that form a number as a status and any two digits as a version, and nothing checks them after it.

Change: package intact checks the head of a response, and the interim responses before it, as it is read from the connection, before the library sees the end of the offending line. The request is refused with 502, may-have-run and the new reason malformed-answer, which logs and metrics carry, with the error in the line of the inlet; explain shows it. A head that was read whole and that the library itself refuses has the same reason. Statuses from 100 to 999 but 101 are forwarded as before: RFC 9110 treats those from 600 on as server errors, and so does the outlet.

TestMalformedStatusLine and TestMalformedInterim play 24 heads at both hops with nine kinds of requests. Before, the seven with a status below 100 ended the caller's connection or were reported as a broken connection, and those with another version, 101 or control bytes in the reason were forwarded as 200 or 101; all are refused with their reason now. Chunk extensions with a blank before the semicolon are refused by the library, as before; that is safe and is left as it is.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -428,6 +428,8 @@
 		rf.Reason = result.ReasonDeadlinePassed
 	case oc == result.NotRun && re == result.ReasonNoConnection:
 		in.Unreachable(*tg)
+	case re == result.ReasonMalformed:
+		rf.Detail = "the response of the backend server violates the protocol"
 	}
 	return rf
 }
--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -166,6 +166,8 @@
 		rf.Reason = result.ReasonDeadlinePassed
 	case rq.body.tooLarge():
 		rf.Reason, rf.RetryAfter = result.ReasonTooLarge, 0
+	case re == result.ReasonMalformed:
+		rf.Detail = "the response violates the protocol"
 	case at.Err != nil:
 		rf.Detail = "the connection to the backend server failed"
 	}
--- /dev/null
+++ b/internal/path/outlet/malformed_test.go
@@ -0,0 +1,175 @@
+package outlet_test
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/flamingomast/flamingomast/internal/plat/faulty"
+)
+
+// responder puts a stand-in that answers with raw text behind an outlet.
+type responder struct {
+	name string
+	// place lets a server that responds with text answer the requests of rg.
+	place func(t *testing.T, text string) *rig
+}
+
+// responders are the hops at which a response is read: from the backend server by its inlet, and from
+// an inlet by the outlet.
+var responders = []responder{
+	{"server", func(t *testing.T, text string) *rig {
+		return newRig(t, newFaultyServer(t, faulty.RespondRaw(text, false)).Addr)
+	}},
+	{"inlet", func(t *testing.T, text string) *rig {
+		rg := newRig(t, "127.0.0.1:1")
+		rg.vms[0].rec.Inlet = newFaultyServer(t, faulty.RespondRaw(text, false)).Addr
+		rg.update()
+		return rg
+	}},
+}
+
+// wantRefused checks that a malformed response is refused, whoever sends it and whatever is asked.
+func wantRefused(t *testing.T, response string) {
+	t.Helper()
+	for _, rs := range responders {
+		for _, kd := range requestKinds {
+			rg := rs.place(t, response)
+			rp := rg.do(rg.request(kd.method, kd.path, kd.body, kd.hdr...))
+			if rp.err != nil || rp.status != http.StatusBadGateway || rp.outcome != "may-have-run" || rp.reason != "malformed-answer" {
+				t.Errorf("from the %s, to %s: the caller got %+v, %v; want 502, may-have-run, malformed-answer", rs.name, kd.name, rp, rp.err)
+			}
+		}
+	}
+}
+
+// TestMalformedStatusLine guards against forwarding a response whose status or version is none of
+// HTTP/1, and against dropping the caller's connection because of it.
+func TestMalformedStatusLine(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 001 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 -00 Trouble", "HTTP/1.1 000",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 200\tOK", "HTTP/1.1  OK", "HTTP/1.1",
+		"HTTP/1.1 101 Switching Protocols",
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/9.9 200 OK", "http/1.1 200 OK", "HTTP/1.x 200 OK", "HTTP/11 200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK",
+	} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			wantRefused(t, line+"\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
+// TestMalformedReported guards against refusing a response without a trace of what was wrong with it.
+func TestMalformedReported(t *testing.T) {
+	rg := newRig(t, newFaultyServer(t, faulty.RespondRaw("HTTP/1.1 000 Trouble\r\n\r\n", false)).Addr)
+	var log lockedBuffer
+	in := rg.vms[0].in
+	in.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	rp := rg.do(rg.request("POST", "/a", "visit"))
+	if rp.status != http.StatusBadGateway || rp.reason != "malformed-answer" {
+		t.Errorf("the caller got %+v", rp)
+	}
+	for _, part := range []string{`"msg":"inlet-failed"`, `"reason":"malformed-answer"`, `"error":"intact: malformed response: the status 000 is out of range"`} {
+		if !strings.Contains(log.String(), part) {
+			t.Errorf("no %s in the log:\n%s", part, log.String())
+		}
+	}
+	for name, n := range map[string]expvar.Var{
+		"inlet": in.Stats.For("booking", "default").Outcomes.Get("may-have-run/malformed-answer"), "outlet": rg.outlet.Stats.For("booking", "default").Outcomes.Get("may-have-run/malformed-answer"),
+	} {
+		if n == nil || n.String() != "1" {
+			t.Errorf("%s: may-have-run/malformed-answer was counted %v times, want 1", name, n)
+		}
+	}
+}
+
+// TestMalformedInterim guards against accepting a response behind an interim response that violates
+// the protocol.
+func TestMalformedInterim(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	for _, interim := range []string{
+		"HTTP/1.1 099 None\r\n\r\n", "HTTP/2.0 103 Early Hints\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", interim), func(t *testing.T) {
+			t.Parallel()
+			wantRefused(t, interim+final)
+		})
+	}
+}
+
+// TestOddResponse guards against refusing or changing a response that is unusual but sound.
+func TestOddResponse(t *testing.T) {
+	const body = "\r\nContent-Length: 4\r\n\r\nbody"
+	long := strings.Repeat("x", 100<<10)
+	for _, tc := range []struct {
+		name, response string
+		status         int
+		// field is a field of the response and its values, joined by "|".
+		field, values string
+		body          string
+	}{
+		{"without a reason", "HTTP/1.1 200" + body, 200, "", "", "body"},
+		{"empty reason", "HTTP/1.1 200 " + body, 200, "", "", "body"},
+		{"long reason", "HTTP/1.1 200 " + long + body, 200, "", "", "body"},
+		{"reason in another alphabet", "HTTP/1.1 200 tudo b\xc3\xa9m\tsim" + body, 200, "", "", "body"},
+		{"blanks before the status", "HTTP/1.1   200 OK" + body, 200, "", "", "body"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK" + body, 200, "", "", "body"},
+		{"HTTP/1.0 without a length", "HTTP/1.0 200 OK\r\n\r\nbody", 200, "", "", "body"},
+		{"HTTP/1.2", "HTTP/1.2 200 OK" + body, 200, "", "", "body"},
+		{"unassigned success", "HTTP/1.1 299 Fine" + body, 299, "", "", "body"},
+		{"unassigned redirection", "HTTP/1.1 399 There" + body, 399, "", "", "body"},
+		{"unassigned refusal", "HTTP/1.1 499 No" + body, 499, "", "", "body"},
+		{"unassigned failure", "HTTP/1.1 599 No" + body, 599, "", "", "body"},
+		{"class 6", "HTTP/1.1 600 No" + body, 600, "", "", "body"},
+		{"largest status", "HTTP/1.1 999 No" + body, 999, "", "", "body"},
+		{"line feeds only", "HTTP/1.1 200 OK\nX-Odd: v\nContent-Length: 4\n\nbody", 200, "X-Odd", "v", "body"},
+		{"all bytes of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~aZ09: v" + body, 200, "!#$%&'*+-.^_`|~az09", "v", "body"},
+		{"lower case", "HTTP/1.1 200 OK\r\nx-odd: v\r\ncontent-length: 4\r\n\r\nbody", 200, "X-Odd", "v", "body"},
+		{"empty value", "HTTP/1.1 200 OK\r\nX-Odd:" + body, 200, "X-Odd", "", "body"},
+		{"blanks around the value", "HTTP/1.1 200 OK\r\nX-Odd: \t v w \t" + body, 200, "X-Odd", "v w", "body"},
+		{"no blank before the value", "HTTP/1.1 200 OK\r\nX-Odd:v" + body, 200, "X-Odd", "v", "body"},
+		{"colons in the value", "HTTP/1.1 200 OK\r\nX-Odd: a:b: c" + body, 200, "X-Odd", "a:b: c", "body"},
+		{"value in another alphabet", "HTTP/1.1 200 OK\r\nX-Odd: S\xc3\xa3o \xff" + body, 200, "X-Odd", "S\xc3\xa3o \xff", "body"},
+		{"long value", "HTTP/1.1 200 OK\r\nX-Odd: " + long + body, 200, "X-Odd", long, "body"},
+		{"long name", "HTTP/1.1 200 OK\r\nX-" + long + ": v" + body, 200, "X-" + long, "v", "body"},
+		{"repeated field", "HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nX: y\r\nSet-Cookie: b=2" + body, 200, "Set-Cookie", "a=1|b=2", "body"},
+		{"folded line", "HTTP/1.1 200 OK\r\nX-Odd: a\r\n \t b\r\n\tc" + body, 200, "X-Odd", "a b c", "body"},
+		{"folded empty line", "HTTP/1.1 200 OK\r\nX-Odd: a\r\n " + body, 200, "X-Odd", "a", "body"},
+		{"folded length", "HTTP/1.1 200 OK\r\nContent-Length:\r\n 4\r\n\r\nbody", 200, "", "", "body"},
+		{"equal lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4" + body, 200, "", "", "body"},
+		{"chunked with a length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200, "", "", "body"},
+		{"chunk extensions", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n02;a=b\r\nbo\r\n2;c=\"d e\"\r\ndy\r\n000;d\r\n\r\n", 200, "", "", "body"},
+		{"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK" + body, 200, "Link", "", "body"},
+		{"unassigned interim response", "HTTP/1.1 199 Wait\r\n\r\nHTTP/1.1 200 OK" + body, 200, "", "", "body"},
+		{"no content", "HTTP/1.1 204 No Content\r\nX-Odd: v\r\n\r\n", 204, "X-Odd", "v", ""},
+		{"not modified, with a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\nEtag: \"a\"\r\n\r\n", 304, "Etag", `"a"`, ""},
+		{"to the end of the connection", "HTTP/1.1 200 OK\r\n\r\nbody", 200, "", "", "body"},
+		{"binary body", "HTTP/1.1 200 OK\r\n\r\nX Bad: v\r\n\x00HTTP/1.1 000\r\n", 200, "", "", "X Bad: v\r\n\x00HTTP/1.1 000\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			for _, rs := range responders {
+				rg := rs.place(t, tc.response)
+				req := rg.request("GET", "/a", "")
+				cl := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 1 << 20}}
+				res, err := cl.Do(req)
+				if err != nil {
+					t.Fatalf("from the %s: %v", rs.name, err)
+				}
+				defer res.Body.Close()
+				text, err := io.ReadAll(res.Body)
+				if err != nil || res.StatusCode != tc.status || string(text) != tc.body {
+					t.Errorf("from the %s: status %d, body %q, %v; want %d, %q", rs.name, res.StatusCode, text, err, tc.status, tc.body)
+				}
+				if got := res.Header.Values(tc.field); tc.field != "" && strings.Join(got, "|") != tc.values {
+					t.Errorf("from the %s: %.40s has the values %.80q, want %.80q", rs.name, tc.field, got, tc.values)
+				}
+			}
+		})
+	}
+}
--- a/internal/path/proxy/conn.go
+++ b/internal/path/proxy/conn.go
@@ -29,7 +29,7 @@
 // read has not returned yet. Surplus that arrives after the request was written cannot be told from
 // its response.
 type conn struct {
-	net.Conn
+	*intact.Conn
 
 	mu            sync.Mutex
 	changed       *sync.Cond
@@ -47,6 +47,7 @@
 
 // begin starts a request and returns how many bytes were written before it.
 func (cn *conn) begin() int64 {
+	cn.Begin()
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.writtenBefore = cn.written
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"github.com/flamingomast/flamingomast/internal/path/result"
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
+	"github.com/flamingomast/flamingomast/internal/plat/intact"
 )
 
 // Limits of a hop.
@@ -25,8 +26,9 @@
 	// continueTimeout is how long a request with Expect: 100-continue waits for a response before
 	// its body is sent. Inlets always respond, and read the body only once they have a slot; the
 	// context of a request ends the wait long before.
-	continueTimeout   = time.Hour
-	maxResponseHeader = 256 << 10
+	continueTimeout = time.Hour
+	// maxResponseHeader is larger than what package intact accepts, whose errors are clearer.
+	maxResponseHeader = 2 * intact.MaxHead
 )
 
 // Forwarder sends requests to next hops.
@@ -135,6 +137,8 @@
 		cn.abort()
 		_ = at.Response.Body.Close()
 		at.Response, at.Err = nil, errConnUnusable
+	} else if at.Response == nil && cn != nil && cn.Refusal() != nil {
+		at.Err = cn.Refusal()
 	}
 	return at
 }
@@ -168,6 +172,11 @@
 	if cn != nil && !cn.wrote(writtenBefore) {
 		return result.NotRun, result.ReasonConnectionBroken
 	}
+	var er *intact.Error
+	if errors.As(at.Err, &er) && er.Kind == intact.Malformed || cn != nil && cn.HeadRead() {
+		// A whole head without a response is one that the transport has refused.
+		return result.MayHaveRun, result.ReasonMalformed
+	}
 	return result.MayHaveRun, result.ReasonConnectionBroken
 }
 
--- a/internal/path/result/result.go
+++ b/internal/path/result/result.go
@@ -71,6 +71,7 @@
 	ReasonUpgrade          Reason = "upgrade-not-carried"
 	ReasonCallerGone       Reason = "caller-gone"
 	ReasonForeignResponse  Reason = "foreign-answer"
+	ReasonMalformed        Reason = "malformed-answer"
 	ReasonNoKey            Reason = "key-missing-or-unknown"
 	ReasonOverLimit        Reason = "over-tenant-limit"
 	ReasonServerLimit      Reason = "over-server-limit"
--- a/internal/plat/intact/conn.go
+++ b/internal/plat/intact/conn.go
@@ -10,7 +10,11 @@
 	"time"
 )
 
-// Conn is a client's connection to an HTTP/1 server.
+// Conn is a client's connection to an HTTP/1 server. Begin must be called before each request but the
+// first.
+//
+// It refuses a response whose head violates the protocol, before the HTTP library reads the line that
+// does.
 //
 // The kernel reports the failure of a socket once. If a write receives the error, reads end with
 // io.EOF, which is how a response without a length ends. Conn returns io.EOF only if the server has
@@ -23,6 +27,9 @@
 	// writing is set while a write is in progress; writeErr is the first error of a write.
 	writing  bool
 	writeErr error
+	// head checks the head of the current response, refused is what is wrong with it.
+	head    headScanner
+	refused *Error
 }
 
 // New returns a connection that reads from and writes to nc.
@@ -57,9 +64,52 @@
 	return n, err
 }
 
-// Read reads into p.
+// Begin starts a request on a connection that has been used.
+func (cn *Conn) Begin() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.head = headScanner{}
+}
+
+// HeadRead reports whether a whole head was read as the response to the current request, and no write
+// has failed.
+func (cn *Conn) HeadRead() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.head.part == beyond && cn.writeErr == nil
+}
+
+// scan checks bytes of a response that were read. It returns how many of them may be passed on.
+func (cn *Conn) scan(p []byte) (int, error) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	n, er := cn.head.scan(p)
+	if er != nil {
+		cn.refused = er
+		return n, er
+	}
+	return n, nil
+}
+
+// Refusal returns what is wrong with the head of the response, nil if nothing is. The HTTP library may
+// report another error, since it takes an incomplete line for a whole one.
+func (cn *Conn) Refusal() *Error {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.refused
+}
+
+// Read reads into p. After a malformed head, all reads fail.
 func (cn *Conn) Read(p []byte) (int, error) {
+	if er := cn.Refusal(); er != nil {
+		return 0, er
+	}
 	n, err := cn.Conn.Read(p)
+	if n > 0 {
+		if sound, err := cn.scan(p[:n]); err != nil {
+			return sound, err
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		err = cn.verifyEnd(err)
 	}
--- /dev/null
+++ b/internal/plat/intact/head.go
@@ -0,0 +1,157 @@
+package intact
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// MaxHead is the largest size in bytes of the head of a response, together with the interim responses
+// before it.
+const MaxHead = 256 << 10
+
+// part is what the next byte of a head belongs to.
+type part int
+
+const (
+	statusLine part = iota
+	// lineStart is the first byte of a field line, of its continuation, or of the line that ends the
+	// head.
+	lineStart
+	fieldValue
+	// lineFeed must follow a carriage return.
+	lineFeed
+	// beyond is what follows the head.
+	beyond
+)
+
+// maxToken is how many bytes of a status line are examined.
+const maxToken = 32
+
+// headScanner checks the head of a response, and the interim responses before it, byte by byte. The
+// parser of the HTTP library is lenient: it accepts any three characters that are a number as a status.
+//
+// Accepted are all heads that RFC 9112 lets a recipient accept: bare line feeds, folded lines, and
+// blanks before the status.
+type headScanner struct {
+	part part
+	// line is the part to which the carriage return before a lineFeed belongs.
+	line part
+	// token begins the status line, which has length bytes.
+	token  [maxToken]byte
+	length int
+	// size is how many bytes of all heads were read.
+	size   int
+	status int
+	// folds is set once a field line was read, which the next line may continue.
+	folds bool
+}
+
+// scan processes further bytes of a response. It returns how many of them may be passed on: up to the
+// first byte that violates the protocol, if there is one.
+func (hs *headScanner) scan(p []byte) (int, *Error) {
+	for i, c := range p {
+		if hs.part == beyond {
+			break
+		}
+		if hs.size++; hs.size > MaxHead {
+			return i, malformed("the head exceeds %d bytes", MaxHead)
+		}
+		if er := hs.next(c); er != nil {
+			return i, er
+		}
+	}
+	return len(p), nil
+}
+
+// next processes one byte.
+func (hs *headScanner) next(c byte) *Error {
+	switch hs.part {
+	case lineStart:
+		if c == ' ' || c == '\t' {
+			if !hs.folds {
+				return malformed("the first field line begins with a blank")
+			}
+			hs.part = fieldValue
+			return nil
+		}
+		if c != '\r' && c != '\n' {
+			hs.part = fieldValue
+			return nil
+		}
+	case lineFeed:
+		if c != '\n' {
+			return malformed("a carriage return is followed by %q", c)
+		}
+		hs.part = hs.line
+	}
+	switch {
+	case c == '\r':
+		hs.line, hs.part = hs.part, lineFeed
+		return nil
+	case c == '\n':
+		return hs.endLine()
+	case hs.part == statusLine && (c < ' ' && c != '\t' || c == 0x7f):
+		return malformed("the status line holds %q", c)
+	}
+	if hs.part == statusLine {
+		hs.store(c)
+	}
+	return nil
+}
+
+// endLine processes the end of a line.
+func (hs *headScanner) endLine() *Error {
+	switch hs.part {
+	case statusLine:
+		hs.part, hs.folds = lineStart, false
+		return hs.endStatusLine()
+	case fieldValue:
+		hs.part, hs.folds = lineStart, true
+	case lineStart:
+		hs.part = beyond
+		if hs.status < http.StatusOK {
+			// The final response follows an interim one.
+			hs.part, hs.length = statusLine, 0
+		}
+	}
+	return nil
+}
+
+// endStatusLine processes the end of the status line.
+func (hs *headScanner) endStatusLine() *Error {
+	text := hs.tokenText()
+	minor, found := strings.CutPrefix(text, "HTTP/1.")
+	if !found || len(minor) < 2 || !isDigit(minor[0]) || minor[1] != ' ' {
+		return malformed("the status line %q names no version of HTTP/1", text)
+	}
+	code, _, _ := strings.Cut(strings.TrimLeft(minor[1:], " "), " ")
+	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
+		return malformed("the status line %q has no status", text)
+	}
+	hs.status = 100*int(code[0]-'0') + 10*int(code[1]-'0') + int(code[2]-'0')
+	if hs.status < http.StatusContinue {
+		return malformed("the status %s is out of range", code)
+	}
+	if hs.status == http.StatusSwitchingProtocols {
+		return malformed("the server switches protocols without being asked to")
+	}
+	return nil
+}
+
+// store adds a byte to the token.
+func (hs *headScanner) store(c byte) {
+	if hs.length < maxToken {
+		hs.token[hs.length] = c
+	}
+	hs.length++
+}
+
+// tokenText returns the beginning of the token.
+func (hs *headScanner) tokenText() string { return string(hs.token[:min(hs.length, maxToken)]) }
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+func malformed(format string, args ...any) *Error {
+	return &Error{Kind: Malformed, Detail: fmt.Sprintf(format, args...)}
+}
--- a/internal/stat/diag/cause.go
+++ b/internal/stat/diag/cause.go
@@ -186,6 +186,9 @@
 			return append(list, fmt.Sprintf("the backend server %s beside %s crashed while running it, and possibly other requests; its %s is %s", ln.Text(logs.Lifetime), ln.VM, logs.RequestKey, ln.Text(logs.RequestKey)))
 		}
 		if ln.Event == logs.InletFailed && ln.Text(logs.ID) == co.id {
+			if ln.Text(logs.Reason) == string(result.ReasonMalformed) {
+				return append(list, fmt.Sprintf("the inlet of %s refused the response of its backend server (%s)", ln.VM, ln.Text(logs.Error)))
+			}
 			return append(list, fmt.Sprintf("the inlet of %s had handed it to its backend server, which did not answer it (%s)", ln.VM, ln.Text(logs.Reason)))
 		}
 	}
--- a/internal/stat/diag/diag_test.go
+++ b/internal/stat/diag/diag_test.go
@@ -60,6 +60,10 @@
 			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
 			line(29, "b", "inlet-failed", `"id":"x","outcome":"may-have-run","reason":"connection-broken"`),
 		}, []string{"it was sent to b and no answer says that it has not run", "the inlet of b had handed it to its backend server"}},
+		{"502, the server's response was malformed", []string{
+			request(30, "may-have-run", "malformed-answer", 1, `,"to-vm":"b","took":20000000`),
+			line(29, "b", "inlet-failed", `"id":"x","outcome":"may-have-run","reason":"malformed-answer","error":"the status 000 is out of range"`),
+		}, []string{"it was sent to b", "the inlet of b refused the response of its backend server (the status 000 is out of range)"}},
 		{"502, the daemon was killed", []string{
 			request(30, "may-have-run", "connection-broken", 1, `,"to-vm":"b","took":20000000`),
 			line(200, "b", "daemon-start", ""),
