proxy: a response with a malformed field line is refused

A backend server in trouble answered with a field name that held a blank. Callers got the answer: the line "X Bad: v" was dropped or passed on, and behind "Content-Length : 50" and five bytes they got a complete 200 with five bytes, since a line that frames the body frames nothing under another name. "Transfer-Encoding : chunked" delivered the chunk sizes as part of the body.

Cause: the library's parser accepts blanks in field names and keeps such a name as it is; nothing checks it afterwards. Names with other bytes outside the alphabet of names, lines without a colon, and control bytes in values are refused by the library already; that was confirmed.

Change: the scanner of package intact checks all field lines of the head, and of the interim responses before it, against RFC 9112. Folded lines, bare line feeds, and bytes above 0x7f in values, which a recipient may accept, pass. Checking the names of the parsed response instead was ruled out: it would not see interim responses, nor lines that the library removes.

--- a/internal/path/outlet/malformed_test.go
+++ b/internal/path/outlet/malformed_test.go
@@ -88,11 +88,30 @@
 	}
 }
 
+// TestMalformedField guards against forwarding a response with a field line that violates the
+// protocol: a line that frames the body frames nothing under another name.
+func TestMalformedField(t *testing.T) {
+	for _, line := range []string{
+		"X Bad: v", "X-Bad : v", "X-Bad\t: v", "X-B\x01ad: v", "X-B\x7fad: v", "X-B\x80ad: v", "X(Bad): v", "X-Bad", ": v", " : v",
+		"X-Bad: \x00", "X-Bad: a\rb", "X-Bad: a\x1bb",
+		"Content-Length : 50", "Content-Length\t: 50", "Transfer-Encoding : chunked", "Content -Length: 50",
+		"X-Bad: v\r\n  \r\n: x",
+	} {
+		for _, order := range []string{"%s\r\nContent-Length: 4\r\n\r\nbody", "Content-Length: 4\r\n%s\r\n\r\nbody", "%s\r\n\r\nbody"} {
+			t.Run(fmt.Sprintf("%q in %q", line, order), func(t *testing.T) {
+				t.Parallel()
+				wantRefused(t, "HTTP/1.1 200 OK\r\n"+fmt.Sprintf(order, line))
+			})
+		}
+	}
+}
+
 // TestMalformedInterim guards against accepting a response behind an interim response that violates
 // the protocol.
 func TestMalformedInterim(t *testing.T) {
 	const final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 	for _, interim := range []string{
+		"HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n", "HTTP/1.1 100 Continue\r\nContent-Length : 4\r\n\r\n",
 		"HTTP/1.1 099 None\r\n\r\n", "HTTP/2.0 103 Early Hints\r\n\r\n", "HTTP/1.1 101 Switching Protocols\r\n\r\n",
 	} {
 		t.Run(fmt.Sprintf("%q", interim), func(t *testing.T) {
@@ -102,6 +121,24 @@
 	}
 }
 
+// TestMalformedFraming guards against forwarding a body whose length is ambiguous.
+func TestMalformedFraming(t *testing.T) {
+	for _, tc := range []struct{ name, response string }{
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nbody"},
+		{"no number", "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nbody"},
+		{"empty length", "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nbody"},
+		{"signed length", "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody"},
+		{"huge length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody"},
+		{"unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody"},
+		{"two codings", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			wantRefused(t, tc.response)
+		})
+	}
+}
+
 // TestOddResponse guards against refusing or changing a response that is unusual but sound.
 func TestOddResponse(t *testing.T) {
 	const body = "\r\nContent-Length: 4\r\n\r\nbody"
--- a/internal/plat/intact/head.go
+++ b/internal/plat/intact/head.go
@@ -18,6 +18,7 @@
 	// lineStart is the first byte of a field line, of its continuation, or of the line that ends the
 	// head.
 	lineStart
+	fieldName
 	fieldValue
 	// lineFeed must follow a carriage return.
 	lineFeed
@@ -25,11 +26,13 @@
 	beyond
 )
 
-// maxToken is how many bytes of a status line are examined.
+// maxToken is how many bytes of a status line or of a field name are kept.
 const maxToken = 32
 
 // headScanner checks the head of a response, and the interim responses before it, byte by byte. The
-// parser of the HTTP library is lenient: it accepts any three characters that are a number as a status.
+// parser of the HTTP library is lenient: it accepts blanks in field names and any three characters
+// that are a number as a status. A field line that frames the body does not frame it under another
+// name.
 //
 // Accepted are all heads that RFC 9112 lets a recipient accept: bare line feeds, folded lines, and
 // blanks before the status.
@@ -37,7 +40,7 @@
 	part part
 	// line is the part to which the carriage return before a lineFeed belongs.
 	line part
-	// token begins the status line, which has length bytes.
+	// token begins the status line, or the field name, which has length bytes.
 	token  [maxToken]byte
 	length int
 	// size is how many bytes of all heads were read.
@@ -76,9 +79,11 @@
 			return nil
 		}
 		if c != '\r' && c != '\n' {
-			hs.part = fieldValue
-			return nil
+			hs.part, hs.length = fieldName, 0
+			return hs.nextOfName(c)
 		}
+	case fieldName:
+		return hs.nextOfName(c)
 	case lineFeed:
 		if c != '\n' {
 			return malformed("a carriage return is followed by %q", c)
@@ -91,8 +96,8 @@
 		return nil
 	case c == '\n':
 		return hs.endLine()
-	case hs.part == statusLine && (c < ' ' && c != '\t' || c == 0x7f):
-		return malformed("the status line holds %q", c)
+	case c < ' ' && c != '\t' || c == 0x7f:
+		return malformed("a line of the head holds %q", c)
 	}
 	if hs.part == statusLine {
 		hs.store(c)
@@ -100,6 +105,19 @@
 	return nil
 }
 
+// nextOfName processes one byte of a field name or the colon behind it.
+func (hs *headScanner) nextOfName(c byte) *Error {
+	switch {
+	case c == ':' && hs.length > 0:
+		hs.part = fieldValue
+		return nil
+	case isToken(c):
+		hs.store(c)
+		return nil
+	}
+	return malformed("the name of a field, which begins with %q, holds %q", hs.tokenText(), c)
+}
+
 // endLine processes the end of a line.
 func (hs *headScanner) endLine() *Error {
 	switch hs.part {
@@ -152,6 +170,11 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+// isToken reports whether c may be part of a field name (RFC 9110 section 5.6.2).
+func isToken(c byte) bool {
+	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || isDigit(c) || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+}
+
 func malformed(format string, args ...any) *Error {
 	return &Error{Kind: Malformed, Detail: fmt.Sprintf(format, args...)}
 }
