proxy: a response of HTTP/1.0 with a transfer coding is refused

A server that answers with the version HTTP/1.0 and Transfer-Encoding: chunked had its chunk sizes delivered to callers as part of a complete body. Found while looking for lines that frame a body and that nobody heeds.

Cause: the library removes Transfer-Encoding from responses of HTTP/1.0 and reads the body to the end of the connection, or to Content-Length. RFC 9112 section 6.1 asks to treat the framing of such a message as faulty.

Change: the scanner of the head refuses it.

TestMalformedFraming, two heads at both hops with nine kinds of requests: all 36 were answered with 200 before, and are refused now.

--- a/internal/path/outlet/malformed_test.go
+++ b/internal/path/outlet/malformed_test.go
@@ -124,6 +124,8 @@
 // TestMalformedFraming guards against forwarding a body whose length is ambiguous.
 func TestMalformedFraming(t *testing.T) {
 	for _, tc := range []struct{ name, response string }{
+		{"chunked in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		{"chunked in HTTP/1.0, with a length", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
 		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nbody"},
 		{"no number", "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nbody"},
 		{"empty length", "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nbody"},
--- a/internal/plat/intact/head.go
+++ b/internal/plat/intact/head.go
@@ -26,7 +26,7 @@
 	beyond
 )
 
-// maxToken is how many bytes of a status line or of a field name are kept.
+// maxToken is how many bytes of a status line or of a field name are examined as a whole.
 const maxToken = 32
 
 // headScanner checks the head of a response, and the interim responses before it, byte by byte. The
@@ -40,12 +40,14 @@
 	part part
 	// line is the part to which the carriage return before a lineFeed belongs.
 	line part
-	// token begins the status line, or the field name, which has length bytes.
+	// token begins the status line, or the field name in lower case, which has length bytes.
 	token  [maxToken]byte
 	length int
 	// size is how many bytes of all heads were read.
-	size   int
+	size int
+	// status and minor are those of the status line.
 	status int
+	minor  byte
 	// folds is set once a field line was read, which the next line may continue.
 	folds bool
 }
@@ -110,14 +112,26 @@
 	switch {
 	case c == ':' && hs.length > 0:
 		hs.part = fieldValue
-		return nil
+		return hs.endName()
 	case isToken(c):
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
 		hs.store(c)
 		return nil
 	}
 	return malformed("the name of a field, which begins with %q, holds %q", hs.tokenText(), c)
 }
 
+// endName processes the end of a field name.
+func (hs *headScanner) endName() *Error {
+	// The library ignores it in responses of HTTP/1.0, and would take the chunks for the body.
+	if hs.minor == '0' && hs.length <= maxToken && hs.tokenText() == "transfer-encoding" {
+		return malformed("Transfer-Encoding in a response of HTTP/1.0")
+	}
+	return nil
+}
+
 // endLine processes the end of a line.
 func (hs *headScanner) endLine() *Error {
 	switch hs.part {
@@ -147,7 +161,7 @@
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
 		return malformed("the status line %q has no status", text)
 	}
-	hs.status = 100*int(code[0]-'0') + 10*int(code[1]-'0') + int(code[2]-'0')
+	hs.minor, hs.status = minor[0], 100*int(code[0]-'0')+10*int(code[1]-'0')+int(code[2]-'0')
 	if hs.status < http.StatusContinue {
 		return malformed("the status %s is out of range", code)
 	}
--- a/internal/plat/intact/head_test.go
+++ b/internal/plat/intact/head_test.go
@@ -32,12 +32,13 @@
 		{"", -1, ""},
 		{"HTTP/1.1 000 X\r\n\r\n", 15, "the status 000 is out of range"},
 		{"HTTP/1.1 101 X\r\n\r\n", 15, "switches protocols"},
-		{"HTTP/1.1 200 OK\r\nA B: c\r\n\r\n", 18, `the name of a field, which begins with "A", holds ' '`},
+		{"HTTP/1.1 200 OK\r\nA B: c\r\n\r\n", 18, `the name of a field, which begins with "a", holds ' '`},
 		{"HTTP/1.1 200 OK\r\n: c\r\n\r\n", 17, `begins with "", holds ':'`},
 		{"HTTP/1.1 200 OK\r\n A: c\r\n\r\n", 17, "the first field line begins with a blank"},
 		{"HTTP/1.1 200 OK\r\nA\r\n\r\n", 18, `holds '\r'`},
 		{"HTTP/1.1 200 OK\r\nA: b\rc\r\n", 22, `a carriage return is followed by 'c'`},
 		{"HTTP/1.1 200 OK\r\nA: b\x00", 21, `a line of the head holds '\x00'`},
+		{"HTTP/1.0 200 OK\r\nTRANSFER-encoding: x", 34, "Transfer-Encoding in a response of HTTP/1.0"},
 		{"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 099 X\r\n", 37, "the status 099 is out of range"},
 	} {
 		passed, _, er := scanned([]byte(tc.head))
