proxy: a response with a malformed trailer field is cut off

A trailer field whose name held a blank was dropped, and callers got the response as a complete one. Found while looking for the cause of malformed field lines in the other parts of a response.

Cause: trailers are read by the same lenient parser, behind the body, where the scanner of the head does not look.

Change: the names of the trailer fields that were received are checked before the end of the body is sent. The head has been forwarded by then, so the caller's connection is closed without an end of the body.

TestMalformedBody, 14 chunked bodies at both hops: two were complete before, those with a blank in the name of a trailer field, and none is now. The other 12, with control bytes, lines without a name, a trailer section of 64 KiB and malformed chunk sizes, were cut off already. TestTrailers: trailer fields of sound responses, folded, repeated, empty and long ones, arrive whole.

--- a/internal/path/outlet/malformed_test.go
+++ b/internal/path/outlet/malformed_test.go
@@ -141,6 +141,49 @@
 	}
 }
 
+// TestMalformedBody guards against a body that violates the protocol behind its head looking complete:
+// its chunks and its trailer section are part of the response.
+func TestMalformedBody(t *testing.T) {
+	for _, body := range []string{
+		"4\r\nbody\r\n0\r\nX Bad: v\r\n\r\n", "4\r\nbody\r\n0\r\nX-Bad : v\r\n\r\n", "4\r\nbody\r\n0\r\nX-Good: v\r\nX-B\x01ad: v\r\n\r\n",
+		"4\r\nbody\r\n0\r\nX-Bad\r\n\r\n", "4\r\nbody\r\n0\r\n: v\r\n\r\n", "4\r\nbody\r\n0\r\nX-Bad: \x00\r\n\r\n", "4\r\nbody\r\n0\r\n X: v\r\n\r\n",
+		"4\r\nbody\r\n0\r\nX-Bad: " + strings.Repeat("v", 64<<10) + "\r\n\r\n",
+		"4\r\nbody\r\nzz\r\n", "4\r\nbodybody\r\n0\r\n\r\n", "4\nbody\r\n0\r\n\r\n", "+4\r\nbody\r\n0\r\n\r\n", "\r\n\r\n", "11111111111111111\r\nbody",
+	} {
+		t.Run(fmt.Sprintf("%.40q", body), func(t *testing.T) {
+			t.Parallel()
+			for _, rs := range responders {
+				rg := rs.place(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+body)
+				if rp := rg.do(rg.request("GET", "/a", "")); rp.err == nil && rp.outcome != "may-have-run" {
+					t.Errorf("from the %s: a complete response %+v", rs.name, rp)
+				}
+			}
+		})
+	}
+}
+
+// TestTrailers guards against losing trailer fields of a sound response.
+func TestTrailers(t *testing.T) {
+	long := strings.Repeat("v", 3<<10)
+	for _, rs := range responders {
+		rg := rs.place(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, X-Missing, X Odd\r\n\r\n4\r\nbody\r\n0\r\nX-Sum: a\r\nx-sum:b\r\n c\r\nX-Empty:\r\nX-Long: "+long+"\r\n\r\n")
+		res, err := http.DefaultClient.Do(rg.request("GET", "/a", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if err != nil || string(text) != "body" {
+			t.Errorf("from the %s: body %q, %v", rs.name, text, err)
+		}
+		for name, want := range map[string]string{"X-Sum": "a|b c", "X-Empty": "", "X-Long": long} {
+			if got := res.Trailer.Values(name); got == nil || strings.Join(got, "|") != want {
+				t.Errorf("from the %s: %s has the values %.40q, want %.40q", rs.name, name, got, want)
+			}
+		}
+	}
+}
+
 // TestOddResponse guards against refusing or changing a response that is unusual but sound.
 func TestOddResponse(t *testing.T) {
 	const body = "\r\nContent-Length: 4\r\n\r\nbody"
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -314,6 +314,9 @@
 			return &CopyError{ReadFailed: true, Err: err}
 		}
 	}
+	if err := intact.CheckTrailer(res.Trailer); err != nil {
+		return &CopyError{ReadFailed: true, Err: err}
+	}
 	for name, values := range res.Trailer {
 		if !result.IsControl(name) {
 			w.Header()[http.TrailerPrefix+name] = values
