inlet, outlet: a response that fails after its head is reported with its cause

When a response failed after its head had been forwarded, the caller's connection was closed, which is right, but the inlet logged nothing, the outlet logged "connection-broken" without an error, and both counted it as connection-broken whatever had been wrong.

A body that the transport refuses while the connection is sound, and a malformed trailer field, count as malformed-answer, and not as a sign that the server crashed.

TestBrokenBodyReported: malformed trailer fields and chunk sizes, and bodies that are cut off, at both hops; no line of the inlet and no error in that of the outlet before, both now.

--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -63,13 +63,15 @@
 	rq.rs.recordSize(headBytes + knownBodySize(rq.r) + max(0, at.Response.ContentLength))
 	proxy.CopyHeader(rq.w, at.Response, nil)
 	err := proxy.Copy(rq.w, at, proxy.Pace{})
+	re := result.ReasonConnectionBroken
 	var ce *proxy.CopyError
 	if errors.As(err, &ce) && ce.ReadFailed && rq.ctx.Err() == nil {
-		vd = pick.Failure
+		vd, re = pick.Failure, ce.Reason
 	}
 	ep.End(time.Now(), vd, rq.gp)
 	if err != nil {
-		rq.record(result.Ended, result.ReasonConnectionBroken)
+		rq.lastRefusal = &result.Refusal{Cause: err}
+		rq.record(result.Ended, re)
 		panic(http.ErrAbortHandler)
 	}
 	return nil
--- a/internal/path/outlet/malformed_test.go
+++ b/internal/path/outlet/malformed_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/flamingomast/flamingomast/internal/path/outlet"
+	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/plat/faulty"
 )
 
@@ -162,6 +164,44 @@
 	}
 }
 
+// TestBrokenBodyReported guards against cutting off a response without a trace of what was wrong with it.
+func TestBrokenBodyReported(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	for _, tc := range []struct{ name, response, reason, err string }{
+		{"trailer field", chunked + "0\r\nX Bad: v\r\n\r\n", "malformed-answer", "of a trailer field holds ' '"},
+		{"chunk size", chunked + "zz\r\nbody\r\n0\r\n\r\n", "malformed-answer", "invalid byte in chunk length"},
+		{"cut off in chunks", chunked, "connection-broken", "unexpected EOF"},
+		{"cut off before its length", "HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\nbody", "connection-broken", "unexpected EOF"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, rs := range responders {
+				rg := rs.place(t, tc.response)
+				var inletLog, outletLog lockedBuffer
+				in := rg.vms[0].in
+				in.Log = slog.New(slog.NewJSONHandler(&inletLog, nil))
+				rg.outlet = outlet.New(outlet.Options{Forwarder: proxy.New(proxy.Options{Dial: dialWithoutTimeout}), Log: slog.New(slog.NewJSONHandler(&outletLog, nil))})
+				rg.update()
+				rg.front.Config.Handler = rg.outlet
+				if rp := rg.do(rg.request("GET", "/a", "")); rp.err == nil && rp.outcome != "may-have-run" {
+					t.Errorf("from the %s: a complete response %+v", rs.name, rp)
+				}
+				if rs.name == "server" {
+					want := `"msg":"inlet-failed","id":"","outcome":"ended","reason":"` + tc.reason + `","error":"`
+					eventually(t, func() bool { return in.Stats.For("booking", "default").Outcomes.Get("ended/"+tc.reason) != nil })
+					if got := inletLog.String(); !strings.Contains(got, want) || !strings.Contains(got, tc.err) {
+						t.Errorf("no %s and %s in the log of the inlet:\n%s", want, tc.err, got)
+					}
+					continue
+				}
+				eventually(t, func() bool { return rg.outlet.Stats.For("booking", "default").Outcomes.Get("ended/"+tc.reason) != nil })
+				if got := outletLog.String(); !strings.Contains(got, `"outcome":"ended","reason":"`+tc.reason+`"`) || !strings.Contains(got, tc.err) {
+					t.Errorf("no %s and %s in the log of the outlet:\n%s", tc.reason, tc.err, got)
+				}
+			}
+		})
+	}
+}
+
 // TestTrailers guards against losing trailer fields of a sound response.
 func TestTrailers(t *testing.T) {
 	long := strings.Repeat("v", 3<<10)
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -180,6 +180,19 @@
 	return result.MayHaveRun, result.ReasonConnectionBroken
 }
 
+// readFailure returns why reading the body of the response failed with err.
+func (at *Attempt) readFailure(err error) result.Reason {
+	var er *intact.Error
+	if errors.As(err, &er) && er.Kind == intact.Malformed {
+		return result.ReasonMalformed
+	}
+	if cn, _ := at.connection(); cn != nil && !cn.Ended() {
+		// The transport has refused what it read.
+		return result.ReasonMalformed
+	}
+	return result.ReasonConnectionBroken
+}
+
 // Reused reports whether the next hop had answered an earlier request on the attempt's connection.
 func (at *Attempt) Reused() bool {
 	_, writtenBefore := at.connection()
@@ -262,7 +275,9 @@
 type CopyError struct {
 	// ReadFailed is set if reading the response failed, and unset if writing it to the caller did.
 	ReadFailed bool
-	Err        error
+	// Reason says what is wrong with the response or the connection.
+	Reason result.Reason
+	Err    error
 }
 
 // Error returns the failed side and the cause.
@@ -277,7 +292,7 @@
 func (er *CopyError) Unwrap() error { return er.Err }
 
 // Copy sends the response's body and trailers to a caller, after its header was sent, at the rate
-// that pc sets. If it fails, the caller's connection must be closed without a proper end of the
+// that pc sets. Its error is a *CopyError. If it fails, the caller's connection must be closed without a proper end of the
 // body, for example with http.ErrAbortHandler; otherwise a truncated response without a length
 // would look complete.
 func Copy(w http.ResponseWriter, at *Attempt, pc Pace) error {
@@ -298,24 +313,24 @@
 		n, err := res.Body.Read(buf)
 		if n > 0 {
 			if perr := pc.wait(n); perr != nil {
-				return &CopyError{Err: perr}
+				return &CopyError{Reason: result.ReasonConnectionBroken, Err: perr}
 			}
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return &CopyError{Err: werr}
+				return &CopyError{Reason: result.ReasonConnectionBroken, Err: werr}
 			}
 			if ferr := flush(); ferr != nil {
-				return &CopyError{Err: ferr}
+				return &CopyError{Reason: result.ReasonConnectionBroken, Err: ferr}
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return &CopyError{ReadFailed: true, Err: err}
+			return &CopyError{ReadFailed: true, Reason: at.readFailure(err), Err: err}
 		}
 	}
 	if err := intact.CheckTrailer(res.Trailer); err != nil {
-		return &CopyError{ReadFailed: true, Err: err}
+		return &CopyError{ReadFailed: true, Reason: at.readFailure(err), Err: err}
 	}
 	for name, values := range res.Trailer {
 		if !result.IsControl(name) {
--- a/internal/plat/intact/conn.go
+++ b/internal/plat/intact/conn.go
@@ -30,6 +30,8 @@
 	// head checks the head of the current response, refused is what is wrong with it.
 	head    headScanner
 	refused *Error
+	// ended is set once a read has failed or has returned the end of the stream.
+	ended bool
 }
 
 // New returns a connection that reads from and writes to nc.
@@ -79,6 +81,14 @@
 	return cn.head.part == beyond && cn.writeErr == nil
 }
 
+// Ended reports whether a read has failed or has returned the end of the stream. The HTTP library refuses
+// a malformed body before that.
+func (cn *Conn) Ended() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.ended
+}
+
 // scan checks bytes of a response that were read. It returns how many of them may be passed on.
 func (cn *Conn) scan(p []byte) (int, error) {
 	cn.mu.Lock()
@@ -105,6 +115,11 @@
 		return 0, er
 	}
 	n, err := cn.Conn.Read(p)
+	if err != nil {
+		cn.mu.Lock()
+		cn.ended = true
+		cn.mu.Unlock()
+	}
 	if n > 0 {
 		if sound, err := cn.scan(p[:n]); err != nil {
 			return sound, err
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -13,7 +13,7 @@
 	TenantOutlets  = "tenant-outlets"
 	TenantCounting = "tenant-counting"
 	// InletRefused is a request that an inlet did not forward to its backend server, InletFailed
-	// one that it forwarded and that was not answered.
+	// one that it forwarded and that was not answered, or not completely.
 	InletRefused = "inlet-refused"
 	InletFailed  = "inlet-failed"
 	// SetDeadlineFailed is a failure to set the deadline of a caller's connection: the caller has
