outlet: a response that was cut off is reset for callers of HTTP/1.0

A caller of HTTP/1.0 got the beginning of a response as a complete one when the backend server broke off or sent a malformed chunk: such callers get responses without a length, which end with the connection, and the outlet closed it in order. Found while looking for the places at which a response that ends early can look complete.

Change: the outlet resets the connection of such a caller. For callers of HTTP/1.1 and HTTP/2 the missing end of the body shows it, as before.

--- a/internal/path/outlet/attempt.go
+++ b/internal/path/outlet/attempt.go
@@ -3,16 +3,19 @@
 import (
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/path/delay"
+	"github.com/flamingomast/flamingomast/internal/path/gone"
 	"github.com/flamingomast/flamingomast/internal/path/pacer"
 	"github.com/flamingomast/flamingomast/internal/path/pick"
 	"github.com/flamingomast/flamingomast/internal/path/proxy"
 	"github.com/flamingomast/flamingomast/internal/path/result"
+	"github.com/flamingomast/flamingomast/internal/stat/logs"
 )
 
 // attempt sends the request to one server. It returns nil once a response was forwarded completely;
@@ -72,11 +75,22 @@
 	if err != nil {
 		rq.lastRefusal = &result.Refusal{Cause: err}
 		rq.record(result.Ended, re)
-		panic(http.ErrAbortHandler)
+		rq.breakOff()
 	}
 	return nil
 }
 
+// breakOff closes the caller's connection in the middle of a response. It does not return.
+func (rq *request) breakOff() {
+	if !rq.r.ProtoAtLeast(1, 1) {
+		// A response of HTTP/1.0 may end with its connection.
+		if err := gone.Reset(rq.r); err != nil {
+			rq.ou.log.Debug(logs.ResetFailed, slog.String(logs.ID, rq.id()), slog.Any(logs.Error, err))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // endAttempt records a failed attempt at a server. A server that could not be reached stays ejected
 // until a probe connects to it, so that no request is used to find out.
 func (rq *request) endAttempt(ep *pick.Endpoint, vd pick.Verdict) {
--- a/internal/stat/logs/events.go
+++ b/internal/stat/logs/events.go
@@ -19,6 +19,8 @@
 	// SetDeadlineFailed is a failure to set the deadline of a caller's connection: the caller has
 	// disconnected, or the connection does not support deadlines.
 	SetDeadlineFailed = "caller-deadline-unset"
+	// ResetFailed is a failure to reset a caller's connection: the caller has disconnected.
+	ResetFailed = "caller-reset-failed"
 	// ServerLimit is a backend server's rate limit that was named, changed or lifted, and
 	// ServerNoticeInvalid a response header about it that cannot be used. ServerLeaving is a backend
 	// server that says in a response that it is leaving.
