probe: a broken response does not show that a server is serving

At start-up a daemon probes the server beside it. It took a server for serving whose response had a malformed field name, a length that was not heeded, a transfer coding in HTTP/1.0 or another version, and it read a head without end into memory until the probe timed out after 300 ms. Found while looking for the cause of the reported faults wherever responses are read.

Cause: the probe reads the response with the lenient parser of the library, alone, without the limit for heads that the forwarder's transport has.

Change: it reads through package intact, which refuses malformed heads and those above 256 KiB, and checks the names of trailer fields.

Sound responses, with and without a length, are accepted as before.

--- a/internal/node/probe/probe.go
+++ b/internal/node/probe/probe.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/flamingomast/flamingomast/internal/plat/dialer"
+	"github.com/flamingomast/flamingomast/internal/plat/intact"
 )
 
 // Timeout bounds one probe. A server responds within milliseconds, or later if all its slots are in
@@ -58,11 +60,15 @@
 	return pr.exchange(nc, req)
 }
 
-func (pr Prober) exchange(nc io.ReadWriter, req *http.Request) (Result, error) {
-	if err := req.Write(nc); err != nil {
+func (pr Prober) exchange(nc net.Conn, req *http.Request) (Result, error) {
+	cn := intact.New(nc)
+	if err := req.Write(cn); err != nil {
 		return Result{}, err
 	}
-	res, err := http.ReadResponse(bufio.NewReader(nc), req)
+	res, err := http.ReadResponse(bufio.NewReader(cn), req)
+	if er := cn.Refusal(); er != nil {
+		return Result{}, er
+	}
 	if err != nil {
 		return Result{}, err
 	}
@@ -70,6 +76,9 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBodyBytes)); err != nil {
 		return Result{}, err
 	}
+	if err := intact.CheckTrailer(res.Trailer); err != nil {
+		return Result{}, err
+	}
 	re := Result{Lifetime: res.Header.Get(pr.Lifetime), Slots: parseSlots(res.Header.Get(pr.Load))}
 	if res.StatusCode != http.StatusOK || re.Lifetime == "" {
 		return Result{}, fmt.Errorf("probe: backend server is not serving or not identified: status %d, lifetime %q", res.StatusCode, re.Lifetime)
