remote: a response of the store without end is given up at 16 MiB

The client of the product's own store read a response without end into memory for as long as it came: the timeout is for each read, and nothing bounded the size. Found by a stand-in for bytes that come without end.

Change: package stall, through which the calls go, ends a call whose response body exceeds MaxBody.

TestMaxBody: a body of just the bound is read.

--- a/internal/plat/remote/client.go
+++ b/internal/plat/remote/client.go
@@ -21,6 +21,9 @@
 // in addition.
 const CallTimeout = 3 * time.Second
 
+// maxMessage bounds the size of a response in bytes, well above that of the largest listing.
+const maxMessage = 16 << 20
+
 // Client calls a key-value service at one address.
 type Client struct {
 	kv kvpb.KeyValueClient
@@ -46,7 +49,7 @@
 		IdleConnTimeout:     time.Minute,
 	}}
 	do := func(req *http.Request) (*http.Response, error) { return dialer.DoSkipStale(hc, req) }
-	return &Client{kv: kvpb.NewKeyValueClient(&stall.Client{HTTP: do, Timeout: CallTimeout}, "http://"+addr)}
+	return &Client{kv: kvpb.NewKeyValueClient(&stall.Client{HTTP: do, Timeout: CallTimeout, MaxBody: maxMessage}, "http://"+addr)}
 }
 
 // Store returns the client as a store.Store.
--- a/internal/plat/stall/stall.go
+++ b/internal/plat/stall/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -21,6 +22,8 @@
 	// Timeout bounds the time to the response headers, not counting the time to send the
 	// request, and then the duration of each read of the response body.
 	Timeout time.Duration
+	// MaxBody bounds the size of a response body in bytes; 0 means no bound.
+	MaxBody int64
 	// OnReceive, if set, is called after each read that returns part of a response body.
 	OnReceive func()
 }
@@ -37,6 +40,17 @@
 // errStalled is the cancel cause of a call that timed out.
 var errStalled = &Error{}
 
+// SizeError is the error of a call whose response body is larger than allowed.
+type SizeError struct {
+	// MaxBody is the bound in bytes.
+	MaxBody int64
+}
+
+// Error returns the error message.
+func (er *SizeError) Error() string {
+	return fmt.Sprintf("stall: the response body exceeds %d bytes", er.MaxBody)
+}
+
 // Error is the error of a call that was cancelled because it made no progress.
 type Error struct{}
 
@@ -83,6 +97,8 @@
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	client *Client
+	// received is how many bytes were read.
+	received int64
 }
 
 // Read reads from the body. Only time spent within Read counts, so a slow caller does not
@@ -91,6 +107,11 @@
 	bo.timer.Reset(bo.client.Timeout)
 	n, err := bo.ReadCloser.Read(p)
 	bo.timer.Stop()
+	if bo.received += int64(n); bo.client.MaxBody > 0 && bo.received > bo.client.MaxBody {
+		er := &SizeError{MaxBody: bo.client.MaxBody}
+		bo.cancel(er)
+		return 0, er
+	}
 	if n > 0 && bo.client.OnReceive != nil {
 		bo.client.OnReceive()
 	}
--- a/internal/plat/stall/stall_test.go
+++ b/internal/plat/stall/stall_test.go
@@ -122,3 +122,32 @@
 		}
 	}
 }
+
+// TestMaxBody guards against reading a response without end, and against refusing one of the largest
+// size.
+func TestMaxBody(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		max    int64
+		pieces int
+		ok     bool
+	}{
+		{"largest", 50, 50, true},
+		{"too large", 50, 51, false},
+		{"without end", 50, -1, false},
+		{"not bounded", 0, 500, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := &Client{HTTP: (&http.Client{Transport: &slowServer{pieces: tc.pieces}}).Do, Timeout: time.Second, MaxBody: tc.max}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://a/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = call(cl, req, 0)
+			var er *SizeError
+			if tc.ok != (err == nil) || !tc.ok && !errors.As(err, &er) {
+				t.Errorf("%s: %v; want it to be read: %t", tc.name, err, tc.ok)
+			}
+		})
+	}
+}
