mesh/ctrl: a response of another daemon without end is given up at 4 MiB

A call to another daemon lasted as long as its response: the RPC library reads on behind the largest message that it accepts to find out its size, and an error that is not its own to the end. A fetch of a configuration has no other deadline, so a daemon whose peer sent bytes without end would not have fetched again; a status or a drain lasted until its caller left.

Change: single calls go through package stall, with a bound of 4 MiB for the body and of 10 s without data. Links, which last, do not. Fetches had the latter bound already, of 3 s.

TestEndlessPeerResponse: messages and errors without end kept a status and a fetch until the 20 s of the test before; they end with an error at once now. TestBrokenPeerResponse has 13 malformed or cut-off responses of HTTP/2, among them the status 000 and blanks in names of fields and trailer fields: all were errors already, and three sound ones are accepted; nothing was changed for them.

--- a/internal/mesh/ctrl/linker.go
+++ b/internal/mesh/ctrl/linker.go
@@ -406,7 +406,7 @@
 func (nd *Node) runLink(ctx context.Context, addr string) (failed bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	bs := nd.Client(addr).Link(ctx)
+	bs := nd.linkClient(addr).Link(ctx)
 	pr := link.New(link.Stream{
 		Send:    bs.Send,
 		Receive: bs.Receive,
--- a/internal/mesh/ctrl/serve.go
+++ b/internal/mesh/ctrl/serve.go
@@ -25,6 +25,10 @@
 // dialTimeout bounds the time to connect to another daemon.
 const dialTimeout = time.Second
 
+// callTimeout bounds the time during which no data of the response to a single call arrives. A daemon
+// answers at once, or asks its relay.
+const callTimeout = 10 * time.Second
+
 type controllerKey struct{}
 
 // Handler returns the handler for requests of other daemons. It requires HTTP/2, see Protocols.
@@ -115,14 +119,17 @@
 	return &http.Client{Transport: &tokenTransport{token: cf.Token, next: tr}}
 }
 
-// Client returns a client for the daemon at addr.
+// Client returns a client for single calls to the daemon at addr.
 func (nd *Node) Client(addr string) wirepb.ControlClient {
-	return nd.client(nd.http, addr)
+	return nd.client(&stall.Client{HTTP: nd.http.Do, Timeout: callTimeout, MaxBody: maxMessage}, addr)
 }
 
+// linkClient returns a client for links, which last, to the daemon at addr.
+func (nd *Node) linkClient(addr string) wirepb.ControlClient { return nd.client(nd.http, addr) }
+
 // fetchClient returns a client for fetching content of any size from a peer.
 func (nd *Node) fetchClient(pr *link.Peer) wirepb.ControlClient {
-	return nd.client(&stall.Client{HTTP: nd.http.Do, Timeout: fetchTimeout, OnReceive: pr.MarkAlive}, nd.addressOf(pr))
+	return nd.client(&stall.Client{HTTP: nd.http.Do, Timeout: fetchTimeout, MaxBody: maxMessage, OnReceive: pr.MarkAlive}, nd.addressOf(pr))
 }
 
 func (nd *Node) client(hc connect.HTTPClient, addr string) wirepb.ControlClient {
