stall: a response whose bytes trickle in without end is given up

A call to the store, or a fetch from another daemon, never ended while a byte of its response came now and then: the timeout is for each read. Found by a stand-in for bytes that come without end.

Change: all reads of a body together may take ten times the timeout, and the time that the body takes at 8 KiB/s.

TestDo: a body of a byte every 100 ms never ended before (the test timed out), and is given up after 10 s now; one of 9,000 bytes, one every millisecond, is read as before, like the other cases of slow responses.

--- a/internal/plat/stall/stall.go
+++ b/internal/plat/stall/stall.go
@@ -15,12 +15,21 @@
 // still be in the socket buffers of the operating system.
 const MinSendRate = 64 << 10
 
+// MinReceiveRate is the lowest rate, in bytes per second, at which the body of a response may arrive in
+// the long run. A body of which some bytes arrive now and then would otherwise never end.
+const MinReceiveRate = 8 << 10
+
+// maxStalls is how many times Client.Timeout a body may take beyond the time that its size takes at
+// MinReceiveRate.
+const maxStalls = 10
+
 // Client makes HTTP calls with stall detection.
 type Client struct {
 	// HTTP makes a call like http.Client.Do.
 	HTTP func(*http.Request) (*http.Response, error)
 	// Timeout bounds the time to the response headers, not counting the time to send the
-	// request, and then the duration of each read of the response body.
+	// request, and then the duration of each read of the response body. All reads together may take
+	// ten times as long, and the time that the body takes at MinReceiveRate.
 	Timeout time.Duration
 	// MaxBody bounds the size of a response body in bytes; 0 means no bound.
 	MaxBody int64
@@ -97,16 +106,25 @@
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	client *Client
-	// received is how many bytes were read.
+	// received is how many bytes were read, and reading the time that their reads took.
 	received int64
+	reading  time.Duration
+}
+
+// timeLeft returns how long the next read may take.
+func (bo *body) timeLeft() time.Duration {
+	most := maxStalls*bo.client.Timeout + time.Duration(bo.received)*time.Second/MinReceiveRate
+	return min(bo.client.Timeout, most-bo.reading)
 }
 
 // Read reads from the body. Only time spent within Read counts, so a slow caller does not
 // cause a timeout.
 func (bo *body) Read(p []byte) (int, error) {
-	bo.timer.Reset(bo.client.Timeout)
+	began := time.Now()
+	bo.timer.Reset(bo.timeLeft())
 	n, err := bo.ReadCloser.Read(p)
 	bo.timer.Stop()
+	bo.reading += time.Since(began)
 	if bo.received += int64(n); bo.client.MaxBody > 0 && bo.received > bo.client.MaxBody {
 		er := &SizeError{MaxBody: bo.client.MaxBody}
 		bo.cancel(er)
--- a/internal/plat/stall/stall_test.go
+++ b/internal/plat/stall/stall_test.go
@@ -80,6 +80,8 @@
 		{"watch without response", 0, 10 * time.Second, slowServer{delay: time.Minute}, 0, false, 10 * time.Second},
 		{"long response", 0, 0, slowServer{pieces: 5, gap: 900 * time.Millisecond}, 0, true, 4500 * time.Millisecond},
 		{"stalled response", 0, 0, slowServer{pieces: 5, gap: 1100 * time.Millisecond}, 0, false, time.Second},
+		{"bytes now and then, without end", 0, 0, slowServer{pieces: -1, gap: 100 * time.Millisecond}, 0, false, 10*time.Second + 100*time.Second/MinReceiveRate},
+		{"a byte every millisecond", 0, 0, slowServer{pieces: 9000, gap: time.Millisecond}, 0, true, 9 * time.Second},
 		{"slow reader", 0, 0, slowServer{pieces: 2}, 5 * time.Second, true, 15 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
