faulty: four malformed responses

With them, TestServerFails and TestRetryOnOtherServer show for nine kinds of requests that such a response is no answer, that the server gets the request once, and that another server answers those that may run twice.

--- a/internal/plat/faulty/faulty.go
+++ b/internal/plat/faulty/faulty.go
@@ -149,11 +149,15 @@
 	{Name: "conflicting-lengths", Handler: RespondRaw(statusLine+"Content-Length: 2\r\nContent-Length: 5\r\n\r\nokokok", false)},
 	{Name: "huge-head", Handler: hugeHead},
 	{Name: "endless-interim", Handler: endlessInterim},
+	{Name: "status-out-of-range", Handler: RespondRaw("HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok", false)},
+	{Name: "blank-in-field-name", Handler: RespondRaw(statusLine+"Content-Length : 10\r\n\r\nhalf", false)},
+	{Name: "chunked-in-http-1.0", Handler: RespondRaw("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", false)},
 	{Name: "no-http", Handler: RespondRaw("220 mail ready\r\n", false)},
 	{Name: "closes-after-answer-head", Handler: RespondRaw(statusLine+"Content-Length: 10\r\n\r\n", false), HeadSent: true},
 	{Name: "closes-in-answer-body", Handler: RespondRaw(truncated, false), HeadSent: true},
 	{Name: "resets-in-answer-body", Handler: withReset(RespondRaw(truncated, false)), HeadSent: true},
 	{Name: "closes-in-chunked-body", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false), HeadSent: true},
+	{Name: "blank-in-trailer-name", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: v\r\n\r\n", false), HeadSent: true},
 	{Name: "bad-chunk", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n", false), HeadSent: true},
 }
 
