--- a/internal/path/outlet/reset_test.go
+++ b/internal/path/outlet/reset_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -15,19 +14,6 @@
 // uploadSize exceeds all the buffers between caller and backend server.
 const uploadSize = 16 << 20
 
-// resets returns a handler that answers with text while the request is being received, and then
-// resets the connection.
-func resets(text string) faulty.Handler {
-	return func(cn net.Conn, _ int, req *http.Request) bool {
-		// The upload is on its way once its first bytes have arrived.
-		_, _ = io.ReadFull(req.Body, make([]byte, 1<<10))
-		_, _ = io.WriteString(cn, text)
-		_, _ = io.ReadFull(req.Body, make([]byte, 256<<10))
-		_ = cn.(*net.TCPConn).SetLinger(0)
-		return false
-	}
-}
-
 func (rg *rig) upload(path string, size int) *http.Request {
 	req := rg.request("POST", path, "")
 	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, size))), int64(size)
@@ -38,14 +24,9 @@
 // connection was reset while the request was still being sent.
 func TestResetDuringUpload(t *testing.T) {
 	const rounds, callers = 25, 4
-	for _, tc := range []struct{ name, response string }{
-		{"to the end of the connection", "HTTP/1.1 200 OK\r\n\r\npart"},
-		{"announced close", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart"},
-		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart"},
-		{"no body", "HTTP/1.1 200 OK\r\n\r\n"},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			be := newFaultyServer(t, resets(tc.response))
+	for _, fa := range faulty.UnboundedResets {
+		t.Run(fa.Name, func(t *testing.T) {
+			be := newFaultyServer(t, fa.Handler)
 			rg := newRig(t, be.Addr)
 			var wg conc.WaitGroup
 			for range callers {
--- a/internal/plat/faulty/faulty.go
+++ b/internal/plat/faulty/faulty.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// resetDuringUpload responds without a length while the request may still be sent, and then closes the
+// connection with a TCP reset.
+func resetDuringUpload(response string) Handler {
+	return withReset(func(cn net.Conn, _ int, req *http.Request) bool {
+		// The upload is on its way once its first bytes have arrived. An error means that it is short.
+		_, _ = io.CopyN(io.Discard, req.Body, 1<<10)
+		_, _ = io.WriteString(cn, response)
+		_, _ = io.CopyN(io.Discard, req.Body, 256<<10)
+		return false
+	})
+}
+
+// UnboundedResets are failure modes in which a response without a length is reset while its request may
+// still be sent.
+var UnboundedResets = []Fault{
+	{Name: "resets-during-upload", Handler: resetDuringUpload(statusLine + "\r\nhalf"), HeadSent: true},
+	{Name: "resets-during-upload-after-close", Handler: resetDuringUpload(statusLine + "Connection: close\r\n\r\nhalf"), HeadSent: true},
+	{Name: "resets-during-upload-http-1.0", Handler: resetDuringUpload("HTTP/1.0 200 OK\r\n\r\nhalf"), HeadSent: true},
+	{Name: "resets-during-upload-no-body", Handler: resetDuringUpload(statusLine + "\r\n"), HeadSent: true},
+}
+
 // Fault is a failure mode of a backend server.
 type Fault struct {
 	Name    string
@@ -156,6 +177,7 @@
 	{Name: "closes-after-answer-head", Handler: RespondRaw(statusLine+"Content-Length: 10\r\n\r\n", false), HeadSent: true},
 	{Name: "closes-in-answer-body", Handler: RespondRaw(truncated, false), HeadSent: true},
 	{Name: "resets-in-answer-body", Handler: withReset(RespondRaw(truncated, false)), HeadSent: true},
+	UnboundedResets[0],
 	{Name: "closes-in-chunked-body", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false), HeadSent: true},
 	{Name: "blank-in-trailer-name", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Bad: v\r\n\r\n", false), HeadSent: true},
 	{Name: "bad-chunk", Handler: RespondRaw(statusLine+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nzz\r\n", false), HeadSent: true},
