inlet, proxy, intact: review of the work on broken responses

No change of what callers see. A response that fails because its caller has left or its deadline has passed keeps the reason connection-broken at the inlet, since the transport may close the connection before a read shows its end. io.ErrClosedPipe, the error of in-memory connections whose peer has closed, is an orderly end like EPIPE. Doc comments are rewrapped.

--- a/internal/path/inlet/inlet.go
+++ b/internal/path/inlet/inlet.go
@@ -400,12 +400,11 @@
 		re := result.ReasonConnectionBroken
 		var ce *proxy.CopyError
 		if errors.As(err, &ce) && ce.ReadFailed {
-			re = ce.Reason
-			rf := &result.Refusal{Outcome: result.MayHaveRun, Reason: re, Cause: ce.Err}
-			in.recordCrash(r, pr, rr, rf)
 			if ctx.Err() == nil {
-				in.logFailed(r, rf)
+				re = ce.Reason
+				in.logFailed(r, re, ce.Err)
 			}
+			in.recordCrash(r, pr, rr, &result.Refusal{Outcome: result.MayHaveRun, Reason: re})
 		}
 		sr.Outcomes.Add(result.Ended.String()+"/"+string(re), 1)
 		panic(http.ErrAbortHandler)
--- a/internal/path/inlet/response.go
+++ b/internal/path/inlet/response.go
@@ -65,7 +65,7 @@
 }
 
 // logFailed logs a request whose response failed after its head had been forwarded.
-func (in *Inlet) logFailed(r *http.Request, rf *result.Refusal) {
+func (in *Inlet) logFailed(r *http.Request, re result.Reason, err error) {
 	in.Log.LogAttrs(context.Background(), slog.LevelWarn, logs.InletFailed, slog.String(logs.ID, in.callerRequestID(r)),
-		slog.String(logs.Outcome, result.Ended.String()), slog.String(logs.Reason, string(rf.Reason)), rf.CauseAttr())
+		slog.String(logs.Outcome, result.Ended.String()), slog.String(logs.Reason, string(re)), slog.Any(logs.Error, err))
 }
--- a/internal/path/proxy/proxy.go
+++ b/internal/path/proxy/proxy.go
@@ -292,9 +292,9 @@
 func (er *CopyError) Unwrap() error { return er.Err }
 
 // Copy sends the response's body and trailers to a caller, after its header was sent, at the rate
-// that pc sets. Its error is a *CopyError. If it fails, the caller's connection must be closed without a proper end of the
-// body, for example with http.ErrAbortHandler; otherwise a truncated response without a length
-// would look complete.
+// that pc sets. If it fails, with a *CopyError, the caller's connection must be closed without a
+// proper end of the body, for example with http.ErrAbortHandler; otherwise a truncated response
+// without a length would look complete.
 func Copy(w http.ResponseWriter, at *Attempt, pc Pace) error {
 	res := at.Response
 	array := copyBufs.Get().(*[copyBufSize]byte)
--- a/internal/plat/intact/conn.go
+++ b/internal/plat/intact/conn.go
@@ -158,6 +158,7 @@
 // its first error: the write was interrupted, or it failed because the server had closed the
 // connection before.
 func endsInOrder(err error) bool {
-	// A reset that follows an orderly close is EPIPE, any other one ECONNRESET.
-	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, net.ErrClosed)
+	// A reset that follows an orderly close is EPIPE, or io.ErrClosedPipe in memory; any other one is
+	// ECONNRESET.
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrClosedPipe) || errors.Is(err, net.ErrClosed)
 }
