node/daemon: tests listen at a loopback address of their process

TestRequestEndsServers failed once, beside the tests of six other packages: "outlet: listen tcp 127.0.0.1:20792: bind: address already in use".

Cause: the tests draw a free port of 127.0.0.1 and listen on it later, and so do those of other packages that go test runs at the same time; two drew the same. The soak avoids that with a loopback address for each process.

Change: the daemon's tests do the same.

--- a/internal/node/daemon/daemon_test.go
+++ b/internal/node/daemon/daemon_test.go
@@ -34,7 +34,7 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	addr, err := addrs.Free()
+	addr, err := addrs.FreeOn(addrs.ProcessIP())
 	if err != nil {
 		t.Fatal(err)
 	}
