intact: check heads with tables

The check of a head of six lines took 0.8 microseconds, and each request has two.

Change: tables tell which bytes a name and a value may have, and the bytes of a value are passed over in a loop of their own. The verdicts are unchanged (TestHead, TestHeadBounded, FuzzHead for 20 s).

--- a/internal/plat/intact/body.go
+++ b/internal/plat/intact/body.go
@@ -11,7 +11,7 @@
 func CheckTrailer(trailer http.Header) error {
 	for name, values := range trailer {
 		for i := range len(name) {
-			if len(values) > 0 && !isToken(name[i]) {
+			if len(values) > 0 && lowerToken[name[i]] == 0 {
 				return malformed("the name %q of a trailer field holds %q", name, name[i])
 			}
 		}
--- a/internal/plat/intact/head.go
+++ b/internal/plat/intact/head.go
@@ -1,9 +1,9 @@
 package intact
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
-	"strings"
 )
 
 // MaxHead is the largest size in bytes of the head of a response, together with the interim responses
@@ -55,18 +55,32 @@
 // scan processes further bytes of a response. It returns how many of them may be passed on: up to the
 // first byte that violates the protocol, if there is one.
 func (hs *headScanner) scan(p []byte) (int, *Error) {
-	for i, c := range p {
-		if hs.part == beyond {
-			break
-		}
-		if hs.size++; hs.size > MaxHead {
-			return i, malformed("the head exceeds %d bytes", MaxHead)
+	if hs.part == beyond {
+		return len(p), nil
+	}
+	n := min(len(p), MaxHead-hs.size)
+	for i := 0; i < n; i++ {
+		if hs.part == fieldValue {
+			// Most bytes of a head need no more than this.
+			for i < n && isText[p[i]] {
+				i++
+			}
+			if i == n {
+				break
+			}
 		}
-		if er := hs.next(c); er != nil {
+		if er := hs.next(p[i]); er != nil {
 			return i, er
 		}
+		if hs.part == beyond {
+			return len(p), nil
+		}
 	}
-	return len(p), nil
+	hs.size += n
+	if n < len(p) {
+		return n, malformed("the head exceeds %d bytes", MaxHead)
+	}
+	return n, nil
 }
 
 // next processes one byte.
@@ -98,7 +112,7 @@
 		return nil
 	case c == '\n':
 		return hs.endLine()
-	case c < ' ' && c != '\t' || c == 0x7f:
+	case !isText[c]:
 		return malformed("a line of the head holds %q", c)
 	}
 	if hs.part == statusLine {
@@ -113,11 +127,8 @@
 	case c == ':' && hs.length > 0:
 		hs.part = fieldValue
 		return hs.endName()
-	case isToken(c):
-		if 'A' <= c && c <= 'Z' {
-			c += 'a' - 'A'
-		}
-		hs.store(c)
+	case lowerToken[c] != 0:
+		hs.store(lowerToken[c])
 		return nil
 	}
 	return malformed("the name of a field, which begins with %q, holds %q", hs.tokenText(), c)
@@ -126,7 +137,7 @@
 // endName processes the end of a field name.
 func (hs *headScanner) endName() *Error {
 	// The library ignores it in responses of HTTP/1.0, and would take the chunks for the body.
-	if hs.minor == '0' && hs.length <= maxToken && hs.tokenText() == "transfer-encoding" {
+	if hs.minor == '0' && hs.length <= maxToken && string(hs.tokenText()) == "transfer-encoding" {
 		return malformed("Transfer-Encoding in a response of HTTP/1.0")
 	}
 	return nil
@@ -153,11 +164,11 @@
 // endStatusLine processes the end of the status line.
 func (hs *headScanner) endStatusLine() *Error {
 	text := hs.tokenText()
-	minor, found := strings.CutPrefix(text, "HTTP/1.")
+	minor, found := bytes.CutPrefix(text, []byte("HTTP/1."))
 	if !found || len(minor) < 2 || !isDigit(minor[0]) || minor[1] != ' ' {
 		return malformed("the status line %q names no version of HTTP/1", text)
 	}
-	code, _, _ := strings.Cut(strings.TrimLeft(minor[1:], " "), " ")
+	code, _, _ := bytes.Cut(bytes.TrimLeft(minor[1:], " "), []byte(" "))
 	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
 		return malformed("the status line %q has no status", text)
 	}
@@ -180,14 +191,25 @@
 }
 
 // tokenText returns the beginning of the token.
-func (hs *headScanner) tokenText() string { return string(hs.token[:min(hs.length, maxToken)]) }
+func (hs *headScanner) tokenText() []byte { return hs.token[:min(hs.length, maxToken)] }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
-// isToken reports whether c may be part of a field name (RFC 9110 section 5.6.2).
-func isToken(c byte) bool {
-	return 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || isDigit(c) || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
-}
+// isText holds the bytes that may be in the value of a field or in the reason of a status line.
+// lowerToken maps the bytes that may be in the name of a field (RFC 9110 section 5.6.2) to lower case, and
+// all others to 0.
+var isText, lowerToken = func() (text [256]bool, token [256]byte) {
+	for c := range 256 {
+		text[c] = c >= ' ' && c != 0x7f || c == '\t'
+	}
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz") {
+		token[c] = c
+	}
+	for c := byte('A'); c <= 'Z'; c++ {
+		token[c] = c + 'a' - 'A'
+	}
+	return text, token
+}()
 
 func malformed(format string, args ...any) *Error {
 	return &Error{Kind: Malformed, Detail: fmt.Sprintf(format, args...)}
